--- /dev/null
+++ b/internal/declaration/validate.go
@@ -0,0 +1,112 @@
+package declaration
+
+import (
+	"encoding/json"
+	"regexp"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// maxDocumentBytes is the greatest value that the store holds.
+const maxDocumentBytes = 1 << 20
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+
+// Validate returns an error that names the field and what would be valid, or nil.
+func (s *Service) Validate() error {
+	if !namePattern.MatchString(string(s.Name)) {
+		return errors.Errorf("service name %q: use 1 to 63 lower-case letters, digits, '-' or '.'", s.Name)
+	}
+	if s.FloorSlots < 0 {
+		return errors.Errorf("service %s: floor %d slots: use 0 or more", s.Name, s.FloorSlots)
+	}
+	if err := s.Policy.validate(); err != nil {
+		return errors.Wrapf(err, "service %s", s.Name)
+	}
+	seen := make(map[string]bool, len(s.Routes))
+	for i := range s.Routes {
+		route := &s.Routes[i]
+		if err := route.validate(); err != nil {
+			return errors.Wrapf(err, "service %s: route %q", s.Name, route.Path)
+		}
+		id := route.Host + " " + strings.Join(route.Methods, ",") + " " + route.Path
+		if seen[id] {
+			return errors.Errorf("service %s: route %q is declared twice for the same host and methods", s.Name, route.Path)
+		}
+		seen[id] = true
+	}
+	return nil
+}
+
+func (p Policy) validate() error {
+	switch p.Preset {
+	case "", PresetHuon, PresetDala:
+	default:
+		return errors.Errorf("policy %q: use %q or %q", p.Preset, PresetHuon, PresetDala)
+	}
+	if p.FalseAlarmRate < 0 || p.FalseAlarmRate >= 1 {
+		return errors.Errorf("false alarm rate %g: use a number above 0 and below 1", p.FalseAlarmRate)
+	}
+	if p.FailureRate < 0 || p.FailureRate >= 1 {
+		return errors.Errorf("failure rate %g: use a number above 0 and below 1", p.FailureRate)
+	}
+	return nil
+}
+
+func (r *Route) validate() error {
+	if !strings.HasPrefix(r.Path, "/") {
+		return errors.New("path: begin with '/'")
+	}
+	switch r.Class {
+	case "", Idempotent, NonIdempotent:
+	default:
+		return errors.Errorf("class %q: use %q or %q", r.Class, Idempotent, NonIdempotent)
+	}
+	switch r.Priority {
+	case "", Interactive, Bulk:
+	default:
+		return errors.Errorf("priority %q: use %q or %q", r.Priority, Interactive, Bulk)
+	}
+	if r.TimeoutMS < 0 || r.FirstByteMS < 0 {
+		return errors.New("timeouts: use 0 or more milliseconds")
+	}
+	for _, method := range r.Methods {
+		if method == "" || strings.ToUpper(method) != method {
+			return errors.Errorf("method %q: use upper-case letters", method)
+		}
+	}
+	for _, status := range append(append([]int(nil), r.RetryStatuses...), r.FailStatuses...) {
+		if status < 400 || status > 599 {
+			return errors.Errorf("status %d: use 400 to 599", status)
+		}
+	}
+	return nil
+}
+
+// Encode returns the canonical JSON of a valid service. Equal services have equal encodings.
+func (s *Service) Encode() ([]byte, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, errors.Wrapf(err, "service %s", s.Name)
+	}
+	if len(data) > maxDocumentBytes {
+		return nil, errors.Errorf("service %s: document of %d bytes is over the store's %d", s.Name, len(data), maxDocumentBytes)
+	}
+	return data, nil
+}
+
+// Decode parses and validates the canonical JSON of a service.
+func Decode(data []byte) (*Service, error) {
+	s := new(Service)
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, errors.Wrap(err, "service document")
+	}
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/model/target.go
@@ -0,0 +1,30 @@
+package model
+
+import "time"
+
+// Target is the state of one target as its admitting node reports it.
+type Target struct {
+	ID      TargetID
+	Service ServiceName
+	// Address is host:port of the upstream, reachable from its own node.
+	Address string
+	// Slots is the number of requests that the upstream runs at a time.
+	Slots int
+	// RampSlots is the number of slots that the cold-start ramp gives at present, at most Slots.
+	RampSlots int
+	InFlight  int
+	Queued    int
+	Phase     Phase
+	// Suspect means that the detector of the admitting node holds the target to be failing.
+	Suspect bool
+	// Missing means that the upstream has not announced itself in time.
+	Missing bool
+	// Successes and Failures count outcomes of real work since the node's start.
+	Successes uint64
+	Failures  uint64
+	// FirstByte is the smoothed time to first byte, 0 if no request was answered yet.
+	FirstByte time.Duration
+}
+
+// TakesWork reports whether the announced phase lets new work in.
+func (t Target) TakesWork() bool { return t.Phase == PhaseReady }
