--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,144 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// maxAdmitAhead is how far ahead of the admitting node's clock an attempt's latest admission time is set at most.
+// It is under the limit of 30 s that the admission point enforces.
+const maxAdmitAhead = 20 * time.Second
+
+// Client calls other nodes. It is safe for concurrent use.
+type Client struct {
+	self model.NodeID
+	opts Options
+	pool *pool
+
+	mu       sync.Mutex
+	sessions map[string]*Session
+}
+
+// NewClient returns a client for the node self.
+func NewClient(self model.NodeID, opts Options) *Client {
+	opts = opts.withDefaults()
+	return &Client{self: self, opts: opts, pool: newPool(opts), sessions: make(map[string]*Session)}
+}
+
+// Close closes all idle connections. Calls in progress end as usual.
+func (c *Client) Close() { c.pool.close() }
+
+// ExpireIdle closes connections that were idle for longer than the given time.
+func (c *Client) ExpireIdle(maxIdle time.Duration) { c.pool.expire(maxIdle) }
+
+// Hello asks the peer for its incarnation and clock and keeps the answer for later calls.
+func (c *Client) Hello(ctx context.Context, address string) (*Session, error) {
+	var session *Session
+	err := c.call(ctx, address, func(ctx context.Context, k *conn) (err error) {
+		session, err = c.hello(ctx, k)
+		return err
+	})
+	return session, err
+}
+
+func (c *Client) hello(ctx context.Context, k *conn) (*Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	defer cancel()
+	res, err := k.client.Hello(ctx, &peerv1.HelloRequest{Node: string(c.self)})
+	if err != nil {
+		return nil, err
+	}
+	session := &Session{
+		Node:        model.NodeID(res.Node),
+		Incarnation: model.Incarnation(res.Incarnation),
+		clock:       time.Duration(res.ClockMs) * time.Millisecond,
+		receivedAt:  time.Now(),
+	}
+	c.mu.Lock()
+	c.sessions[k.address] = session
+	c.mu.Unlock()
+	return session, nil
+}
+
+// session returns the last answer to Hello, or nil.
+func (c *Client) session(address string) *Session {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sessions[address]
+}
+
+// Forget drops what is known of the peer, so that the next request begins with Hello. It is called when the peer
+// refuses an attempt because it was meant for an earlier incarnation.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	delete(c.sessions, address)
+	c.mu.Unlock()
+}
+
+// Lookup asks for the state of an attempt on a new connection, because the old ones may be silent.
+func (c *Client) Lookup(ctx context.Context, address string, req *peerv1.LookupRequest) (*peerv1.LookupResponse, error) {
+	c.pool.drop(address)
+	var res *peerv1.LookupResponse
+	err := c.call(ctx, address, func(ctx context.Context, k *conn) (err error) {
+		res, err = k.client.Lookup(ctx, req)
+		return err
+	})
+	return res, err
+}
+
+// Operation asks the holder of a claim what it knows of it.
+func (c *Client) Operation(ctx context.Context, address string, req *peerv1.OperationRequest) (*peerv1.OperationResponse, error) {
+	var res *peerv1.OperationResponse
+	err := c.call(ctx, address, func(ctx context.Context, k *conn) (err error) {
+		res, err = k.client.Operation(ctx, req)
+		return err
+	})
+	return res, err
+}
+
+// Pull asks the peer for node records and documents that this node has not seen.
+func (c *Client) Pull(ctx context.Context, address string, req *peerv1.PullRequest) (*peerv1.PullResponse, error) {
+	var res *peerv1.PullResponse
+	err := c.call(ctx, address, func(ctx context.Context, k *conn) (err error) {
+		res, err = k.client.Pull(ctx, req)
+		return err
+	})
+	return res, err
+}
+
+// call makes one unary call. A call that fails on an idle connection is made once more on a new one: all unary calls
+// are idempotent.
+func (c *Client) call(ctx context.Context, address string, do func(context.Context, *conn) error) error {
+	key := poolKey{address: address, purpose: PurposeControl}
+	k, fresh, err := c.pool.get(ctx, key)
+	if err != nil {
+		return errors.Wrapf(err, "peer: dial %s", address)
+	}
+	err = c.callOn(ctx, key, k, do)
+	if err == nil || fresh || ctx.Err() != nil {
+		return errors.Wrapf(err, "peer: call %s", address)
+	}
+	c.pool.drop(address)
+	k, _, err = c.pool.get(ctx, key)
+	if err != nil {
+		return errors.Wrapf(err, "peer: dial %s", address)
+	}
+	return errors.Wrapf(c.callOn(ctx, key, k, do), "peer: call %s", address)
+}
+
+func (c *Client) callOn(ctx context.Context, key poolKey, k *conn, do func(context.Context, *conn) error) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	defer cancel()
+	if err := do(ctx, k); err != nil {
+		k.close()
+		return err
+	}
+	c.pool.put(key, k)
+	return nil
+}
--- /dev/null
+++ b/internal/peer/forward.go
@@ -0,0 +1,200 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+)
+
+// frameStream is what Forward and Redeem have in common on the client's side.
+type frameStream interface {
+	drpc.Stream
+	Send(*peerv1.ForwardFrame) error
+	Recv() (*peerv1.AnswerFrame, error)
+}
+
+// Forward runs one attempt at a target of the peer and passes its answer to sink. It sets the incarnation and the
+// latest admission time of the head. It returns the trailer, or a *ForwardError if the connection failed before the
+// trailer arrived.
+func (c *Client) Forward(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink Sink) (*peerv1.AnswerTrailer, error) {
+	return c.exchange(ctx, address, head, body, sink, func(ctx context.Context, k *conn) (frameStream, error) {
+		return k.client.Forward(ctx)
+	})
+}
+
+// Redeem passes a request with an operation ticket to the node that issued the ticket. It is like Forward.
+func (c *Client) Redeem(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink Sink) (*peerv1.AnswerTrailer, error) {
+	return c.exchange(ctx, address, head, body, sink, func(ctx context.Context, k *conn) (frameStream, error) {
+		return k.client.Redeem(ctx)
+	})
+}
+
+func (c *Client) exchange(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink Sink,
+	open func(context.Context, *conn) (frameStream, error)) (*peerv1.AnswerTrailer, error) {
+	key := poolKey{address: address, purpose: PurposeTraffic}
+	k, session, err := c.ready(ctx, key)
+	if err != nil {
+		return nil, &ForwardError{Cause: err}
+	}
+	stampAdmission(head, session)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stream, err := open(ctx, k)
+	if err != nil {
+		k.close()
+		return nil, &ForwardError{Cause: err}
+	}
+	x := &exchange{stream: stream, sink: sink, watchdog: newWatchdog(c.opts.Silence, cancel)}
+	defer x.watchdog.stop()
+	trailer, err := x.run(head, body)
+	if err != nil {
+		k.close()
+		return nil, &ForwardError{
+			Sent: true, HeadSeen: x.headSeen, Silent: context.Cause(ctx) == errSilent,
+			Incarnation: session.Incarnation, AdmitBefore: time.Duration(head.AdmitBeforeMs) * time.Millisecond,
+			Cause: err,
+		}
+	}
+	c.release(key, k, stream)
+	return trailer, nil
+}
+
+// ready returns a connection that is known to work, and the session of the peer.
+func (c *Client) ready(ctx context.Context, key poolKey) (*conn, *Session, error) {
+	k, fresh, err := c.pool.get(ctx, key)
+	if err != nil {
+		return nil, nil, err
+	}
+	session := c.session(key.address)
+	if session != nil && (fresh || time.Since(k.lastUsed) < c.opts.IdleCheck) {
+		return k, session, nil
+	}
+	session, err = c.hello(ctx, k)
+	if err == nil {
+		return k, session, nil
+	}
+	k.close()
+	if fresh || ctx.Err() != nil {
+		return nil, nil, err
+	}
+	// The idle connection is dead or silent. The others may be as well, and a new one may work.
+	c.pool.drop(key.address)
+	k, err = dial(ctx, key.address, key.purpose, c.opts)
+	if err != nil {
+		return nil, nil, err
+	}
+	session, err = c.hello(ctx, k)
+	if err != nil {
+		k.close()
+		return nil, nil, err
+	}
+	return k, session, nil
+}
+
+// release takes the connection back after the peer has ended the call, which it does right after the trailer.
+func (c *Client) release(key poolKey, k *conn, stream frameStream) {
+	if _, err := stream.Recv(); !errors.Is(err, io.EOF) {
+		k.close()
+		return
+	}
+	c.pool.put(key, k)
+}
+
+// stampAdmission sets for which incarnation and until when the attempt may be admitted.
+func stampAdmission(head *peerv1.ForwardHead, session *Session) {
+	ahead := min(time.Duration(head.TimeoutMs)*time.Millisecond, maxAdmitAhead)
+	head.Incarnation = uint64(session.Incarnation)
+	head.AdmitBeforeMs = (session.Clock() + ahead).Milliseconds()
+}
+
+// exchange is one request and its answer on a stream.
+type exchange struct {
+	stream   frameStream
+	sink     Sink
+	watchdog *watchdog
+	headSeen bool
+}
+
+func (x *exchange) run(head *peerv1.ForwardHead, body []byte) (*peerv1.AnswerTrailer, error) {
+	if err := x.send(head, body); err != nil {
+		return nil, err
+	}
+	for {
+		x.watchdog.start()
+		frame, err := x.stream.Recv()
+		x.watchdog.stop()
+		if err != nil {
+			return nil, err
+		}
+		if frame.Trailer != nil {
+			return frame.Trailer, nil
+		}
+		if err := x.deliver(frame); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (x *exchange) send(head *peerv1.ForwardHead, body []byte) error {
+	frame := &peerv1.ForwardFrame{Head: head}
+	for {
+		n := min(len(body), bodyChunkBytes)
+		frame.Body, body = body[:n], body[n:]
+		frame.End = len(body) == 0
+		x.watchdog.start()
+		err := x.stream.Send(frame)
+		x.watchdog.stop()
+		if err != nil || frame.End {
+			return err
+		}
+		frame = new(peerv1.ForwardFrame)
+	}
+}
+
+func (x *exchange) deliver(frame *peerv1.AnswerFrame) error {
+	if frame.Head != nil {
+		x.headSeen = true
+		if err := x.sink.Head(frame.Head); err != nil {
+			return err
+		}
+	}
+	if len(frame.Body) > 0 {
+		return x.sink.Body(frame.Body)
+	}
+	return nil
+}
+
+var errSilent = errors.New("peer: no frame in time")
+
+// watchdog cancels a call when a single step of it takes longer than the limit.
+type watchdog struct {
+	limit  time.Duration
+	timer  *time.Timer
+	active atomic.Bool
+}
+
+func newWatchdog(limit time.Duration, cancel context.CancelCauseFunc) *watchdog {
+	w := &watchdog{limit: limit}
+	w.timer = time.AfterFunc(limit, func() {
+		if w.active.Load() {
+			cancel(errSilent)
+		}
+	})
+	return w
+}
+
+func (w *watchdog) start() {
+	w.active.Store(true)
+	w.timer.Reset(w.limit)
+}
+
+func (w *watchdog) stop() {
+	w.active.Store(false)
+	w.timer.Stop()
+}
--- /dev/null
+++ b/internal/peer/handler.go
@@ -0,0 +1,20 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+)
+
+// Handler answers the calls of other nodes. Its methods are called concurrently.
+type Handler interface {
+	Hello(*peerv1.HelloRequest) *peerv1.HelloResponse
+	// Forward runs an attempt at a target of this node and returns the trailer of its answer. ctx ends when the
+	// accepting node cancels or its connection breaks.
+	Forward(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink Sink) *peerv1.AnswerTrailer
+	// Redeem runs a request with a ticket that this node issued.
+	Redeem(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink Sink) *peerv1.AnswerTrailer
+	Lookup(*peerv1.LookupRequest) *peerv1.LookupResponse
+	Operation(*peerv1.OperationRequest) *peerv1.OperationResponse
+	Pull(*peerv1.PullRequest) *peerv1.PullResponse
+}
--- /dev/null
+++ b/internal/routing/pool.go
@@ -0,0 +1,191 @@
+package routing
+
+import (
+	"sort"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// Pool is an immutable set of candidates of one service, in order of preference.
+type Pool struct {
+	// tiers are groups of equal preference: the accepting node's region first, or the operator's order of regions.
+	tiers [][]*Candidate
+	size  int
+}
+
+// NewPool returns the pool of the candidates.
+func NewPool(candidates []*Candidate) *Pool {
+	ordered := append([]*Candidate(nil), candidates...)
+	sort.SliceStable(ordered, func(i, j int) bool { return tierOf(ordered[i]) < tierOf(ordered[j]) })
+	p := &Pool{size: len(ordered)}
+	for start := 0; start < len(ordered); {
+		end := start
+		for end < len(ordered) && tierOf(ordered[end]) == tierOf(ordered[start]) {
+			end++
+		}
+		p.tiers = append(p.tiers, ordered[start:end])
+		start = end
+	}
+	return p
+}
+
+// tierOf puts the operator's order of regions first, and the region of the accepting node before all others.
+func tierOf(c *Candidate) int {
+	tier := c.Rank * 2
+	if c.Distance == OtherRegion {
+		tier++
+	}
+	return tier
+}
+
+// Len returns the number of candidates.
+func (p *Pool) Len() int {
+	if p == nil {
+		return 0
+	}
+	return p.size
+}
+
+// All calls yield for each candidate in order of preference until it returns false.
+func (p *Pool) All(yield func(*Candidate) bool) {
+	if p == nil {
+		return
+	}
+	for _, tier := range p.tiers {
+		for _, c := range tier {
+			if !yield(c) {
+				return
+			}
+		}
+	}
+}
+
+// Pick returns a candidate for the next attempt, nil if every candidate was tried. In the first tier in which a target
+// seems to have a free slot it takes the less loaded of two targets drawn by seed; where no tier has one, the less
+// loaded of two in the first tier that has an untried target. It allocates nothing.
+func (p *Pool) Pick(tried *Tried, seed uint64) *Candidate {
+	if p == nil {
+		return nil
+	}
+	for _, tier := range p.tiers {
+		if c := pickOfTwo(tier, tried, seed, true); c != nil {
+			return c
+		}
+	}
+	for _, tier := range p.tiers {
+		if c := pickOfTwo(tier, tried, seed, false); c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// pickOfTwo draws two different eligible candidates and returns the one with the lower score.
+func pickOfTwo(tier []*Candidate, tried *Tried, seed uint64, needFree bool) *Candidate {
+	eligible := 0
+	for _, c := range tier {
+		if isEligible(c, tried, needFree) {
+			eligible++
+		}
+	}
+	if eligible == 0 {
+		return nil
+	}
+	first := int(seed % uint64(eligible))
+	second := first
+	if eligible > 1 {
+		step := 1 + int((seed>>32)%uint64(eligible-1))
+		second = (first + step) % eligible
+	}
+	a := nthEligible(tier, tried, needFree, first)
+	b := nthEligible(tier, tried, needFree, second)
+	if a == nil || b == nil {
+		// Loads change while the tier is read. Either one that is left will do.
+		return firstOf(a, b, tier, tried)
+	}
+	if b.score() < a.score() {
+		return b
+	}
+	return a
+}
+
+func firstOf(a, b *Candidate, tier []*Candidate, tried *Tried) *Candidate {
+	if a != nil {
+		return a
+	}
+	if b != nil {
+		return b
+	}
+	return nthEligible(tier, tried, false, 0)
+}
+
+func isEligible(c *Candidate, tried *Tried, needFree bool) bool {
+	if tried.Has(c.Target.ID) {
+		return false
+	}
+	return !needFree || c.hasFreeSlot()
+}
+
+func nthEligible(tier []*Candidate, tried *Tried, needFree bool, n int) *Candidate {
+	for _, c := range tier {
+		if !isEligible(c, tried, needFree) {
+			continue
+		}
+		if n == 0 {
+			return c
+		}
+		n--
+	}
+	return nil
+}
+
+// Tried is the set of targets that a request has tried. The zero value is empty.
+type Tried struct {
+	ids   [inlineTried]model.TargetID
+	count int
+	more  map[model.TargetID]bool
+}
+
+// inlineTried targets are held without an allocation.
+const inlineTried = 8
+
+// Add adds a target.
+func (t *Tried) Add(id model.TargetID) {
+	if t.Has(id) {
+		return
+	}
+	if t.count < inlineTried {
+		t.ids[t.count] = id
+		t.count++
+		return
+	}
+	if t.more == nil {
+		t.more = make(map[model.TargetID]bool)
+	}
+	t.more[id] = true
+}
+
+// Remove removes a target, so that it may be tried again.
+func (t *Tried) Remove(id model.TargetID) {
+	for i := 0; i < t.count; i++ {
+		if t.ids[i] == id {
+			t.count--
+			t.ids[i] = t.ids[t.count]
+			return
+		}
+	}
+	delete(t.more, id)
+}
+
+// Has reports whether the target was added.
+func (t *Tried) Has(id model.TargetID) bool {
+	for i := 0; i < t.count; i++ {
+		if t.ids[i] == id {
+			return true
+		}
+	}
+	return t.more[id]
+}
+
+// Clear empties the set for another round over all targets.
+func (t *Tried) Clear() { *t = Tried{} }
