Add settings: INI file checked as a whole

Cause: a daemon must not start with settings that are wrong in part, and an operator who corrects a file needs every fault at once. Ruled out: the line numbers of the INI library, because it keeps none and merges duplicate keys without a notice.

--- /dev/null
+++ b/internal/settings/fault.go
@@ -0,0 +1,25 @@
+package settings
+
+import "fmt"
+
+// Fault is one thing that is wrong with a settings file.
+type Fault struct {
+	File string
+	// Line counts from 1. It is 0 if the fault belongs to no line, such as an absent section.
+	Line int
+	// Key is "[section] key", or "[section]" for a whole section.
+	Key string
+	// Problem says what is wrong.
+	Problem string
+	// Valid says what would be valid.
+	Valid string
+}
+
+// String returns the fault as one line.
+func (f Fault) String() string {
+	place := f.File
+	if f.Line > 0 {
+		place = fmt.Sprintf("%s:%d", f.File, f.Line)
+	}
+	return fmt.Sprintf("%s: %s: %s; use %s", place, f.Key, f.Problem, f.Valid)
+}
--- /dev/null
+++ b/internal/settings/readers.go
@@ -0,0 +1,98 @@
+package settings
+
+import "github.com/sardinereach/sardinereach/internal/model"
+
+// The bounds keep a mistyped unit from starting a node that refuses or holds everything.
+const (
+	maxSizeBytes   = 1 << 40
+	maxHeaderLimit = 1 << 24
+	maxCount       = 1 << 24
+)
+
+func nodeID(s *Settings, text string) *problem {
+	s.Node.ID = model.NodeID(text)
+	return checkName(text)
+}
+
+func region(s *Settings, text string) *problem {
+	s.Node.Region = model.Region(text)
+	return checkName(text)
+}
+
+func failureDomain(s *Settings, text string) *problem {
+	s.Node.FailureDomain = model.FailureDomain(text)
+	return checkName(text)
+}
+
+func callersAddress(s *Settings, text string) *problem {
+	return readListenAddress(text, &s.Listen.Callers)
+}
+
+func peersAddress(s *Settings, text string) *problem {
+	return readListenAddress(text, &s.Listen.Peers)
+}
+
+func operatorsAddress(s *Settings, text string) *problem {
+	return readListenAddress(text, &s.Listen.Operators)
+}
+
+func upstreamsAddress(s *Settings, text string) *problem {
+	return readListenAddress(text, &s.Listen.Upstreams)
+}
+
+func storeAddress(s *Settings, text string) *problem {
+	return readRemoteAddress(text, &s.Store.Address)
+}
+
+func storeTimeout(s *Settings, text string) *problem {
+	return readDuration(text, &s.Store.Timeout)
+}
+
+func seeds(s *Settings, text string) *problem {
+	return readAddressList(text, &s.Peers.Seeds)
+}
+
+func token(s *Settings, text string) *problem {
+	s.Operators.Token = text
+	return checkToken(text)
+}
+
+func maxBody(s *Settings, text string) *problem {
+	return readSize(text, 1, maxSizeBytes, &s.Limits.MaxBodyBytes)
+}
+
+func maxHeader(s *Settings, text string) *problem {
+	return readSize(text, 1, maxHeaderLimit, &s.Limits.MaxHeaderBytes)
+}
+
+func maxConnections(s *Settings, text string) *problem {
+	return readCount(text, 1, maxCount, &s.Limits.MaxConnections)
+}
+
+func maxRequests(s *Settings, text string) *problem {
+	return readCount(text, 1, maxCount, &s.Limits.MaxRequests)
+}
+
+func readHeaderTimeout(s *Settings, text string) *problem {
+	return readDuration(text, &s.Limits.ReadHeaderTimeout)
+}
+
+func idleTimeout(s *Settings, text string) *problem {
+	return readDuration(text, &s.Limits.IdleTimeout)
+}
+
+func heldAnswers(s *Settings, text string) *problem {
+	return readSize(text, 0, maxSizeBytes, &s.Limits.HeldAnswerBytes)
+}
+
+func queuePerTarget(s *Settings, text string) *problem {
+	return readCount(text, 0, maxCount, &s.Limits.QueuePerTarget)
+}
+
+func linkBytes(s *Settings, text string) *problem {
+	return readSize(text, 0, maxSizeBytes, &s.Limits.LinkBytesPerSecond)
+}
+
+func grace(s *Settings, text string) *problem {
+	return readDuration(text, &s.Shutdown.Grace)
+}
--- /dev/null
+++ b/internal/settings/schema.go
@@ -0,0 +1,80 @@
+package settings
+
+import "sort"
+
+// keySpec describes one key: whether it may be absent, its default and how its text is read into Settings.
+type keySpec struct {
+	optional bool
+	// fallback is the text that an absent optional key stands for; empty leaves the zero value.
+	fallback string
+	read     reader
+}
+
+// reader sets one field of the settings from the key's text, or says what is wrong and what would be valid.
+type reader func(s *Settings, text string) *problem
+
+// problem is a fault without its place.
+type problem struct {
+	text  string
+	valid string
+}
+
+func required(read reader) keySpec { return keySpec{read: read} }
+
+func optional(fallback string, read reader) keySpec {
+	return keySpec{optional: true, fallback: fallback, read: read}
+}
+
+// schema lists every section with its keys.
+var schema = map[string]map[string]keySpec{
+	"node": {
+		"id":             required(nodeID),
+		"region":         required(region),
+		"failure_domain": required(failureDomain),
+	},
+	"listen": {
+		"callers":   required(callersAddress),
+		"peers":     required(peersAddress),
+		"operators": required(operatorsAddress),
+		"upstreams": required(upstreamsAddress),
+	},
+	"store": {
+		"address": required(storeAddress),
+		"timeout": optional("2s", storeTimeout),
+	},
+	"peers": {
+		"seeds": optional("", seeds),
+	},
+	"operators": {
+		"token": optional("", token),
+	},
+	"limits": {
+		"max_body":              optional("16MB", maxBody),
+		"max_header":            optional("64KB", maxHeader),
+		"max_connections":       optional("8192", maxConnections),
+		"max_requests":          optional("4096", maxRequests),
+		"read_header_timeout":   optional("10s", readHeaderTimeout),
+		"idle_timeout":          optional("2m", idleTimeout),
+		"held_answers":          optional("32MB", heldAnswers),
+		"queue_per_target":      optional("32", queuePerTarget),
+		"link_bytes_per_second": optional("0", linkBytes),
+	},
+	"shutdown": {
+		"grace": optional("30s", grace),
+	},
+}
+
+// sectionNames returns the sections in alphabetical order.
+func sectionNames() []string { return sortedKeys(schema) }
+
+// keyNames returns the keys of a section in alphabetical order.
+func keyNames(section string) []string { return sortedKeys(schema[section]) }
+
+func sortedKeys[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/settings/shutdown.go
@@ -0,0 +1,9 @@
+package settings
+
+import "time"
+
+// Shutdown sets the graceful shutdown.
+type Shutdown struct {
+	// Grace is the longest time that requests in flight get before the process exits.
+	Grace time.Duration
+}
