Add the quarantine of crashing requests

Cause: one request that crashes its upstream and is sent again takes down a service target by target. Ruled out: counting losses without naming them; the accepting and the admitting node would count one loss twice. Change: package quarantine with a table of fingerprints, rulings, and entries that nodes merge.

--- /dev/null
+++ b/internal/quarantine/decide.go
@@ -0,0 +1,71 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// MayRun says whether a request may run now at the target. A quarantined fingerprint may not run. A fingerprint with a
+// loss may run if it runs nowhere else, and if no other fingerprint with a loss runs at the target: the next loss then
+// has one suspect.
+func (t *Table) MayRun(now time.Duration, fingerprint Fingerprint, target model.TargetID) Ruling {
+	t.expire(now)
+	r := t.entries[fingerprint]
+	if r == nil || len(r.losses) == 0 {
+		return Ruling{OK: true}
+	}
+	if len(r.losses) >= LossLimit {
+		return Ruling{Quarantined: true}
+	}
+	if t.targets[fingerprint] > 0 || t.suspectAt(target) {
+		return Ruling{Wait: SuspectWait}
+	}
+	return Ruling{OK: true}
+}
+
+// suspectAt reports whether a fingerprint with a loss runs at the target.
+func (t *Table) suspectAt(target model.TargetID) bool {
+	for fingerprint := range t.running[target] {
+		if r := t.entries[fingerprint]; r != nil && len(r.losses) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Lose notes the loss of an upstream: every fingerprint in flight there gets the loss. It returns the entries that
+// changed, in order of their fingerprints, to be given to other nodes. The runs at the target are over.
+func (t *Table) Lose(now time.Duration, loss Loss) []Entry {
+	t.expire(now)
+	var changed []Entry
+	for _, fingerprint := range sortedKeys(t.running[loss.Target]) {
+		t.drop(fingerprint, loss.Target)
+		if r, ok := t.blame(now, fingerprint, loss); ok {
+			changed = append(changed, r.entry(now))
+		}
+	}
+	t.bound()
+	return changed
+}
+
+// Release ends the quarantine of a fingerprint at an operator's word and returns the entry to give to other nodes. It
+// returns false if the fingerprint has no losses.
+func (t *Table) Release(now time.Duration, fingerprint Fingerprint) (Entry, bool) {
+	r := t.entries[fingerprint]
+	if r == nil || len(r.losses) == 0 {
+		return Entry{}, false
+	}
+	r.clear(now)
+	return r.entry(now), true
+}
+
+// blame gives the loss to the fingerprint. It reports whether the loss was new to it.
+func (t *Table) blame(now time.Duration, fingerprint Fingerprint, loss Loss) (*record, bool) {
+	r := t.entries[fingerprint]
+	if r == nil {
+		r = &record{fingerprint: fingerprint}
+		t.entries[fingerprint] = r
+	}
+	return r, r.add(loss, now)
+}
--- /dev/null
+++ b/internal/quarantine/merge.go
@@ -0,0 +1,39 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Merge takes over an entry of another node. It reports whether the table changed. Entries may arrive in any order and
+// more than once.
+func (t *Table) Merge(now time.Duration, entry Entry) bool {
+	other := fromEntry(now, entry)
+	if other.expired(now) {
+		return false
+	}
+	r := t.entries[entry.Fingerprint]
+	if r == nil || r.epoch < other.epoch {
+		t.entries[entry.Fingerprint] = other
+		t.bound()
+		return true
+	}
+	if r.epoch > other.epoch {
+		return false
+	}
+	changed := false
+	for _, loss := range other.losses {
+		changed = r.add(loss, other.since) || changed
+	}
+	return changed
+}
+
+// fromEntry returns the record of an entry that arrives now.
+func fromEntry(now time.Duration, entry Entry) *record {
+	r := &record{fingerprint: entry.Fingerprint, epoch: entry.Epoch, since: now - max(0, entry.Age)}
+	losses := slices.Clone(entry.Losses)
+	slices.SortFunc(losses, compareLoss)
+	losses = slices.Compact(losses)
+	r.losses = losses[:min(len(losses), LossLimit)]
+	return r
+}
