--- /dev/null
+++ b/internal/fakestore/limiters.go
@@ -0,0 +1,21 @@
+package fakestore
+
+import "golang.org/x/time/rate"
+
+// limiters hold the rate limits of the store; nil means no limit.
+type limiters struct {
+	reads  *rate.Limiter
+	writes *rate.Limiter
+}
+
+func newLimiters(faults Faults) limiters {
+	return limiters{reads: newLimiter(faults.ReadsPerSecond), writes: newLimiter(faults.WritesPerSecond)}
+}
+
+// newLimiter allows a burst of one second.
+func newLimiter(perSecond int) *rate.Limiter {
+	if perSecond == 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), perSecond)
+}
--- /dev/null
+++ b/internal/store/kind.go
@@ -0,0 +1,21 @@
+package store
+
+// Kinds of calls, as observers and counters see them.
+const (
+	KindGet              = "get"
+	KindList             = "list"
+	KindCompareAndSwap   = "compare_and_swap"
+	KindCompareAndDelete = "compare_and_delete"
+	KindGrantLease       = "grant_lease"
+	KindKeepAlive        = "keep_alive"
+	KindRevokeLease      = "revoke_lease"
+	KindWatch            = "watch"
+)
+
+// Kinds returns every kind of call, in the order of the methods of Store.
+func Kinds() []string {
+	return []string{
+		KindGet, KindList, KindCompareAndSwap, KindCompareAndDelete, KindGrantLease, KindKeepAlive, KindRevokeLease,
+		KindWatch,
+	}
+}
