Add the configuration table

Documents merge by key and revision. A table that was filled by a list does not know the deletions before it, so a peer that is behind the list would keep deleted services for ever; a range document names the keys that exist and closes the gap. Remembered deletions are bounded by the same means.

--- /dev/null
+++ b/internal/config/merge.go
@@ -0,0 +1,104 @@
+package config
+
+import (
+	"sort"
+	"strings"
+)
+
+// merge applies documents and returns those that changed the table, in the order of their revisions.
+func (t *Table) merge(documents []Document) []Document {
+	var changed []Document
+	for _, document := range documents {
+		if document.isRange() {
+			changed = append(changed, t.mergeRange(document)...)
+			continue
+		}
+		if t.mergeOne(document) {
+			changed = append(changed, document)
+		}
+	}
+	if len(changed) == 0 {
+		return nil
+	}
+	t.reorder()
+	t.forgetTombstones()
+	t.snapshot = nil
+	sort.Slice(changed, func(i, j int) bool { return before(changed[i], changed[j]) })
+	return changed
+}
+
+func (t *Table) mergeOne(document Document) bool {
+	if !strings.HasPrefix(document.Key, t.prefix) || document.Key == t.prefix {
+		return false
+	}
+	held := t.entries[document.Key]
+	if held == nil && document.Revision <= t.complete {
+		// The table knows every key that exists at complete, so the key was deleted since and its deletion forgotten.
+		return false
+	}
+	if held == nil {
+		held = &entry{}
+		t.entries[document.Key] = held
+		t.order = append(t.order, held)
+	} else if document.Revision <= held.document.Revision {
+		return false
+	}
+	if held.document.Deleted {
+		t.tombstones--
+	}
+	if document.Deleted {
+		t.tombstones++
+	}
+	held.accept(document)
+	return true
+}
+
+// mergeRange deletes the held keys that the range does not name.
+func (t *Table) mergeRange(document Document) []Document {
+	if document.Key != t.prefix {
+		return nil
+	}
+	named := map[string]bool{}
+	for _, key := range strings.Split(string(document.Value), "\n") {
+		named[key] = true
+	}
+	var changed []Document
+	for _, deletion := range t.missing(named, document.Revision) {
+		if t.mergeOne(deletion) {
+			changed = append(changed, deletion)
+		}
+	}
+	t.base = max(t.base, document.Revision)
+	return changed
+}
+
+// reorder restores the order by revision. The order is nearly sorted, because few entries change at a time.
+func (t *Table) reorder() {
+	sort.SliceStable(t.order, func(i, j int) bool { return before(t.order[i].document, t.order[j].document) })
+}
+
+func before(a, b Document) bool {
+	if a.Revision != b.Revision {
+		return a.Revision < b.Revision
+	}
+	return a.Key < b.Key
+}
+
+// forgetTombstones drops the oldest deletions over the bound; the range tells them from now on.
+func (t *Table) forgetTombstones() {
+	if t.tombstones <= t.maxTombstone {
+		return
+	}
+	kept := t.order[:0]
+	for _, held := range t.order {
+		if held.document.Deleted && t.tombstones > t.maxTombstone {
+			t.tombstones--
+			t.base = max(t.base, held.document.Revision)
+			delete(t.entries, held.document.Key)
+			continue
+		}
+		kept = append(kept, held)
+	}
+	clear(t.order[len(kept):])
+	t.order = kept
+}
