Add the admission point

Cause: every target needs one place that decides whether an attempt runs.

Change: package admission with slots, a bounded queue, drain, cold-start ramp, attempt records, fences and held answers.

--- /dev/null
+++ b/internal/admission/announce.go
@@ -0,0 +1,136 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// Announce takes in what an upstream says about itself. It returns an error for an announcement that makes no sense,
+// which changes nothing. Work that it lets in or refuses is returned by the next Expire.
+func (p *Point) Announce(now time.Duration, a Announcement) error {
+	p.advance(now)
+	if err := a.validate(); err != nil {
+		return err
+	}
+	a.Load = clampLoad(a.Load)
+	t := p.targets[a.Target]
+	if t == nil {
+		t = &target{Announcement: a, rampFrom: p.active()}
+		p.targets[a.Target] = t
+	}
+	if t.Service != a.Service {
+		return errors.Errorf("announcement of %s: it is a target of service %s, not of %s", a.Target, t.Service, a.Service)
+	}
+	if isCold(t, &a) {
+		t.rampFrom = p.active()
+	}
+	t.Announcement = a
+	t.seen = p.active()
+	t.missing = false
+	t.forgotten = false
+	p.settle(t)
+	return nil
+}
+
+// isCold reports whether the announcement comes from a process that has not served yet.
+func isCold(t *target, a *Announcement) bool {
+	if t.forgotten || t.Address != a.Address {
+		return true
+	}
+	if t.Phase == model.PhaseDraining {
+		return a.Phase == model.PhaseStarting
+	}
+	return t.Phase != model.PhaseReady
+}
+
+// clampLoad brings a load that misreports its range into 0 to 1.
+func clampLoad(load float64) float64 {
+	if math.IsNaN(load) {
+		return 0
+	}
+	return min(max(load, 0), 1)
+}
+
+// Forget removes a target. Its queued attempts are refused, its work in flight ends as usual.
+func (p *Point) Forget(now time.Duration, id model.TargetID) {
+	p.advance(now)
+	t := p.targets[id]
+	if t == nil {
+		return
+	}
+	t.forgotten = true
+	p.settle(t)
+	p.removeIfUnused(t)
+}
+
+// SetOperatorDrain sets whether an operator drains the target. Queued attempts are refused by the next Expire.
+func (p *Point) SetOperatorDrain(id model.TargetID, drain bool) {
+	if drain {
+		p.drained[id] = true
+	} else {
+		delete(p.drained, id)
+	}
+	if t := p.targets[id]; t != nil {
+		p.settle(t)
+	}
+}
+
+// StopAll refuses all new and queued work for good. Work in flight ends as usual.
+func (p *Point) StopAll() {
+	p.stopping = true
+	for _, t := range p.sorted() {
+		p.settle(t)
+	}
+}
+
+// Targets returns the state of all targets in order of their IDs.
+func (p *Point) Targets(now time.Duration) []model.Target {
+	p.advance(now)
+	targets := make([]model.Target, 0, len(p.targets))
+	for _, t := range p.sorted() {
+		if !t.forgotten {
+			targets = append(targets, p.describe(t))
+		}
+	}
+	return targets
+}
+
+func (p *Point) describe(t *target) model.Target {
+	return model.Target{
+		ID:        t.Target,
+		Service:   t.Service,
+		Address:   t.Address,
+		Slots:     t.Slots,
+		RampSlots: t.rampSlots(p.active(), p.limits.RampFor),
+		InFlight:  len(t.running),
+		Queued:    len(t.queue),
+		Phase:     p.phase(t),
+		Missing:   t.missing,
+		Successes: t.successes,
+		Failures:  t.failures,
+	}
+}
+
+// sorted returns the targets in order of their IDs, so that the order of events does not depend on the map.
+func (p *Point) sorted() []*target {
+	targets := make([]*target, 0, len(p.targets))
+	for _, t := range p.targets {
+		targets = append(targets, t)
+	}
+	slices.SortFunc(targets, func(a, b *target) int {
+		return strings.Compare(string(a.Target), string(b.Target))
+	})
+	return targets
+}
+
+func (p *Point) removeIfUnused(t *target) {
+	if t.forgotten && len(t.running) == 0 {
+		delete(p.targets, t.Target)
+	}
+}
--- /dev/null
+++ b/internal/admission/announcement.go
@@ -0,0 +1,33 @@
+package admission
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// Announcement is what an upstream says about itself.
+type Announcement struct {
+	Service model.ServiceName
+	Target  model.TargetID
+	// Address is host:port of the upstream.
+	Address string
+	// Slots is the number of requests that the upstream runs at a time, 1 or more.
+	Slots int
+	Phase model.Phase
+	// Load is the upstream's own view of its load, 0 to 1. It is only reported on.
+	Load float64
+}
+
+func (a *Announcement) validate() error {
+	if a.Service == "" || a.Target == "" || a.Address == "" {
+		return errors.New("announcement: service, target and address are needed")
+	}
+	if a.Slots < 1 {
+		return errors.Errorf("announcement of %s: %d slots: use 1 or more", a.Target, a.Slots)
+	}
+	if a.Phase > model.PhaseLeaving {
+		return errors.Errorf("announcement of %s: phase %d is not known", a.Target, a.Phase)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/admission/fifo.go
@@ -0,0 +1,28 @@
+package admission
+
+// fifo is a first-in first-out list that reuses its memory.
+type fifo[T any] struct {
+	items []T
+	head  int
+}
+
+func (f *fifo[T]) len() int { return len(f.items) - f.head }
+
+func (f *fifo[T]) push(item T) { f.items = append(f.items, item) }
+
+// first returns the oldest item; the list is not empty.
+func (f *fifo[T]) first() *T { return &f.items[f.head] }
+
+// pop removes the oldest item. It moves the rest once half of the memory is unused.
+func (f *fifo[T]) pop() {
+	var zero T
+	f.items[f.head] = zero
+	f.head++
+	if f.head*2 < len(f.items) {
+		return
+	}
+	rest := copy(f.items, f.items[f.head:])
+	clear(f.items[rest:])
+	f.items = f.items[:rest]
+	f.head = 0
+}
--- /dev/null
+++ b/internal/admission/finish.go
@@ -0,0 +1,117 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/verdict"
+)
+
+// Finish ends an admitted attempt and frees its slot. It returns the queued attempts that got a slot. A second call for
+// the same attempt changes nothing.
+func (p *Point) Finish(now time.Duration, attempt model.AttemptID, result Result) []Grant {
+	p.advance(now)
+	r := p.records[attempt]
+	if r == nil || r.work == nil || r.work.queued {
+		return nil
+	}
+	w := r.work
+	w.target.stop(w)
+	p.inFlight--
+	p.count(w, result.Outcome)
+	p.endWith(w, r, result)
+	p.removeIfUnused(w.target)
+	return p.grants(w.target)
+}
+
+func (p *Point) count(w *work, outcome Outcome) {
+	switch outcome {
+	case Answered:
+		w.target.successes++
+		w.target.observe(p.active() - w.started)
+	case Lost, Unreachable:
+		w.target.failures++
+	}
+}
+
+func (p *Point) endWith(w *work, r *record, result Result) {
+	switch result.Outcome {
+	case Answered:
+		p.end(w, StateEnded, "")
+		p.hold(w.request.Attempt, r, result.Answer)
+	case Shed:
+		p.end(w, StateRefused, verdict.UpstreamShed)
+	case Unreachable:
+		p.end(w, StateRefused, verdict.UpstreamUnreachable)
+	case Lost:
+		p.end(w, StateLost, verdict.UpstreamLost)
+	default:
+		p.end(w, StateEnded, verdict.CallerCancelled)
+	}
+}
+
+// Cancel ends an attempt whose caller is gone. A queued attempt is dropped and was not run. An admitted one ends as with
+// Finish and Cancelled, so its connection to the upstream is closed first.
+func (p *Point) Cancel(now time.Duration, attempt model.AttemptID) (wasQueued bool, grants []Grant) {
+	p.advance(now)
+	r := p.records[attempt]
+	if r == nil || r.work == nil {
+		return false, nil
+	}
+	if !r.work.queued {
+		return false, p.Finish(now, attempt, Result{Outcome: Cancelled})
+	}
+	r.work.target.dequeue(r.work)
+	p.end(r.work, StateRefused, verdict.CallerGone)
+	return true, nil
+}
+
+// end replaces the record of a queued or running attempt by that of an ended one.
+func (p *Point) end(w *work, state State, reason verdict.Reason) {
+	r := p.records[w.request.Attempt]
+	r.work = nil
+	r.state = state
+	r.reason = reason
+	p.keep(w.request.Attempt, r)
+}
+
+// keep stores the record of an attempt that is over and sets its expiry.
+func (p *Point) keep(attempt model.AttemptID, r *record) {
+	p.records[attempt] = r
+	p.ended.push(expiry{attempt: attempt, at: p.now + p.limits.FenceFor})
+	if p.ended.len() > p.limits.Records {
+		p.dropOldestRecord()
+	}
+}
+
+// hold keeps the answer for collection, at the expense of the oldest held ones.
+func (p *Point) hold(attempt model.AttemptID, r *record, answer *Answer) {
+	if answer == nil || answer.Size() > p.limits.HeldBytes {
+		return
+	}
+	r.answer = answer
+	r.state = StateAnswered
+	p.heldBytes += answer.Size()
+	p.held.push(expiry{attempt: attempt, at: p.active() + p.limits.HeldFor})
+	for p.heldBytes > p.limits.HeldBytes {
+		p.dropOldestAnswer()
+	}
+}
+
+// Collected drops the held answer of an attempt, because its accepting node has it.
+func (p *Point) Collected(attempt model.AttemptID) {
+	if r := p.records[attempt]; r != nil {
+		p.release(r)
+	}
+}
+
+// release drops the held answer of a record and reports whether there was one.
+func (p *Point) release(r *record) bool {
+	if r.answer == nil {
+		return false
+	}
+	p.heldBytes -= r.answer.Size()
+	r.answer = nil
+	r.state = StateEnded
+	return true
+}
--- /dev/null
+++ b/internal/admission/outcome.go
@@ -0,0 +1,24 @@
+package admission
+
+// Outcome says how an admitted attempt ended.
+type Outcome uint8
+
+const (
+	// Answered means that the upstream answered completely.
+	Answered Outcome = iota
+	// Shed means that the upstream declared that it did not run the request.
+	Shed
+	// Lost means that the upstream failed while the request may have been running.
+	Lost
+	// Unreachable means that no connection to the upstream was opened, so that the request was not run.
+	Unreachable
+	// Cancelled means that the caller or a deadline ended the attempt while it may have been running.
+	Cancelled
+)
+
+// Result is the end of an admitted attempt.
+type Result struct {
+	Outcome Outcome
+	// Answer is held for collection if the outcome is Answered; nil holds nothing.
+	Answer *Answer
+}
