Add the retry decision

Cause: only the accepting node retries, and its retries must not add to an overload.

A refusal by an admission point moves on to the next target without backoff or budget, MaxHops times between two backoffs.

Ruled out: capping the delay at Retry-After without jitter on top, because all requests with the same hint would return in the same moment.

--- /dev/null
+++ b/internal/retry/backoff.go
@@ -0,0 +1,28 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// BaseDelay is the greatest delay before the second attempt. It doubles with every further attempt.
+	BaseDelay = 25 * time.Millisecond
+	// MaxDelay bounds the jittered part of a delay.
+	MaxDelay = time.Second
+)
+
+// Backoff returns the delay after the attempt-th attempt, 1 being the first: minimum plus a full-jitter part. The jitter
+// comes on top of the minimum, because requests that were given the same Retry-After would otherwise return together.
+func Backoff(attempt int, minimum time.Duration, rng *rand.Rand) time.Duration {
+	return max(minimum, 0) + time.Duration(rng.Int64N(int64(ceiling(attempt))))
+}
+
+// ceiling returns the bound of the jittered part after the attempt-th attempt.
+func ceiling(attempt int) time.Duration {
+	delay := BaseDelay
+	for ; attempt > 1 && delay < MaxDelay; attempt-- {
+		delay *= 2
+	}
+	return min(delay, MaxDelay)
+}
--- /dev/null
+++ b/internal/retry/decide.go
@@ -0,0 +1,130 @@
+// Package retry decides whether the accepting node makes another attempt for a request. It is a function of its inputs:
+// it reads no clock and uses no random source but the one that it is given.
+package retry
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/verdict"
+)
+
+const (
+	// DefaultMaxAttempts is the number of attempts of a request, hops not counted.
+	DefaultMaxAttempts = 3
+	// MaxHops is the number of targets that a request goes on to without backoff after refusals by admission points.
+	MaxHops = 3
+	// MinAttemptTime is the least time that has to remain for another attempt.
+	MinAttemptTime = 10 * time.Millisecond
+)
+
+// Decide returns whether and when to make another attempt. It draws on the budget only if the answer is yes.
+func Decide(in Input, budget *Budget, now time.Duration, rng *rand.Rand) Decision {
+	reason := failureOf(&in)
+	if reason == "" {
+		return Decision{}
+	}
+	if !mayRepeat(&in) {
+		return Decision{Reason: reason}
+	}
+	if in.Remaining < MinAttemptTime {
+		return Decision{Reason: verdict.DeadlineExceeded}
+	}
+	if mayHop(&in) {
+		return Decision{Retry: true, Reason: reason, Hop: true, SameTarget: sameTarget(&in)}
+	}
+	return backOff(&in, reason, budget, now, rng)
+}
+
+func backOff(in *Input, reason verdict.Reason, budget *Budget, now time.Duration, rng *rand.Rand) Decision {
+	if in.Attempt >= maxAttempts(in) {
+		return Decision{Reason: verdict.RetryAttempts}
+	}
+	after := Backoff(in.Attempt, retryAfter(in), rng)
+	if after+MinAttemptTime > in.Remaining {
+		return Decision{Reason: verdict.DeadlineExceeded}
+	}
+	if !budget.Take(now) {
+		return Decision{Reason: verdict.RetryBudget}
+	}
+	return Decision{Retry: true, After: after, Reason: reason}
+}
+
+// failureOf returns why the attempt failed, "" if its answer stands.
+func failureOf(in *Input) verdict.Reason {
+	if in.Err != nil {
+		return in.Err.Reason
+	}
+	if slices.Contains(in.RetryStatuses, in.Status) {
+		return ReasonStatus
+	}
+	return ""
+}
+
+// mayRepeat reports whether another attempt is safe and can do better. A request of an unknown class counts as
+// non-idempotent, an unknown verdict as may-have-run.
+func mayRepeat(in *Input) bool {
+	if in.Err == nil {
+		return in.Class == declaration.Idempotent
+	}
+	if in.Err.Verdict != verdict.NotRun && in.Class != declaration.Idempotent {
+		return false
+	}
+	return isAdmissionRefusal(in.Err.Reason) || isTransient(in.Err.Reason)
+}
+
+// mayHop reports whether the next target is tried without backoff.
+func mayHop(in *Input) bool {
+	if in.Err == nil || in.Err.Verdict != verdict.NotRun || !isAdmissionRefusal(in.Err.Reason) {
+		return false
+	}
+	if in.Hops < 1 || in.Hops > MaxHops {
+		return false
+	}
+	return in.Untried > 0 || sameTarget(in)
+}
+
+// sameTarget reports whether the refusal only says that the accepting node's view of the admitting node was old.
+func sameTarget(in *Input) bool {
+	if in.Hops > 1 {
+		return false
+	}
+	return in.Err.Reason == verdict.AdmitExpired || in.Err.Reason == verdict.WrongIncarnation
+}
+
+// isAdmissionRefusal reports whether an admission point gives the reason. Such a refusal costs a message and no work.
+func isAdmissionRefusal(reason verdict.Reason) bool {
+	switch reason {
+	case verdict.SlotsFull, verdict.QueueDeadline, verdict.TargetDraining, verdict.TargetStarting, verdict.TargetUnknown,
+		verdict.AttemptFenced, verdict.AdmitExpired, verdict.WrongIncarnation, verdict.NodeStopping:
+		return true
+	}
+	return false
+}
+
+// isTransient reports whether the failure may be different at another target or a little later.
+func isTransient(reason verdict.Reason) bool {
+	switch reason {
+	case verdict.UpstreamShed, verdict.UpstreamUnreachable, verdict.NodeUnreachable, verdict.NoTarget,
+		verdict.UpstreamLost, verdict.UpstreamTimeout, verdict.NodeLost, verdict.AnswerIncomplete, verdict.AnswerDropped:
+		return true
+	}
+	return false
+}
+
+func maxAttempts(in *Input) int {
+	if in.MaxAttempts > 0 {
+		return in.MaxAttempts
+	}
+	return DefaultMaxAttempts
+}
+
+// retryAfter returns the least time to wait that the refusing side gave.
+func retryAfter(in *Input) time.Duration {
+	if in.Err == nil {
+		return in.RetryAfter
+	}
+	return max(in.RetryAfter, in.Err.RetryAfter)
+}
--- /dev/null
+++ b/internal/retry/decision.go
@@ -0,0 +1,23 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/verdict"
+)
+
+// ReasonStatus is the reason of a retry after an answer with one of the route's retry statuses.
+const ReasonStatus verdict.Reason = "upstream_status"
+
+// Decision says whether to make another attempt.
+type Decision struct {
+	Retry bool
+	// After is the time to wait first.
+	After time.Duration
+	// Reason is why the last attempt is retried, or why there is no other one. It is empty for an answer that stands.
+	Reason verdict.Reason
+	// SameTarget means that the target may be tried again at once, after a new Hello to its node.
+	SameTarget bool
+	// Hop means that the refusal cost no work: the next target is tried without backoff and outside the budget.
+	Hop bool
+}
