Confirm collected answers and give up stalled ones

Cause: an admitting node held every non-idempotent answer for 30 s, and a hung upstream kept an idempotent request until its whole timeout. Change: the accepting node closes its side of the stream after the trailer, which frees the held answer; the upstream client gives up an idempotent attempt without progress, not counting the time in which the receiver is slow. Measured: nothing yet.

--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -61,7 +61,11 @@
 			Cause: err,
 		}
 	}
-	c.release(key, k, stream)
+	if head.Idempotent {
+		c.release(key, k, stream)
+	} else {
+		go c.confirm(key, k, stream)
+	}
 	return trailer, nil
 }
 
@@ -106,6 +110,16 @@
 	c.pool.put(key, k)
 }
 
+// confirm tells the peer that the answer was collected, so that it need not hold it any longer. A lost confirmation only
+// means that the answer is held until its time is over.
+func (c *Client) confirm(key poolKey, k *conn, stream frameStream) {
+	if err := stream.CloseSend(); err != nil {
+		k.close()
+		return
+	}
+	c.release(key, k, stream)
+}
+
 // stampAdmission sets for which incarnation and until when the attempt may be admitted.
 func stampAdmission(head *peerv1.ForwardHead, session *Session) {
 	ahead := min(time.Duration(head.TimeoutMs)*time.Millisecond, maxAdmitAhead)
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -14,6 +14,8 @@
 	Forward(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink Sink) *peerv1.AnswerTrailer
 	// Redeem runs a request with a ticket that this node issued.
 	Redeem(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink Sink) *peerv1.AnswerTrailer
+	// Collected is called when the accepting node has confirmed the answer of a non-idempotent attempt.
+	Collected(attempt string)
 	Lookup(*peerv1.LookupRequest) *peerv1.LookupResponse
 	Operation(*peerv1.OperationRequest) *peerv1.OperationResponse
 	Pull(*peerv1.PullRequest) *peerv1.PullResponse
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -71,7 +71,21 @@
 	sink.startProgress()
 	defer sink.stopProgress()
 	trailer := run(stream.Context(), head, body, sink)
-	return sink.send(&peerv1.AnswerFrame{Trailer: trailer})
+	if err := sink.send(&peerv1.AnswerFrame{Trailer: trailer}); err != nil {
+		return err
+	}
+	sink.stopProgress()
+	if !head.Idempotent {
+		s.awaitConfirmation(stream, head.Attempt)
+	}
+	return nil
+}
+
+// awaitConfirmation waits until the accepting node closes its side of the stream after it has received the trailer.
+func (s *service) awaitConfirmation(stream serverStream, attempt string) {
+	if _, err := stream.Recv(); errors.Is(err, io.EOF) {
+		s.handler.Collected(attempt)
+	}
 }
 
 var (
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -56,11 +56,17 @@
 func (c *Client) Run(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink peer.Sink) Result {
 	started := time.Now()
 	state := new(connState)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := newStallTimer(time.Duration(head.ProgressTimeoutMs)*time.Millisecond, cancel)
+	defer stall.stop()
 	req, err := newRequest(ctx, state, address, head, body)
 	if err != nil {
 		return Result{Outcome: Unreachable, Err: err}
 	}
+	stall.start()
 	res, err := c.transport(head).RoundTrip(req)
+	stall.stop()
 	if err != nil {
 		return c.failed(ctx, state, err)
 	}
@@ -71,7 +77,7 @@
 		result.Outcome = Shed
 		return result
 	}
-	c.pass(ctx, res, sink, &result)
+	c.pass(ctx, res, sink, stall, &result)
 	return result
 }
 
@@ -129,7 +135,7 @@
 	case !state.got:
 		result.Outcome = Unreachable
 		result.Err = ctx.Err()
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case timedOut(ctx):
 		result.Outcome = TimedOut
 	case ctx.Err() != nil:
 		result.Outcome = Cancelled
@@ -144,7 +150,7 @@
 }
 
 // pass copies the answer to the sink.
-func (c *Client) pass(ctx context.Context, res *http.Response, sink peer.Sink, result *Result) {
+func (c *Client) pass(ctx context.Context, res *http.Response, sink peer.Sink, stall *stallTimer, result *Result) {
 	if !hasKnownEnd(res) {
 		result.Outcome = Incomplete
 		result.Err = errors.New("upstream: the answer has neither a length nor chunks, so its end cannot be told")
@@ -159,7 +165,9 @@
 	}
 	buf := make([]byte, copyBufferBytes)
 	for {
+		stall.start()
 		n, err := res.Body.Read(buf)
+		stall.stop()
 		if n > 0 {
 			result.Bytes += int64(n)
 			if err := sink.Body(buf[:n]); err != nil {
@@ -178,10 +186,16 @@
 	}
 }
 
+// timedOut reports whether the context ended because its deadline passed or the upstream made no progress.
+func timedOut(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, errStalled)
+}
+
 // brokenOff classifies an error after the head of the answer.
 func brokenOff(ctx context.Context) Outcome {
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case timedOut(ctx):
 		return TimedOut
 	case ctx.Err() != nil:
 		return Cancelled
