--- /dev/null
+++ b/internal/membership/elect.go
@@ -0,0 +1,68 @@
+package membership
+
+import (
+	"encoding/binary"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// WatchersPerDomain is the number of nodes of a failure domain that poll the store. Two, so that the loss of one does
+// not hold up changes.
+const WatchersPerDomain = 2
+
+// Purposes keep the elections for different duties independent of each other.
+const (
+	purposeWatch  = "watch"
+	purposeBridge = "bridge"
+	purposeReap   = "reap"
+	purposePull   = "pull"
+	purposeRing   = "ring"
+)
+
+// score is the rendezvous score of a node for a purpose.
+func score(purpose string, salt uint64, id model.NodeID) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(salt)
+	_, _ = digest.WriteString(purpose)
+	_, _ = digest.WriteString(string(id))
+	return digest.Sum64()
+}
+
+// mix combines two numbers into the salt of an election.
+func mix(a, b uint64) uint64 {
+	var buffer [16]byte
+	binary.LittleEndian.PutUint64(buffer[:8], a)
+	binary.LittleEndian.PutUint64(buffer[8:], b)
+	return xxhash.Sum64(buffer[:])
+}
+
+// Elect returns the count candidates with the highest rendezvous scores, the highest first. All nodes with the same
+// candidates elect the same ones, and the loss of a node moves only its own duties.
+func Elect(purpose string, salt uint64, candidates []model.NodeID, count int) []model.NodeID {
+	type scored struct {
+		id    model.NodeID
+		score uint64
+	}
+	best := make([]scored, 0, count+1)
+	for _, id := range candidates {
+		one := scored{id: id, score: score(purpose, salt, id)}
+		at := sort.Search(len(best), func(i int) bool {
+			return best[i].score < one.score || best[i].score == one.score && best[i].id > id
+		})
+		if at == count {
+			continue
+		}
+		best = append(best, scored{})
+		copy(best[at+1:], best[at:])
+		best[at] = one
+		best = best[:min(len(best), count)]
+	}
+	elected := make([]model.NodeID, len(best))
+	for i, one := range best {
+		elected[i] = one.id
+	}
+	return elected
+}
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,110 @@
+package membership
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// View groups the members for elections and the choice of partners. It holds for one Table.Generation.
+type View struct {
+	self model.Node
+	// domains are the live members by domain, sorted by ID; the node itself is among its own domain's.
+	domains map[model.FailureDomain][]model.NodeID
+	// regions are the domains of each region, sorted.
+	regions map[model.Region][]model.FailureDomain
+	// lost are the dead members by region, sorted by ID.
+	lost      map[model.Region][]model.NodeID
+	addresses map[model.NodeID]string
+}
+
+// View returns the present groups of members. Members that are suspected or stopping are not live.
+func (t *Table) View() *View {
+	v := &View{
+		self:      t.Self().Node,
+		domains:   map[model.FailureDomain][]model.NodeID{},
+		regions:   map[model.Region][]model.FailureDomain{},
+		lost:      map[model.Region][]model.NodeID{},
+		addresses: make(map[model.NodeID]string, len(t.entries)),
+	}
+	for id, e := range t.entries {
+		v.add(id, e)
+	}
+	for _, ids := range v.domains {
+		slices.Sort(ids)
+	}
+	for _, ids := range v.lost {
+		slices.Sort(ids)
+	}
+	for _, domains := range v.regions {
+		slices.Sort(domains)
+	}
+	return v
+}
+
+func (v *View) add(id model.NodeID, e *entry) {
+	node := e.record.Node
+	v.addresses[id] = node.PeerAddress
+	own := id == v.self.ID
+	switch {
+	case e.state == Dead && !own:
+		v.lost[node.Region] = append(v.lost[node.Region], id)
+	case own || e.state == Alive && !e.record.Stopping:
+		if len(v.domains[node.Domain]) == 0 {
+			v.regions[node.Region] = append(v.regions[node.Region], node.Domain)
+		}
+		v.domains[node.Domain] = append(v.domains[node.Domain], id)
+	}
+}
+
+// Watchers returns the nodes of the domain that poll the store.
+func (v *View) Watchers(domain model.FailureDomain) []model.NodeID {
+	return Elect(purposeWatch, 0, v.domains[domain], WatchersPerDomain)
+}
+
+// IsWatcher reports whether the node itself polls the store.
+func (v *View) IsWatcher() bool {
+	return slices.Contains(v.Watchers(v.self.Domain), v.self.ID)
+}
+
+// isBridge reports whether the node itself pulls from other domains and regions all the time.
+func (v *View) isBridge() bool {
+	return slices.Contains(Elect(purposeBridge, 0, v.domains[v.self.Domain], bridgesPerDomain), v.self.ID)
+}
+
+// Reaps reports whether the node itself deletes the member record of a dead node: it is the first watcher of the dead
+// node's domain or, if that domain has no live member, the first by hash of all watchers.
+func (v *View) Reaps(dead model.NodeID, domain model.FailureDomain) bool {
+	watchers := v.Watchers(domain)
+	if len(watchers) == 0 {
+		watchers = v.allWatchers()
+	}
+	elected := Elect(purposeReap, score(purposeReap, 0, dead), watchers, 1)
+	return len(elected) == 1 && elected[0] == v.self.ID
+}
+
+func (v *View) allWatchers() []model.NodeID {
+	var watchers []model.NodeID
+	for domain := range v.domains {
+		watchers = append(watchers, v.Watchers(domain)...)
+	}
+	return watchers
+}
+
+// otherRegions returns the regions with known members other than the own, sorted.
+func (v *View) otherRegions() []model.Region {
+	var regions []model.Region
+	for region := range v.regions {
+		if region != v.self.Region {
+			regions = append(regions, region)
+		}
+	}
+	for region := range v.lost {
+		if region != v.self.Region && len(v.regions[region]) == 0 {
+			regions = append(regions, region)
+		}
+	}
+	sort.Slice(regions, func(i, j int) bool { return regions[i] < regions[j] })
+	return regions
+}
