Add the detector of failing targets

Cause: gray failures answer probes and fail work, so detection has to be judged on real work. Ruled out: comparing with a long average of the other targets; when a caller or a shared dependency turns bad, every target passes the threshold before that average has moved. The evidence is therefore computed again with what the others saw in the same period before it counts. Conclusion: compiles; tests and measurement follow.

--- /dev/null
+++ b/internal/detect/detector.go
@@ -0,0 +1,65 @@
+package detect
+
+import (
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/declaration"
+)
+
+// Detector judges one target. The admitting node of the target has one for all its work. It is not safe for concurrent
+// use.
+type Detector struct {
+	parameters Parameters
+	threshold  float64
+	healthy    Shares
+	ratios     [hypotheses]ratios
+	excursions [hypotheses]excursion
+	probes     probeEvidence
+	// pending holds the requests in flight that were stalled or silent at the last call of Silence.
+	pending Counts
+	counts  Counts
+	usual   map[Route]*usual
+	// peerUsual holds the other targets' usual times.
+	peerUsual map[Route]time.Duration
+	// crossed is the time at which the evidence first passed the threshold, valid if waiting is set.
+	crossed time.Duration
+	waiting bool
+	hold    holdDown
+	phase   Phase
+	trial   trial
+}
+
+// New returns the detector of a target that is held to be healthy.
+func New(policy declaration.Policy, now time.Duration) *Detector {
+	d := &Detector{usual: make(map[Route]*usual), hold: holdDown{returned: now}}
+	d.SetPolicy(policy)
+	d.adopt(DefaultShares())
+	d.clear(now, 0)
+	return d
+}
+
+// SetPolicy changes the error rates. The evidence is kept.
+func (d *Detector) SetPolicy(policy declaration.Policy) {
+	d.parameters = ParametersOf(policy)
+	d.threshold = d.parameters.threshold()
+	d.hold.base = d.parameters.HoldDown
+	d.trial.ratios = d.trialRatios()
+}
+
+// adopt takes healthy shares for the outcomes that follow.
+func (d *Detector) adopt(healthy Shares) {
+	d.healthy = healthy
+	for i := range bank {
+		d.ratios[i] = bank[i].against(healthy, d.parameters.FailureRate)
+	}
+}
+
+// clear drops the evidence. The head is the share of the threshold at which the sums start.
+func (d *Detector) clear(now time.Duration, head float64) {
+	for i := range d.excursions {
+		d.excursions[i].restart(now, head*d.threshold)
+	}
+	d.probes = probeEvidence{total: d.probes.total, failures: d.probes.failures, start: now}
+	d.pending = Counts{}
+	d.waiting = false
+}
