--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -1,143 +1,87 @@
 package events
 
-// Events about lifecycle.
+// Events about the life of a daemon.
 var (
-	// NodeStarted: the daemon has started.
-	NodeStarted = &Event{101, "node_started", Info, "the daemon has started", []Key{Node, Incarnation, Region, Domain}}
-	// NodeReady: the node has a complete configuration and accepts callers.
-	NodeReady = &Event{102, "node_ready", Info, "the node has a complete configuration and accepts callers", []Key{Node, Revision, Duration}}
-	// NodeStopping: the node is shutting down and finishes the requests in flight.
-	NodeStopping = &Event{103, "node_stopping", Info, "the node is shutting down and finishes the requests in flight", []Key{Node, Count}}
-	// NodeStopped: the node has shut down.
-	NodeStopped = &Event{104, "node_stopped", Info, "the node has shut down", []Key{Node, Duration}}
-	// GraceExceeded: the shutdown grace has passed with requests in flight.
-	GraceExceeded = &Event{105, "grace_exceeded", Error, "the shutdown grace has passed with requests in flight", []Key{Node, Count, Duration}}
-	// SettingsInvalid: the settings are not valid.
+	NodeStarted     = &Event{101, "node_started", Info, "the daemon has started", []Key{Node, Incarnation, Region, Domain}}
+	NodeReady       = &Event{102, "node_ready", Info, "the node has a complete configuration and accepts callers", []Key{Node, Revision, Duration}}
+	NodeStopping    = &Event{103, "node_stopping", Info, "the node is shutting down and finishes the requests in flight", []Key{Node, Count}}
+	NodeStopped     = &Event{104, "node_stopped", Info, "the node has shut down", []Key{Node, Duration}}
+	GraceExceeded   = &Event{105, "grace_exceeded", Error, "the shutdown grace has passed with requests in flight", []Key{Node, Count, Duration}}
 	SettingsInvalid = &Event{106, "settings_invalid", Error, "the settings are not valid", []Key{Cause}}
-	// ListenerFailed: a listener could not be opened or has failed.
-	ListenerFailed = &Event{107, "listener_failed", Error, "a listener could not be opened or has failed", []Key{Address, Operation, Cause}}
-	// PanicRecovered: a panic was recovered; the affected request failed.
-	PanicRecovered = &Event{108, "panic_recovered", Error, "a panic was recovered; the affected request failed", []Key{Operation, Cause}}
+	ListenerFailed  = &Event{107, "listener_failed", Error, "a listener could not be opened or has failed", []Key{Address, Operation, Cause}}
+	PanicRecovered  = &Event{108, "panic_recovered", Error, "a panic was recovered; the affected request failed", []Key{Operation, Cause}}
 )
 
 // Events about store and configuration.
 var (
-	// StoreUnavailable: the store does not answer; the last configuration stays in force.
-	StoreUnavailable = &Event{201, "store_unavailable", Warning, "the store does not answer; the last configuration stays in force", []Key{Operation, Cause}}
-	// StoreRecovered: the store answers again.
-	StoreRecovered = &Event{202, "store_recovered", Info, "the store answers again", []Key{Duration}}
-	// StoreOutcomeUnknown: the answer to a write was lost; its outcome is settled by reading back.
+	StoreUnavailable    = &Event{201, "store_unavailable", Warning, "the store does not answer; the last configuration stays in force", []Key{Operation, Cause}}
+	StoreRecovered      = &Event{202, "store_recovered", Info, "the store answers again", []Key{Duration}}
 	StoreOutcomeUnknown = &Event{203, "store_outcome_unknown", Warning, "the answer to a write was lost; its outcome is settled by reading back", []Key{Operation, Service}}
-	// ConfigApplied: a configuration is in force on this node.
-	ConfigApplied = &Event{204, "config_applied", Info, "a configuration is in force on this node", []Key{Service, Revision}}
-	// ConfigInvalid: a document in the store is not valid; the last valid one stays in force.
-	ConfigInvalid = &Event{205, "config_invalid", Error, "a document in the store is not valid; the last valid one stays in force", []Key{Service, Revision, Cause}}
-	// ConfigRegression: an older revision than the one in force was offered and ignored.
-	ConfigRegression = &Event{206, "config_regression", Error, "an older revision than the one in force was offered and ignored", []Key{Service, Revision, Node}}
-	// ConfigStale: neither the store nor a peer confirms the configuration in force.
-	ConfigStale = &Event{207, "config_stale", Warning, "neither the store nor a peer confirms the configuration in force", []Key{Revision, Duration}}
-	// WatcherStarted: this node watches the store for its failure domain.
-	WatcherStarted = &Event{208, "watcher_started", Info, "this node watches the store for its failure domain", []Key{Domain}}
-	// WatcherStopped: another node watches the store for the failure domain.
-	WatcherStopped = &Event{209, "watcher_stopped", Info, "another node watches the store for the failure domain", []Key{Domain}}
+	ConfigApplied       = &Event{204, "config_applied", Info, "a configuration is in force on this node", []Key{Service, Revision}}
+	ConfigInvalid       = &Event{205, "config_invalid", Error, "a document in the store is not valid; the last valid one stays in force", []Key{Service, Revision, Cause}}
+	ConfigRegression    = &Event{206, "config_regression", Error, "an older revision than the one in force was offered and ignored", []Key{Service, Revision, Node}}
+	ConfigStale         = &Event{207, "config_stale", Warning, "neither the store nor a peer confirms the configuration in force", []Key{Revision, Duration}}
+	WatcherStarted      = &Event{208, "watcher_started", Info, "this node watches the store for its failure domain", []Key{Domain}}
+	WatcherStopped      = &Event{209, "watcher_stopped", Info, "another node watches the store for the failure domain", []Key{Domain}}
 )
 
 // Events about members and connections.
 var (
-	// NodeJoined: a node or a new incarnation of it has joined.
-	NodeJoined = &Event{301, "node_joined", Info, "a node or a new incarnation of it has joined", []Key{Node, Incarnation, Domain}}
-	// NodeLeft: a node has stopped gracefully.
-	NodeLeft = &Event{302, "node_left", Info, "a node has stopped gracefully", []Key{Node, Incarnation}}
-	// NodeSilent: a node does not answer.
-	NodeSilent = &Event{303, "node_silent", Warning, "a node does not answer", []Key{Node, Duration}}
-	// NodeHeard: a silent node answers again.
-	NodeHeard = &Event{304, "node_heard", Info, "a silent node answers again", []Key{Node, Duration}}
-	// PathAvoided: the path to a node is avoided.
-	PathAvoided = &Event{305, "path_avoided", Warning, "the path to a node is avoided", []Key{Node, Cause}}
-	// PathRestored: the path to a node is used again.
-	PathRestored = &Event{306, "path_restored", Info, "the path to a node is used again", []Key{Node}}
-	// ConnectionSilent: an open connection gives no frames; a new one is tried.
-	ConnectionSilent = &Event{307, "connection_silent", Warning, "an open connection gives no frames; a new one is tried", []Key{Node, Address, Duration}}
-	// RegionUnreachable: no node of a region answers.
-	RegionUnreachable = &Event{308, "region_unreachable", Error, "no node of a region answers", []Key{Region, Duration}}
-	// RegionReachable: a region answers again.
-	RegionReachable = &Event{309, "region_reachable", Info, "a region answers again", []Key{Region, Duration}}
-	// LinkBudgetSpent: the byte budget to other regions is spent.
-	LinkBudgetSpent = &Event{310, "link_budget_spent", Warning, "the byte budget to other regions is spent", []Key{Region, Bytes}}
-	// LinkBudgetRestored: the byte budget to other regions allows requests again.
+	NodeJoined         = &Event{301, "node_joined", Info, "a node or a new incarnation of it has joined", []Key{Node, Incarnation, Domain}}
+	NodeLeft           = &Event{302, "node_left", Info, "a node has stopped gracefully", []Key{Node, Incarnation}}
+	NodeSilent         = &Event{303, "node_silent", Warning, "a node does not answer", []Key{Node, Duration}}
+	NodeHeard          = &Event{304, "node_heard", Info, "a silent node answers again", []Key{Node, Duration}}
+	PathAvoided        = &Event{305, "path_avoided", Warning, "the path to a node is avoided", []Key{Node, Cause}}
+	PathRestored       = &Event{306, "path_restored", Info, "the path to a node is used again", []Key{Node}}
+	ConnectionSilent   = &Event{307, "connection_silent", Warning, "an open connection gives no frames; a new one is tried", []Key{Node, Address, Duration}}
+	RegionUnreachable  = &Event{308, "region_unreachable", Error, "no node of a region answers", []Key{Region, Duration}}
+	RegionReachable    = &Event{309, "region_reachable", Info, "a region answers again", []Key{Region, Duration}}
+	LinkBudgetSpent    = &Event{310, "link_budget_spent", Warning, "the byte budget to other regions is spent", []Key{Region, Bytes}}
 	LinkBudgetRestored = &Event{311, "link_budget_restored", Info, "the byte budget to other regions allows requests again", []Key{Region}}
 )
 
 // Events about targets.
 var (
-	// TargetAnnounced: an upstream has announced itself for the first time.
-	TargetAnnounced = &Event{401, "target_announced", Info, "an upstream has announced itself for the first time", []Key{Target, Service, Address, Slots}}
-	// TargetPhaseChanged: an upstream has announced another phase.
+	TargetAnnounced    = &Event{401, "target_announced", Info, "an upstream has announced itself for the first time", []Key{Target, Service, Address, Slots}}
 	TargetPhaseChanged = &Event{402, "target_phase_changed", Info, "an upstream has announced another phase", []Key{Target, Service, Phase}}
-	// TargetMissing: an upstream no longer announces itself.
-	TargetMissing = &Event{403, "target_missing", Warning, "an upstream no longer announces itself", []Key{Target, Service, Duration}}
-	// TargetSuspected: the detector holds a target to be failing.
-	TargetSuspected = &Event{404, "target_suspected", Warning, "the detector holds a target to be failing", []Key{Target, Service, Cause}}
-	// TargetEjected: a target is ejected by a permit.
-	TargetEjected = &Event{405, "target_ejected", Warning, "a target is ejected by a permit", []Key{Target, Service, Slots, Floor}}
-	// TargetAvoided: a target is avoided by this node alone.
-	TargetAvoided = &Event{406, "target_avoided", Warning, "a target is avoided by this node alone", []Key{Target, Service, Slots, Floor}}
-	// TargetReturned: a target takes work again.
-	TargetReturned = &Event{407, "target_returned", Info, "a target takes work again", []Key{Target, Service, Duration}}
-	// TargetHeldDown: a flapping target stays out for longer.
-	TargetHeldDown = &Event{408, "target_held_down", Warning, "a flapping target stays out for longer", []Key{Target, Service, Count, Duration}}
-	// EjectionAtFloor: a failing target stays in because the floor allows no ejection.
-	EjectionAtFloor = &Event{409, "ejection_at_floor", Error, "a failing target stays in because the floor allows no ejection", []Key{Target, Service, Slots, Floor}}
-	// EjectionWithdrawn: an operator has withdrawn an ejection.
-	EjectionWithdrawn = &Event{410, "ejection_withdrawn", Info, "an operator has withdrawn an ejection", []Key{Target, Service}}
-	// DrainStarted: a target is drained.
-	DrainStarted = &Event{411, "drain_started", Info, "a target is drained", []Key{Target, Service, Slots, Floor}}
-	// DrainForced: a target is drained below the floor by force.
-	DrainForced = &Event{412, "drain_forced", Warning, "a target is drained below the floor by force", []Key{Target, Service, Slots, Floor}}
-	// DrainRefused: a drain is refused because of the floor.
-	DrainRefused = &Event{413, "drain_refused", Warning, "a drain is refused because of the floor", []Key{Target, Service, Slots, Floor}}
-	// DrainEnded: a drained target is restored.
-	DrainEnded = &Event{414, "drain_ended", Info, "a drained target is restored", []Key{Target, Service}}
-	// AnnounceRefused: an announcement of an upstream is not valid.
-	AnnounceRefused = &Event{415, "announce_refused", Warning, "an announcement of an upstream is not valid", []Key{Address, Cause}}
+	TargetMissing      = &Event{403, "target_missing", Warning, "an upstream no longer announces itself", []Key{Target, Service, Duration}}
+	TargetSuspected    = &Event{404, "target_suspected", Warning, "the detector holds a target to be failing", []Key{Target, Service, Cause}}
+	TargetEjected      = &Event{405, "target_ejected", Warning, "a target is ejected by a permit", []Key{Target, Service, Slots, Floor}}
+	TargetAvoided      = &Event{406, "target_avoided", Warning, "a target is avoided by this node alone", []Key{Target, Service, Slots, Floor}}
+	TargetReturned     = &Event{407, "target_returned", Info, "a target takes work again", []Key{Target, Service, Duration}}
+	TargetHeldDown     = &Event{408, "target_held_down", Warning, "a flapping target stays out for longer", []Key{Target, Service, Count, Duration}}
+	EjectionAtFloor    = &Event{409, "ejection_at_floor", Error, "a failing target stays in because the floor allows no ejection", []Key{Target, Service, Slots, Floor}}
+	EjectionWithdrawn  = &Event{410, "ejection_withdrawn", Info, "an operator has withdrawn an ejection", []Key{Target, Service}}
+	DrainStarted       = &Event{411, "drain_started", Info, "a target is drained", []Key{Target, Service, Slots, Floor}}
+	DrainForced        = &Event{412, "drain_forced", Warning, "a target is drained below the floor by force", []Key{Target, Service, Slots, Floor}}
+	DrainRefused       = &Event{413, "drain_refused", Warning, "a drain is refused because of the floor", []Key{Target, Service, Slots, Floor}}
+	DrainEnded         = &Event{414, "drain_ended", Info, "a drained target is restored", []Key{Target, Service}}
+	AnnounceRefused    = &Event{415, "announce_refused", Warning, "an announcement of an upstream is not valid", []Key{Address, Cause}}
 )
 
 // Events about requests that crash upstreams.
 var (
-	// CrashAttributed: the loss of an upstream is attributed to requests in flight.
-	CrashAttributed = &Event{501, "crash_attributed", Warning, "the loss of an upstream is attributed to requests in flight", []Key{Service, Target, Fingerprint, Count}}
-	// FingerprintQuarantined: a request is quarantined on all nodes.
+	CrashAttributed        = &Event{501, "crash_attributed", Warning, "the loss of an upstream is attributed to requests in flight", []Key{Service, Target, Fingerprint, Count}}
 	FingerprintQuarantined = &Event{502, "fingerprint_quarantined", Error, "a request is quarantined on all nodes", []Key{Service, Fingerprint, Count}}
-	// FingerprintReleased: a request is no longer quarantined.
-	FingerprintReleased = &Event{503, "fingerprint_released", Info, "a request is no longer quarantined", []Key{Fingerprint}}
+	FingerprintReleased    = &Event{503, "fingerprint_released", Info, "a request is no longer quarantined", []Key{Fingerprint}}
 )
 
 // Events about operators.
 var (
-	// ApplyAccepted: an operator's declaration was accepted.
-	ApplyAccepted = &Event{601, "apply_accepted", Info, "an operator's declaration was accepted", []Key{Service, Revision}}
-	// ApplyConflict: an operator's declaration met a newer revision.
-	ApplyConflict = &Event{602, "apply_conflict", Warning, "an operator's declaration met a newer revision", []Key{Service, Revision}}
-	// ApplyInForce: a declaration is in force on all nodes that answer.
-	ApplyInForce = &Event{603, "apply_in_force", Info, "a declaration is in force on all nodes that answer", []Key{Service, Revision, Count, Duration}}
-	// ApplyBehind: a declaration is not yet in force on some nodes.
-	ApplyBehind = &Event{604, "apply_behind", Warning, "a declaration is not yet in force on some nodes", []Key{Service, Revision, Count, Duration}}
-	// OperatorDenied: an operator's call had no valid token.
-	OperatorDenied = &Event{605, "operator_denied", Warning, "an operator's call had no valid token", []Key{Operation}}
-	// OperatorCommand: an operator's command was carried out.
+	ApplyAccepted   = &Event{601, "apply_accepted", Info, "an operator's declaration was accepted", []Key{Service, Revision}}
+	ApplyConflict   = &Event{602, "apply_conflict", Warning, "an operator's declaration met a newer revision", []Key{Service, Revision}}
+	ApplyInForce    = &Event{603, "apply_in_force", Info, "a declaration is in force on all nodes that answer", []Key{Service, Revision, Count, Duration}}
+	ApplyBehind     = &Event{604, "apply_behind", Warning, "a declaration is not yet in force on some nodes", []Key{Service, Revision, Count, Duration}}
+	OperatorDenied  = &Event{605, "operator_denied", Warning, "an operator's call had no valid token", []Key{Operation}}
 	OperatorCommand = &Event{606, "operator_command", Info, "an operator's command was carried out", []Key{Operation, Service, Target}}
 )
 
 // Events about claims and operations.
 var (
-	// ClaimSettled: the lost answer to a claim was settled by reading back.
-	ClaimSettled = &Event{701, "claim_settled", Info, "the lost answer to a claim was settled by reading back", []Key{Service, Outcome}}
-	// ClaimOutcomeUnwritten: the outcome of a claimed request could not be recorded.
+	ClaimSettled          = &Event{701, "claim_settled", Info, "the lost answer to a claim was settled by reading back", []Key{Service, Outcome}}
 	ClaimOutcomeUnwritten = &Event{702, "claim_outcome_unwritten", Warning, "the outcome of a claimed request could not be recorded", []Key{Service, Attempt, Cause}}
-	// ClaimsCollected: old claims were deleted.
-	ClaimsCollected = &Event{703, "claims_collected", Info, "old claims were deleted", []Key{Count}}
-	// AnswersDropped: held answers were dropped before they were collected.
-	AnswersDropped = &Event{704, "answers_dropped", Warning, "held answers were dropped before they were collected", []Key{Count, Bytes}}
+	ClaimsCollected       = &Event{703, "claims_collected", Info, "old claims were deleted", []Key{Count}}
+	AnswersDropped        = &Event{704, "answers_dropped", Warning, "held answers were dropped before they were collected", []Key{Count, Bytes}}
 )
 
 // fixed lists the events that belong to no reason, in the order of their numbers.
--- /dev/null
+++ b/internal/operator/options.go
@@ -0,0 +1,39 @@
+package operator
+
+import (
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// Options sets up the operators' API of one node.
+type Options struct {
+	// Node and Incarnation make the change IDs unique in the fleet.
+	Node        model.NodeID
+	Incarnation model.Incarnation
+	// Token is what callers must present; empty admits everyone and is for loopback listeners only.
+	Token string
+	// MaxRequestBytes bounds one request; 0 means DefaultMaxRequestBytes.
+	MaxRequestBytes int
+	// PollInterval is the time between two looks at the nodes while a change is awaited; 0 means DefaultPollInterval.
+	PollInterval time.Duration
+}
+
+const (
+	// DefaultMaxRequestBytes holds the declarations of several thousand routes.
+	DefaultMaxRequestBytes = 4 << 20
+	// DefaultPollInterval is short against the seconds that a change takes to reach all nodes.
+	DefaultPollInterval = 100 * time.Millisecond
+	// MaxWait bounds how long an apply waits until its change is in force.
+	MaxWait = 5 * time.Minute
+)
+
+func (o Options) withDefaults() Options {
+	if o.MaxRequestBytes <= 0 {
+		o.MaxRequestBytes = DefaultMaxRequestBytes
+	}
+	if o.PollInterval <= 0 {
+		o.PollInterval = DefaultPollInterval
+	}
+	return o
+}
--- /dev/null
+++ b/internal/operator/token_check.go
@@ -0,0 +1,36 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"strings"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+)
+
+const (
+	tokenHeader = "Authorization"
+	tokenPrefix = "Bearer "
+)
+
+// newTokenCheck returns an interceptor that admits only calls with the token, or all calls if the token is empty.
+func newTokenCheck(token string) connect.UnaryInterceptorFunc {
+	expected := sha256.Sum256([]byte(token))
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+			if token != "" && !presents(request, expected) {
+				return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("the operators' token is missing or wrong"))
+			}
+			return next(ctx, request)
+		}
+	}
+}
+
+// presents compares digests, so that the time taken tells neither the content nor the length of the token.
+func presents(request connect.AnyRequest, expected [sha256.Size]byte) bool {
+	given, ok := strings.CutPrefix(request.Header().Get(tokenHeader), tokenPrefix)
+	digest := sha256.Sum256([]byte(given))
+	return ok && subtle.ConstantTimeCompare(digest[:], expected[:]) == 1
+}
