--- /dev/null
+++ b/internal/core/view.go
@@ -0,0 +1,220 @@
+// Package core drives the pure decision packages together. BuildView turns what a node knows into the immutable snapshot
+// that the request path reads; it needs no clock but the time that its caller passes in, so that a test, a benchmark or
+// another program can drive it with a clock of its own.
+package core
+
+import (
+	"sort"
+
+	"github.com/sardinereach/sardinereach/internal/capacity"
+	"github.com/sardinereach/sardinereach/internal/config"
+	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/membership"
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/routing"
+)
+
+// Inputs is what a node knows at one moment. BuildView changes none of it.
+type Inputs struct {
+	Self    model.Node
+	Config  *config.Snapshot
+	Members *membership.Snapshot
+	// Ejected are the targets whose ejection permits the node honours now.
+	Ejected map[model.TargetID]bool
+	// Unreachable are the nodes to which this node has no working path.
+	Unreachable map[model.NodeID]bool
+	// Scores is the evidence against targets beside this node, for the choice of the least bad.
+	Scores map[model.TargetID]float64
+	// Loads returns the load counters of a target, which outlive views.
+	Loads func(model.TargetID) *routing.Load
+}
+
+// View is the immutable snapshot that the request path reads.
+type View struct {
+	// Revision is the store revision of the configuration.
+	Revision int64
+	Table    *routing.Table
+	services map[model.ServiceName]*ServiceView
+}
+
+// ServiceView is one service as the node sees it.
+type ServiceView struct {
+	Service *declaration.Service
+	Pool    *routing.Pool
+	// Targets are all known targets, used or not, in order of their IDs.
+	Targets []TargetView
+	// Selection holds the figures of the floor arithmetic.
+	Selection capacity.Selection
+}
+
+// TargetView is one target as the node sees it.
+type TargetView struct {
+	Target  model.Target
+	Node    model.Node
+	Reasons capacity.Reasons
+	Score   float64
+}
+
+// Service returns the service, nil if it is not declared.
+func (v *View) Service(name model.ServiceName) *ServiceView {
+	if v == nil {
+		return nil
+	}
+	return v.services[name]
+}
+
+// BuildView returns the view of the inputs.
+func BuildView(in Inputs) *View {
+	view := &View{services: make(map[model.ServiceName]*ServiceView)}
+	if in.Config != nil {
+		view.Revision = in.Config.Complete
+		view.Table = tableOf(in.Config)
+		for name, service := range in.Config.Services {
+			view.services[name] = &ServiceView{Service: service}
+		}
+	} else {
+		view.Table = routing.NewTable(nil)
+	}
+	for _, member := range membersOf(in.Members) {
+		view.addMember(&in, member)
+	}
+	for _, service := range view.services {
+		service.selectTargets(&in)
+	}
+	return view
+}
+
+func tableOf(snapshot *config.Snapshot) *routing.Table {
+	services := make([]*declaration.Service, 0, len(snapshot.Services))
+	for _, service := range snapshot.Services {
+		services = append(services, service)
+	}
+	return routing.NewTable(services)
+}
+
+func membersOf(snapshot *membership.Snapshot) []membership.Member {
+	if snapshot == nil {
+		return nil
+	}
+	members := make([]membership.Member, 0, len(snapshot.Members))
+	for _, member := range snapshot.Members {
+		members = append(members, member)
+	}
+	return members
+}
+
+func (v *View) addMember(in *Inputs, member membership.Member) {
+	record := member.Record
+	for _, target := range record.Targets {
+		service := v.services[target.Service]
+		if service == nil {
+			continue
+		}
+		service.Targets = append(service.Targets, TargetView{
+			Target:  target,
+			Node:    record.Node,
+			Reasons: reasonsOf(in, member, service.Service, target),
+			Score:   in.Scores[target.ID],
+		})
+	}
+}
+
+// reasonsOf returns why a target is not in use.
+func reasonsOf(in *Inputs, member membership.Member, service *declaration.Service, target model.Target) capacity.Reasons {
+	reasons := phaseReasons(target.Phase)
+	if member.Record.Stopping || isDrained(service, target.ID) {
+		reasons |= capacity.Draining
+	}
+	if target.Missing {
+		reasons |= capacity.Missing
+	}
+	if target.Suspect {
+		reasons |= capacity.Suspected
+	}
+	if in.Ejected[target.ID] {
+		reasons |= capacity.Ejected
+	}
+	if member.State != membership.Alive || in.Unreachable[member.Record.ID] {
+		reasons |= capacity.Unreachable
+	}
+	return reasons
+}
+
+func phaseReasons(phase model.Phase) capacity.Reasons {
+	switch phase {
+	case model.PhaseStarting:
+		return capacity.Starting
+	case model.PhaseDraining:
+		return capacity.Draining
+	case model.PhaseLeaving:
+		return capacity.Leaving
+	}
+	return 0
+}
+
+func isDrained(service *declaration.Service, id model.TargetID) bool {
+	for _, drained := range service.Draining {
+		if drained == id {
+			return true
+		}
+	}
+	return false
+}
+
+// selectTargets applies the floor and builds the pool.
+func (s *ServiceView) selectTargets(in *Inputs) {
+	sort.Slice(s.Targets, func(i, j int) bool { return s.Targets[i].Target.ID < s.Targets[j].Target.ID })
+	s.Selection = capacity.Usable(s.CapacityTargets(), s.Service.FloorSlots)
+	byID := make(map[model.TargetID]*TargetView, len(s.Targets))
+	for i := range s.Targets {
+		byID[s.Targets[i].Target.ID] = &s.Targets[i]
+	}
+	restored := make(map[model.TargetID]bool, len(s.Selection.Restored))
+	for _, id := range s.Selection.Restored {
+		restored[id] = true
+	}
+	candidates := make([]*routing.Candidate, 0, len(s.Selection.Use))
+	for _, id := range s.Selection.Use {
+		t := byID[id]
+		candidates = append(candidates, &routing.Candidate{
+			Target:     t.Target,
+			Node:       t.Node,
+			Distance:   distance(in.Self, t.Node),
+			Rank:       rank(s.Service.Prefer, t.Node.Region),
+			Load:       in.Loads(id),
+			LastResort: restored[id],
+		})
+	}
+	s.Pool = routing.NewPool(candidates)
+}
+
+// CapacityTargets returns the targets in the terms of the floor arithmetic.
+func (s *ServiceView) CapacityTargets() []capacity.Target {
+	targets := make([]capacity.Target, len(s.Targets))
+	for i, t := range s.Targets {
+		targets[i] = capacity.Target{
+			ID: t.Target.ID, Slots: t.Target.Slots, RampSlots: t.Target.RampSlots, Reasons: t.Reasons, Score: t.Score,
+		}
+	}
+	return targets
+}
+
+func distance(self, other model.Node) routing.Distance {
+	switch {
+	case self.Region != other.Region:
+		return routing.OtherRegion
+	case self.Domain != other.Domain:
+		return routing.SameRegion
+	}
+	return routing.SameDomain
+}
+
+// rank returns the position of the region in the operator's order; regions that are not named come last.
+func rank(prefer []model.Region, region model.Region) int {
+	for i, name := range prefer {
+		if name == region {
+			return i
+		}
+	}
+	return len(prefer)
+}
--- a/internal/events/reason_numbers.go
+++ b/internal/events/reason_numbers.go
@@ -32,6 +32,7 @@
 	verdict.Quarantined:         1025,
 	verdict.LinkBudget:          1026,
 	verdict.CallerGone:          1027,
+	verdict.BadRequest:          1028,
 	verdict.UpstreamLost:        1101,
 	verdict.UpstreamTimeout:     1102,
 	verdict.NodeLost:            1103,
@@ -43,5 +44,6 @@
 	verdict.TicketUnreachable:   1109,
 	verdict.CallerCancelled:     1110,
 	verdict.RetryBudget:         1201,
+	verdict.UpstreamStatus:      1203,
 	verdict.RetryAttempts:       1202,
 }
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -46,6 +46,8 @@
 	BodyTooLarge Reason = "body_too_large"
 	// BodyIncomplete means that the caller did not send its whole body.
 	BodyIncomplete Reason = "body_incomplete"
+	// BadRequest means that a header of the request is malformed.
+	BadRequest Reason = "bad_request"
 	// KeyMissing means that a non-idempotent request has neither an idempotency key nor a ticket.
 	KeyMissing Reason = "key_missing"
 	// KeyInvalid means that the idempotency key or the ticket is malformed.
@@ -90,6 +92,8 @@
 const (
 	// RetryBudget means that the retry budget of the service is spent.
 	RetryBudget Reason = "retry_budget"
+	// UpstreamStatus means that the upstream answered with one of the route's retry statuses.
+	UpstreamStatus Reason = "upstream_status"
 	// RetryAttempts means that the request reached its maximum number of attempts.
 	RetryAttempts Reason = "retry_attempts"
 )
@@ -99,10 +103,10 @@
 	return []Reason{
 		NoRoute, NoTarget, SlotsFull, QueueDeadline, TargetDraining, TargetStarting, TargetUnknown, AttemptFenced,
 		AttemptDuplicate, AdmitExpired, WrongIncarnation, UpstreamShed, UpstreamUnreachable, NodeUnreachable,
-		NodeStopping, NotReady, Overloaded, DeadlineExceeded, BodyTooLarge, BodyIncomplete, KeyMissing, KeyInvalid,
+		NodeStopping, NotReady, Overloaded, DeadlineExceeded, BodyTooLarge, BodyIncomplete, BadRequest, KeyMissing, KeyInvalid,
 		KeyReused, StoreUnavailable, Quarantined, LinkBudget, CallerGone,
 		UpstreamLost, UpstreamTimeout, NodeLost, AnswerIncomplete, AnswerDropped, ClaimRunning, ClaimHolderLost,
 		TicketLost, TicketUnreachable, CallerCancelled,
-		RetryBudget, RetryAttempts,
+		RetryBudget, UpstreamStatus, RetryAttempts,
 	}
 }
