--- /dev/null
+++ b/internal/once/key.go
@@ -0,0 +1,41 @@
+package once
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+const (
+	// claimsPrefix is the prefix of all claims in the store.
+	claimsPrefix = "claims/"
+	// maxKeyBytes is the length of the longest idempotency key.
+	maxKeyBytes = 200
+	// hashBytes is the length of the hash that stands for a key in the store. Callers choose their keys, so the hash has
+	// to be collision resistant.
+	hashBytes = 16
+)
+
+// KeyHash returns the hash that stands for an idempotency key in the store, in hexadecimal digits.
+func KeyHash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:hashBytes])
+}
+
+func storeKey(service model.ServiceName, hash string) string {
+	return claimsPrefix + string(service) + "/" + hash
+}
+
+// validKey reports whether the key is 1 to 200 printable ASCII bytes.
+func validKey(key string) bool {
+	if len(key) == 0 || len(key) > maxKeyBytes {
+		return false
+	}
+	for _, b := range []byte(key) {
+		if b < ' ' || b > '~' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -108,7 +108,8 @@
 func isTransient(reason verdict.Reason) bool {
 	switch reason {
 	case verdict.UpstreamShed, verdict.UpstreamUnreachable, verdict.NodeUnreachable, verdict.NoTarget,
-		verdict.UpstreamLost, verdict.UpstreamTimeout, verdict.NodeLost, verdict.AnswerIncomplete, verdict.AnswerDropped:
+		verdict.UpstreamLost, verdict.UpstreamTimeout, verdict.NodeLost, verdict.AnswerIncomplete, verdict.AnswerDropped,
+		verdict.AttemptDuplicate:
 		return true
 	}
 	return false
