Add the distributor

Two watchers per failure domain watch the store and every node pulls from three partners a round, so that the number of store calls does not grow with the fleet beyond the domains. A starting node lists the members, reads the documents from peers and then asks the store for the changes after them, so that a start costs the store one write, one list and one short watch. With the store down it reads every seed and member that answers.

--- /dev/null
+++ b/internal/distribution/own_record.go
@@ -0,0 +1,65 @@
+package distribution
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// ownRecord is the node's own record with the changes that are not in it yet.
+type ownRecord struct {
+	record  *model.NodeRecord
+	targets []model.Target
+	// urgent is set by changes that peers must learn at once, changed by any change.
+	urgent, changed bool
+	stopping        bool
+	beatAt          time.Duration
+	versionAt       time.Duration
+}
+
+func newOwnRecord(self model.Node) ownRecord {
+	return ownRecord{record: &model.NodeRecord{Node: self, Version: 1, Heartbeat: 1}}
+}
+
+func (o *ownRecord) setTargets(targets []model.Target) {
+	if slices.Equal(o.targets, targets) {
+		return
+	}
+	o.urgent = o.urgent || !slices.EqualFunc(o.record.Targets, targets, sameButLoad)
+	o.changed = true
+	o.targets = targets
+}
+
+func (o *ownRecord) setStopping() {
+	o.stopping = true
+	o.urgent, o.changed = true, true
+}
+
+// sameButLoad reports whether two states of a target differ in load figures only.
+func sameButLoad(a, b model.Target) bool {
+	b.InFlight, b.Queued = a.InFlight, a.Queued
+	b.Successes, b.Failures, b.FirstByte = a.Successes, a.Failures, a.FirstByte
+	return a == b
+}
+
+// advance returns the record that is due at the time now, nil if the present one stands.
+func (o *ownRecord) advance(now, heartbeat, load time.Duration, configRevision int64) *model.NodeRecord {
+	newVersion := o.urgent || o.changed && now-o.versionAt >= load
+	if !newVersion && now-o.beatAt < heartbeat {
+		return nil
+	}
+	next := *o.record
+	next.Heartbeat++
+	next.ConfigRevision = configRevision
+	o.beatAt = now
+	if newVersion {
+		next.Version++
+		next.Targets = o.targets
+		next.Stopping = o.stopping
+		o.versionAt = now
+		o.urgent, o.changed = false, false
+	}
+	o.record = &next
+	return o.record
+}
--- /dev/null
+++ b/internal/distribution/publisher.go
@@ -0,0 +1,71 @@
+package distribution
+
+import "github.com/sardinereach/sardinereach/internal/config"
+
+// publisher notes what changed since the last snapshot.
+type publisher struct {
+	documents bool
+	members   bool
+	// generation is the one of the member table in the last snapshot.
+	generation uint64
+	round      uint64
+}
+
+// heartbeatRounds is how often a snapshot is published for new heartbeats and configuration revisions alone.
+const heartbeatRounds = 10
+
+// publish makes a new snapshot if something changed.
+func (d *Distributor) publish() {
+	d.publishing.Lock()
+	defer d.publishing.Unlock()
+	snapshot := d.nextSnapshot()
+	if snapshot == nil {
+		return
+	}
+	d.snapshot.Store(snapshot)
+	d.options.OnSnapshot(snapshot)
+}
+
+func (d *Distributor) nextSnapshot() *Snapshot {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	previous := d.snapshot.Load()
+	if previous == nil {
+		previous = &Snapshot{
+			Ejections:  map[string]config.Document{},
+			Quarantine: map[string]config.Document{},
+		}
+		d.publisher.documents, d.publisher.members = true, true
+	}
+	next := *previous
+	membersChanged := d.membersChanged()
+	if !membersChanged && !d.publisher.documents {
+		return nil
+	}
+	if membersChanged {
+		next.Members = d.tables.members.Snapshot()
+		d.publisher.generation = d.tables.members.Generation()
+		d.publisher.round = d.round
+		d.publisher.members = false
+	}
+	if d.publisher.documents {
+		next.Config = d.tables.config.Snapshot()
+		next.Ejections = documentsByName(d.tables.ejections.table, EjectionPrefix)
+		next.Quarantine = documentsByName(d.tables.quarantine.table, QuarantinePrefix)
+		d.publisher.documents = false
+	}
+	return &next
+}
+
+// membersChanged reports whether a new snapshot of the members is due: at once for states and records in a new round,
+// every heartbeatRounds rounds for heartbeats alone.
+func (d *Distributor) membersChanged() bool {
+	if d.snapshot.Load() == nil {
+		return true
+	}
+	if d.round == d.publisher.round {
+		return false
+	}
+	changed := d.publisher.members || d.publisher.generation != d.tables.members.Generation()
+	return changed || d.round-d.publisher.round >= heartbeatRounds
+}
--- /dev/null
+++ b/internal/distribution/pull.go
@@ -0,0 +1,174 @@
+package distribution
+
+import (
+	"context"
+	"math"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/config"
+	"github.com/sardinereach/sardinereach/internal/membership"
+)
+
+// documentsOnly is the cursor of a Pull that asks for configuration documents alone. It is past every change log.
+const documentsOnly = math.MaxUint64
+
+// startPull pulls from the address unless a pull from it is under way.
+func (d *Distributor) startPull(ctx context.Context, address string) {
+	if !d.reservePeer(address) {
+		return
+	}
+	d.pulls.Go(func() {
+		defer d.releasePeer(address)
+		_, _ = d.pullOnce(ctx, address)
+	})
+}
+
+func (d *Distributor) reservePeer(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	peer := d.peer(address)
+	if peer.inFlight || address == d.options.Self.PeerAddress {
+		return false
+	}
+	peer.inFlight = true
+	return true
+}
+
+func (d *Distributor) releasePeer(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peer(address).inFlight = false
+}
+
+func (d *Distributor) peer(address string) *peerState {
+	peer := d.peers[address]
+	if peer == nil {
+		peer = &peerState{}
+		d.peers[address] = peer
+	}
+	peer.usedRound = d.round
+	return peer
+}
+
+// pullOnce pulls everything new from the address. It reports whether the answer was cut or had documents, so that
+// another Pull may bring more.
+func (d *Distributor) pullOnce(ctx context.Context, address string) (more bool, err error) {
+	request := d.pullRequest(address)
+	response, err := d.call(ctx, address, request)
+	if err != nil {
+		return false, err
+	}
+	more = d.applyPull(address, request, response)
+	d.publish()
+	return more, nil
+}
+
+// pullDocuments pulls configuration documents alone.
+func (d *Distributor) pullDocuments(ctx context.Context, address string) (more bool, err error) {
+	d.mu.Lock()
+	request := &peerv1.PullRequest{
+		Node:             string(d.options.Self.ID),
+		Cursor:           documentsOnly,
+		DocumentRevision: d.tables.config.Complete(),
+	}
+	d.mu.Unlock()
+	response, err := d.call(ctx, address, request)
+	if err != nil {
+		return false, err
+	}
+	d.mu.Lock()
+	d.applyConfig(response)
+	d.mu.Unlock()
+	d.publish()
+	return len(response.Documents) > 0, nil
+}
+
+func (d *Distributor) call(
+	ctx context.Context, address string, request *peerv1.PullRequest,
+) (*peerv1.PullResponse, error) {
+	limited, cancel := context.WithTimeout(ctx, d.options.PullTimeout)
+	defer cancel()
+	response, err := d.options.Puller.Pull(limited, address, request)
+	if err != nil {
+		if ctx.Err() == nil {
+			d.options.Report(Event{Kind: PullFailed, Address: address, Err: err})
+		}
+		return nil, err
+	}
+	d.mu.Lock()
+	d.peerHeard = d.options.Now()
+	d.mu.Unlock()
+	return response, nil
+}
+
+func (d *Distributor) pullRequest(address string) *peerv1.PullRequest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	peer := d.peer(address)
+	record := d.tables.members.Self()
+	light := peer.selfVersion == record.Version && peer.pulls < fullSelfPulls
+	peer.pulls++
+	return &peerv1.PullRequest{
+		Node:             string(record.ID),
+		Incarnation:      peer.incarnation,
+		Cursor:           peer.cursor,
+		DocumentRevision: d.tables.config.Complete(),
+		Self:             stateOf(membership.Update{Record: record, Light: light}),
+	}
+}
+
+func (d *Distributor) applyPull(address string, request *peerv1.PullRequest, response *peerv1.PullResponse) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	complete := d.mergeStates(response.Nodes)
+	d.applyConfig(response)
+	peer := d.peer(address)
+	restarted := peer.incarnation != response.Incarnation
+	peer.incarnation = response.Incarnation
+	peer.cursor = response.Cursor
+	if !complete {
+		// The peer takes this node to have a record that it dropped; everything is asked for again.
+		peer.cursor = 0
+	}
+	if request.Self.PeerAddress != "" {
+		peer.selfVersion = request.Self.Version
+		peer.pulls = 0
+	} else if restarted {
+		peer.selfVersion = 0
+	}
+	return len(response.Documents) > 0 || len(response.Nodes) >= d.options.MaxPullRecords
+}
+
+// mergeStates merges the records of an answer. It returns false if a light update was about an unknown record.
+func (d *Distributor) mergeStates(states []*peerv1.NodeState) bool {
+	complete := true
+	for _, state := range states {
+		if d.mergeState(state) == membership.Incomplete {
+			complete = false
+		}
+	}
+	return complete
+}
+
+func (d *Distributor) mergeState(state *peerv1.NodeState) membership.Result {
+	update := updateOf(state)
+	own := d.options.Self
+	if update.Record.ID == own.ID && update.Record.Incarnation > own.Incarnation {
+		d.options.Report(Event{Kind: IdentityConflict, Node: own.ID, Address: update.Record.PeerAddress})
+	}
+	result := d.tables.members.Merge(update, d.options.Now())
+	if result == membership.Replaced {
+		d.publisher.members = true
+	}
+	return result
+}
+
+// applyConfig merges the documents of an answer.
+func (d *Distributor) applyConfig(response *peerv1.PullResponse) {
+	documents := make([]config.Document, 0, len(response.Documents))
+	for _, message := range response.Documents {
+		documents = append(documents, documentOf(message))
+	}
+	d.applyDocuments(documents)
+	d.advance(ConfigPrefix, response.DocumentRevision)
+}
--- /dev/null
+++ b/internal/distribution/puller.go
@@ -0,0 +1,12 @@
+package distribution
+
+import (
+	"context"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+)
+
+// Puller calls Pull at another node. The context carries the time limit.
+type Puller interface {
+	Pull(ctx context.Context, address string, request *peerv1.PullRequest) (*peerv1.PullResponse, error)
+}
--- /dev/null
+++ b/internal/distribution/watch.go
@@ -0,0 +1,115 @@
+package distribution
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/config"
+	"github.com/sardinereach/sardinereach/internal/store"
+)
+
+// runWatch watches the prefix in the store while this node is a watcher of its domain.
+func (d *Distributor) runWatch(ctx context.Context, prefix string) {
+	pause := d.newBackoff()
+	for {
+		wait := d.options.RoundInterval
+		if d.isWatching() {
+			wait = d.options.WatchPause
+			if err := d.follow(ctx, prefix); err != nil {
+				wait = pause.next()
+			} else {
+				pause.reset()
+			}
+		}
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (d *Distributor) isWatching() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.watching
+}
+
+// follow brings the table of the prefix up to date by one call: a list if there is nothing to continue from, else a
+// watch.
+func (d *Distributor) follow(ctx context.Context, prefix string) error {
+	d.mu.Lock()
+	complete := d.tables.table(prefix).Complete()
+	d.mu.Unlock()
+	if complete == 0 {
+		return d.list(ctx, prefix)
+	}
+	err := d.watch(ctx, prefix, d.jitter(d.options.WatchWait, jitterShare))
+	if errors.Is(err, store.ErrCompacted) {
+		d.options.Report(Event{Kind: StoreCompacted, Key: prefix})
+		return d.list(ctx, prefix)
+	}
+	return err
+}
+
+// list reads all documents of the prefix.
+func (d *Distributor) list(ctx context.Context, prefix string) error {
+	limited, cancel := context.WithTimeout(ctx, d.options.StoreTimeout)
+	defer cancel()
+	kvs, revision, err := d.options.Store.List(limited, prefix)
+	if d.storeAnswered(ctx, prefix, err) != nil {
+		return err
+	}
+	documents := make([]config.Document, 0, len(kvs))
+	for _, kv := range kvs {
+		documents = append(documents, config.Document{Key: kv.Key, Value: kv.Value, Revision: kv.Revision})
+	}
+	d.mu.Lock()
+	d.applyList(prefix, documents, revision)
+	d.mu.Unlock()
+	d.publish()
+	return nil
+}
+
+// watch waits for changes of the prefix and applies them.
+func (d *Distributor) watch(ctx context.Context, prefix string, wait time.Duration) error {
+	d.mu.Lock()
+	after := d.tables.table(prefix).Complete()
+	d.mu.Unlock()
+	limited, cancel := context.WithTimeout(ctx, wait+d.options.StoreTimeout)
+	defer cancel()
+	changes, revision, err := d.options.Store.Watch(limited, prefix, after, wait)
+	if errors.Is(err, store.ErrCompacted) {
+		return err
+	}
+	if d.storeAnswered(ctx, prefix, err) != nil {
+		return err
+	}
+	documents := make([]config.Document, 0, len(changes))
+	for _, change := range changes {
+		documents = append(documents, config.Document{
+			Key: change.Key, Value: change.Value, Revision: change.Revision, Deleted: change.Deleted,
+		})
+	}
+	d.mu.Lock()
+	d.applyDocuments(documents)
+	d.advance(prefix, revision)
+	d.mu.Unlock()
+	d.publish()
+	return nil
+}
+
+// storeAnswered notes that the store answered, or reports the error, which it returns. Errors at the end of ctx are not
+// reported.
+func (d *Distributor) storeAnswered(ctx context.Context, key string, err error) error {
+	if err == nil {
+		d.mu.Lock()
+		d.storeHeard = d.options.Now()
+		d.mu.Unlock()
+		return nil
+	}
+	if ctx.Err() == nil {
+		d.options.Report(Event{Kind: StoreFailed, Key: key, Err: err})
+	}
+	return err
+}
--- /dev/null
+++ b/internal/distribution/wire.go
@@ -0,0 +1,101 @@
+package distribution
+
+import (
+	"time"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/config"
+	"github.com/sardinereach/sardinereach/internal/membership"
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// stateOf returns the wire form of an update. A light one has no peer address. The wire form has no queue lengths.
+func stateOf(update membership.Update) *peerv1.NodeState {
+	r := update.Record
+	state := &peerv1.NodeState{
+		Id:             string(r.ID),
+		Incarnation:    uint64(r.Incarnation),
+		Version:        r.Version,
+		ConfigRevision: r.ConfigRevision,
+		Heartbeat:      r.Heartbeat,
+	}
+	if update.Light {
+		return state
+	}
+	state.Region = string(r.Region)
+	state.Domain = string(r.Domain)
+	state.PeerAddress = r.PeerAddress
+	state.CallerAddress = r.CallerAddress
+	state.OperatorAddress = r.OperatorAddress
+	state.Stopping = r.Stopping
+	state.Targets = make([]*peerv1.TargetState, len(r.Targets))
+	for i := range r.Targets {
+		state.Targets[i] = targetState(&r.Targets[i])
+	}
+	return state
+}
+
+func targetState(t *model.Target) *peerv1.TargetState {
+	return &peerv1.TargetState{
+		Id:          string(t.ID),
+		Service:     string(t.Service),
+		Address:     t.Address,
+		Slots:       int32(t.Slots),
+		RampSlots:   int32(t.RampSlots),
+		Phase:       int32(t.Phase),
+		InFlight:    int32(t.InFlight),
+		Suspect:     t.Suspect,
+		Missing:     t.Missing,
+		Successes:   t.Successes,
+		Failures:    t.Failures,
+		FirstByteUs: t.FirstByte.Microseconds(),
+	}
+}
+
+// updateOf is the inverse of stateOf.
+func updateOf(state *peerv1.NodeState) membership.Update {
+	r := &model.NodeRecord{
+		Node: model.Node{
+			ID:              model.NodeID(state.GetId()),
+			Incarnation:     model.Incarnation(state.GetIncarnation()),
+			Region:          model.Region(state.GetRegion()),
+			Domain:          model.FailureDomain(state.GetDomain()),
+			PeerAddress:     state.GetPeerAddress(),
+			CallerAddress:   state.GetCallerAddress(),
+			OperatorAddress: state.GetOperatorAddress(),
+		},
+		Version:        state.GetVersion(),
+		Heartbeat:      state.GetHeartbeat(),
+		Stopping:       state.GetStopping(),
+		ConfigRevision: state.GetConfigRevision(),
+	}
+	for _, target := range state.GetTargets() {
+		r.Targets = append(r.Targets, targetOf(target))
+	}
+	return membership.Update{Record: r, Light: r.PeerAddress == ""}
+}
+
+func targetOf(t *peerv1.TargetState) model.Target {
+	return model.Target{
+		ID:        model.TargetID(t.GetId()),
+		Service:   model.ServiceName(t.GetService()),
+		Address:   t.GetAddress(),
+		Slots:     int(t.GetSlots()),
+		RampSlots: int(t.GetRampSlots()),
+		InFlight:  int(t.GetInFlight()),
+		Phase:     model.Phase(t.GetPhase()),
+		Suspect:   t.GetSuspect(),
+		Missing:   t.GetMissing(),
+		Successes: t.GetSuccesses(),
+		Failures:  t.GetFailures(),
+		FirstByte: time.Duration(t.GetFirstByteUs()) * time.Microsecond,
+	}
+}
+
+func documentMessage(d config.Document) *peerv1.Document {
+	return &peerv1.Document{Key: d.Key, Value: d.Value, Revision: d.Revision, Deleted: d.Deleted}
+}
+
+func documentOf(d *peerv1.Document) config.Document {
+	return config.Document{Key: d.GetKey(), Value: d.GetValue(), Revision: d.GetRevision(), Deleted: d.GetDeleted()}
+}
