--- /dev/null
+++ b/internal/node/acceptor.go
@@ -0,0 +1,199 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/core"
+	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/metrics"
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/peer"
+	"github.com/sardinereach/sardinereach/internal/settings"
+	"github.com/sardinereach/sardinereach/internal/verdict"
+)
+
+// Paths that the node answers itself.
+const (
+	ownPrefix  = "/_sardinereach/"
+	ticketPath = ownPrefix + "ticket"
+	healthPath = ownPrefix + "health"
+)
+
+// acceptor takes callers' requests and is responsible for their outcomes. It is the only layer that retries.
+type acceptor struct {
+	self     model.Node
+	clock    clock
+	limits   settings.Limits
+	view     atomic.Pointer[core.View]
+	ready    func() bool
+	stopping atomic.Bool
+
+	peers    *peer.Client
+	admitter *admitter
+	paths    *paths
+	link     *linkBudget
+	budgets  *budgets
+	once     *onceRunner
+	metrics  *metrics.Metrics
+	log      *events.Log
+	// pathChanged is called when a node begins or ceases to be avoided.
+	pathChanged func()
+
+	inFlight atomic.Int64
+	serial   atomic.Uint64
+	seed     uint64
+}
+
+// ServeHTTP implements http.Handler for the callers' listener.
+func (a *acceptor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, ownPrefix) {
+		a.serveOwn(w, r)
+		return
+	}
+	a.metrics.RequestStarted()
+	defer a.metrics.RequestEnded()
+	defer a.inFlight.Add(-1)
+	if a.inFlight.Add(1) > int64(a.limits.MaxRequests) {
+		a.refuse(w, nil, verdict.Refused(verdict.Overloaded, nil))
+		return
+	}
+	started := time.Now()
+	rq, err := a.read(w, r)
+	if err != nil {
+		a.refuse(w, nil, err)
+		return
+	}
+	a.serve(w, r, rq)
+	a.metrics.Latency(rq.match.Service.Name, time.Since(started))
+}
+
+// read checks whether the node may take the request, finds its route and reads it.
+func (a *acceptor) read(w http.ResponseWriter, r *http.Request) (*request, *verdict.Error) {
+	if a.stopping.Load() {
+		return nil, verdict.Refused(verdict.NodeStopping, nil)
+	}
+	if !a.ready() {
+		return nil, verdict.Refused(verdict.NotReady, nil)
+	}
+	view := a.view.Load()
+	match := view.Table.Match(hostOf(r.Host), r.Method, r.URL.Path)
+	if match == nil {
+		return nil, verdict.Refused(verdict.NoRoute, nil)
+	}
+	return readRequest(w, r, match, a.limits.MaxBodyBytes, a.seed^a.serial.Add(1))
+}
+
+func hostOf(hostport string) string {
+	if host, _, err := net.SplitHostPort(hostport); err == nil {
+		return host
+	}
+	return hostport
+}
+
+// serve answers the caller. A failure after a part of the answer was passed on breaks the connection, so that the
+// caller cannot take the part for the whole.
+func (a *acceptor) serve(w http.ResponseWriter, r *http.Request, rq *request) {
+	sink := &httpSink{w: w}
+	var err *verdict.Error
+	var out *delivery
+	if rq.idempotent() {
+		out = newDelivery(sink, idempotentHoldBytes)
+		err = a.serveIdempotent(r.Context(), rq, out)
+	} else {
+		out = newDelivery(sink, onceHoldBytes)
+		err = a.once.serve(r, rq, out)
+	}
+	if err == nil {
+		return
+	}
+	if out.committed {
+		a.count(rq, err)
+		panic(http.ErrAbortHandler)
+	}
+	a.refuse(w, rq, err)
+}
+
+func (a *acceptor) serveIdempotent(ctx context.Context, rq *request, out *delivery) *verdict.Error {
+	ctx, cancel := context.WithDeadline(ctx, rq.deadline)
+	defer cancel()
+	if err := a.attempts(ctx, rq, openGate{}, out); err != nil {
+		return err
+	}
+	return commitError(out.commit())
+}
+
+// commitError classifies a failure to pass an answer on to the caller.
+func commitError(err error) *verdict.Error {
+	if err == nil {
+		return nil
+	}
+	return verdict.Uncertain(verdict.CallerCancelled, err)
+}
+
+// refuse tells the caller that there is no answer.
+func (a *acceptor) refuse(w http.ResponseWriter, rq *request, err *verdict.Error) {
+	a.count(rq, err)
+	writeError(w, err)
+}
+
+func (a *acceptor) count(rq *request, err *verdict.Error) {
+	handling := events.Refused
+	if err.Verdict == verdict.NotRun {
+		a.metrics.Refused(err.Reason)
+	} else {
+		handling = events.Failed
+		a.metrics.Failed(err.Reason)
+	}
+	fields := []events.Field{events.OutcomeField(handling)}
+	if rq != nil {
+		fields = append(fields, events.ServiceField(rq.match.Service.Name))
+	}
+	if err.Cause != nil {
+		fields = append(fields, events.CauseField(err.Cause))
+	}
+	a.log.Emit(events.ForReason(err.Reason), fields...)
+}
+
+// serveOwn answers requests to the node itself.
+func (a *acceptor) serveOwn(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == healthPath && (r.Method == http.MethodGet || r.Method == http.MethodHead):
+		a.serveHealth(w)
+	case r.URL.Path == ticketPath && r.Method == http.MethodPost:
+		a.once.serveTicket(w)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (a *acceptor) serveHealth(w http.ResponseWriter) {
+	switch {
+	case a.stopping.Load():
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+	case !a.ready():
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// nextAttempt returns an attempt ID that this incarnation has not used.
+func (a *acceptor) nextAttempt() model.AttemptID {
+	return model.NewAttemptID(a.self.ID, a.self.Incarnation, a.serial.Add(1))
+}
+
+// localForward runs an attempt at a target beside this node without a connection.
+func (a *acceptor) localForward(ctx context.Context, head *peerv1.ForwardHead, body []byte, out peer.Sink) *peerv1.AnswerTrailer {
+	head.Incarnation = uint64(a.self.Incarnation)
+	head.AdmitBeforeMs = (a.clock.now() + maxLocalAdmitAhead).Milliseconds()
+	return a.admitter.run(ctx, head, body, out)
+}
+
+// maxLocalAdmitAhead is how far ahead the latest admission time of an attempt within the node is.
+const maxLocalAdmitAhead = 20 * time.Second
--- /dev/null
+++ b/internal/node/attempts.go
@@ -0,0 +1,278 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/core"
+	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/peer"
+	"github.com/sardinereach/sardinereach/internal/retry"
+	"github.com/sardinereach/sardinereach/internal/routing"
+	"github.com/sardinereach/sardinereach/internal/upstream"
+	"github.com/sardinereach/sardinereach/internal/verdict"
+)
+
+// attempts tries the request at one target after the other until it is answered or the retry decision says stop. The
+// answer is left in out, whole but perhaps not passed on yet.
+func (a *acceptor) attempts(ctx context.Context, rq *request, g gate, out *delivery) *verdict.Error {
+	budget := a.budgets.of(rq.match.Service.Name, a.clock.now())
+	budget.request(a.clock.now())
+	var tried routing.Tried
+	in := retry.Input{Class: rq.class, RetryStatuses: rq.match.Route.RetryStatuses, Attempt: 1, Hops: 1}
+	for {
+		service := a.view.Load().Service(rq.match.Service.Name)
+		target, err := a.pick(rq, service, &tried)
+		if err == nil {
+			tried.Add(target.Target.ID)
+			err = a.attempt(ctx, rq, target, g, out)
+		}
+		if out.committed {
+			return err
+		}
+		in.Err, in.Status, in.Remaining = err, out.status(), rq.remaining()
+		in.RetryAfter = retryAfterOf(out)
+		in.Untried = untried(service, &tried)
+		decision := budget.decide(in, a.clock.now(), rq.rng)
+		if !decision.Retry {
+			return a.giveUp(err, decision)
+		}
+		if err := a.prepareRetry(ctx, rq, target, &tried, decision); err != nil {
+			return err
+		}
+		in.Attempt, in.Hops = in.Next(decision)
+	}
+}
+
+// giveUp returns the outcome of the last attempt and counts the limit that prevented another one.
+func (a *acceptor) giveUp(err *verdict.Error, decision retry.Decision) *verdict.Error {
+	if decision.Reason == verdict.RetryBudget || decision.Reason == verdict.RetryAttempts {
+		a.metrics.Refused(decision.Reason)
+		a.log.Emit(events.ForReason(decision.Reason), events.OutcomeField(events.Refused))
+	}
+	return err
+}
+
+// prepareRetry counts the retry and waits for its time.
+func (a *acceptor) prepareRetry(ctx context.Context, rq *request, target *routing.Candidate, tried *routing.Tried, decision retry.Decision) *verdict.Error {
+	a.metrics.Retried(decision.Reason)
+	a.log.Emit(events.ForReason(decision.Reason), events.OutcomeField(events.Retried), events.ServiceField(rq.match.Service.Name))
+	if decision.SameTarget && target != nil {
+		tried.Remove(target.Target.ID)
+	}
+	if decision.Hop {
+		return nil
+	}
+	tried.Clear()
+	if target != nil && a.view.Load().Service(rq.match.Service.Name).Pool.Len() > 1 {
+		tried.Add(target.Target.ID)
+	}
+	return sleep(ctx, decision.After)
+}
+
+// sleep waits, or returns why the request ended before.
+func sleep(ctx context.Context, d time.Duration) *verdict.Error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return endedBeforeDispatch(ctx)
+	}
+}
+
+func endedBeforeDispatch(ctx context.Context) *verdict.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return verdict.Refused(verdict.DeadlineExceeded, ctx.Err())
+	}
+	return verdict.Refused(verdict.CallerGone, ctx.Err())
+}
+
+// pick chooses a target for the next attempt.
+func (a *acceptor) pick(rq *request, service *core.ServiceView, tried *routing.Tried) (*routing.Candidate, *verdict.Error) {
+	if service == nil || service.Pool.Len() == 0 {
+		return nil, verdict.Refused(verdict.NoTarget, nil)
+	}
+	target := service.Pool.Pick(tried, rq.rng.Uint64())
+	if target == nil {
+		return nil, verdict.Refused(verdict.NoTarget, errors.New("every target was tried"))
+	}
+	if target.Distance == routing.OtherRegion && !a.link.allows(rq.head.Bulk) {
+		return nil, verdict.Refused(verdict.LinkBudget, nil)
+	}
+	return target, nil
+}
+
+func untried(service *core.ServiceView, tried *routing.Tried) int {
+	if service == nil {
+		return 0
+	}
+	n := 0
+	for c := range service.Pool.All {
+		if !tried.Has(c.Target.ID) {
+			n++
+		}
+	}
+	return n
+}
+
+// retryAfterOf returns the wait that a complete answer asks for.
+func retryAfterOf(out *delivery) time.Duration {
+	if out.head == nil {
+		return 0
+	}
+	for _, h := range out.head.Headers {
+		if h.Name == "Retry-After" {
+			return upstream.ParseRetryAfter(h.Value, time.Now())
+		}
+	}
+	return 0
+}
+
+// attempt runs the request at one target. The answer is whole if there is no error.
+func (a *acceptor) attempt(ctx context.Context, rq *request, c *routing.Candidate, g gate, out *delivery) *verdict.Error {
+	head := proto.Clone(rq.head).(*peerv1.ForwardHead)
+	head.Attempt = string(a.nextAttempt())
+	head.Target = string(c.Target.ID)
+	head.AcceptingNode = string(a.self.ID)
+	head.TimeoutMs = rq.remaining().Milliseconds()
+	out.restart(head.Attempt, a.crossBytes(c))
+	if head.TimeoutMs <= 0 || ctx.Err() != nil || !g.open() {
+		return endedOrLate(ctx)
+	}
+	c.Load.Own.Add(1)
+	trailer, err := a.dispatch(ctx, rq, c, head, out)
+	c.Load.Own.Add(-1)
+	if err == nil {
+		noteLoad(c, trailer.Load)
+		err = conclude(rq, trailer, out)
+	}
+	if err != nil && err.Verdict == verdict.NotRun {
+		g.notRun()
+	}
+	return err
+}
+
+func endedOrLate(ctx context.Context) *verdict.Error {
+	if ctx.Err() != nil {
+		return endedBeforeDispatch(ctx)
+	}
+	return verdict.Refused(verdict.DeadlineExceeded, nil)
+}
+
+// crossBytes returns where to count the bytes of an answer that crosses a link between regions.
+func (a *acceptor) crossBytes(c *routing.Candidate) func(int) {
+	if c.Distance != routing.OtherRegion || a.link == nil {
+		return nil
+	}
+	return a.link.spend
+}
+
+func noteLoad(c *routing.Candidate, load *peerv1.TargetLoad) {
+	if load != nil {
+		c.Load.Reported.Store(load.InFlight)
+	}
+}
+
+// dispatch sends the attempt to the admitting node. It returns a trailer, or an outcome if there is none.
+func (a *acceptor) dispatch(ctx context.Context, rq *request, c *routing.Candidate, head *peerv1.ForwardHead, out *delivery) (*peerv1.AnswerTrailer, *verdict.Error) {
+	if c.Node.ID == a.self.ID {
+		return a.localForward(ctx, head, rq.body, out), nil
+	}
+	trailer, err := a.peers.Forward(ctx, c.Node.PeerAddress, head, rq.body, out)
+	if err == nil {
+		a.pathWorked(c.Node.ID)
+		a.forgetOldIncarnation(c.Node.PeerAddress, trailer)
+		return trailer, nil
+	}
+	return a.forwardFailed(ctx, rq, c, head, err, out)
+}
+
+// forgetOldIncarnation drops the session of a peer that has restarted, so that the next attempt begins with Hello.
+func (a *acceptor) forgetOldIncarnation(address string, trailer *peerv1.AnswerTrailer) {
+	switch verdict.Reason(trailer.Reason) {
+	case verdict.WrongIncarnation, verdict.AdmitExpired:
+		a.peers.Forget(address)
+	}
+}
+
+func (a *acceptor) pathWorked(id model.NodeID) {
+	if a.paths.worked(id) {
+		a.log.Emit(events.PathRestored, events.NodeField(id))
+		a.pathChanged()
+	}
+}
+
+func (a *acceptor) pathFailed(node model.Node, cause error) {
+	if a.paths.failed(a.clock.now(), node) {
+		a.log.Emit(events.PathAvoided, events.NodeField(node.ID), events.CauseField(cause))
+		a.pathChanged()
+	}
+}
+
+// forwardFailed finds out what became of an attempt whose connection failed.
+func (a *acceptor) forwardFailed(ctx context.Context, rq *request, c *routing.Candidate, head *peerv1.ForwardHead, err error, out *delivery) (*peerv1.AnswerTrailer, *verdict.Error) {
+	var failed *peer.ForwardError
+	if !errors.As(err, &failed) {
+		return nil, verdict.Uncertain(verdict.NodeLost, err)
+	}
+	cancelled := ctx.Err() != nil
+	if !failed.Sent {
+		if cancelled {
+			return nil, endedBeforeDispatch(ctx)
+		}
+		a.pathFailed(c.Node, err)
+		return nil, verdict.Refused(verdict.NodeUnreachable, err)
+	}
+	if cancelled {
+		return nil, endedAfterDispatch(ctx)
+	}
+	if failed.Silent {
+		a.log.Emit(events.ConnectionSilent, events.NodeField(c.Node.ID), events.AddressField(c.Node.PeerAddress))
+	}
+	if rq.idempotent() {
+		// The new connection that the path is tried with tells a silent connection from a lost node.
+		if _, helloErr := a.peers.Hello(ctx, c.Node.PeerAddress); helloErr != nil {
+			a.pathFailed(c.Node, helloErr)
+		}
+		return nil, verdict.Uncertain(verdict.NodeLost, err)
+	}
+	return a.lookup(ctx, c, head, failed, out)
+}
+
+func endedAfterDispatch(ctx context.Context) *verdict.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return verdict.Uncertain(verdict.UpstreamTimeout, ctx.Err())
+	}
+	return verdict.Uncertain(verdict.CallerCancelled, ctx.Err())
+}
+
+// conclude returns the outcome that a trailer tells, nil for a whole answer.
+func conclude(rq *request, trailer *peerv1.AnswerTrailer, out *delivery) *verdict.Error {
+	v := verdict.Verdict(trailer.Verdict)
+	if v == verdict.Ran {
+		return out.checkWhole(rq.head.Method == "HEAD", trailer)
+	}
+	e := &verdict.Error{
+		Verdict:    verdict.MayHaveRun,
+		Reason:     verdict.Reason(trailer.Reason),
+		RetryAfter: time.Duration(trailer.RetryAfterMs) * time.Millisecond,
+	}
+	if v == verdict.NotRun {
+		e.Verdict = verdict.NotRun
+	}
+	if !slices.Contains(verdict.Reasons(), e.Reason) {
+		e.Reason = verdict.NodeLost
+	}
+	if trailer.Detail != "" {
+		e.Cause = errors.New(trailer.Detail)
+	}
+	return e
+}
--- a/internal/node/delivery.go
+++ b/internal/node/delivery.go
@@ -37,6 +37,8 @@
 	// crossBytes is told the bytes that came over a link between regions; nil if the target is in this region.
 	crossBytes func(int)
 
+	// asIs means that the answer comes from a node that has added the headers for the caller.
+	asIs      bool
 	attempt   string
 	head      *peerv1.AnswerHead
 	held      []byte
@@ -112,6 +114,9 @@
 
 // finalHead returns the head with the headers that tell the caller the verdict.
 func (d *delivery) finalHead() *peerv1.AnswerHead {
+	if d.asIs {
+		return d.head
+	}
 	headers := make([]*peerv1.Header, 0, len(d.head.Headers)+2)
 	for _, h := range d.head.Headers {
 		if !strings.HasPrefix(h.Name, headerPrefix) {
@@ -139,8 +144,9 @@
 	return nil
 }
 
-// answer returns a copy of the answer if nothing was passed on yet, nil otherwise.
-func (d *delivery) answer() *admission.Answer {
+// recordable returns a copy of the answer to record. An answer that was passed on in part is too large to be recorded;
+// then nil says only that the request ran.
+func (d *delivery) recordable() *admission.Answer {
 	if d.committed || d.head == nil {
 		return nil
 	}
--- /dev/null
+++ b/internal/node/once_runner.go
@@ -0,0 +1,325 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/admission"
+	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/once"
+	"github.com/sardinereach/sardinereach/internal/peer"
+	"github.com/sardinereach/sardinereach/internal/verdict"
+)
+
+const (
+	// recordTimeout bounds the write of an outcome before the caller gets its answer. A write that takes longer is
+	// tried again later.
+	recordTimeout = 2 * time.Second
+	// operationPause is the time between two questions to the holder of a claim.
+	operationPause = 100 * time.Millisecond
+	// holderGiveUp is how long the holder of a claim may give no answer before it counts as lost.
+	holderGiveUp = 10 * time.Second
+)
+
+// onceRunner runs non-idempotent requests, each at most once: under a claim in the store, or under a ticket that one
+// node has issued.
+type onceRunner struct {
+	acceptor *acceptor
+	claims   *once.Claims
+	// addressOf returns a node's record, false if it is not known.
+	nodeOf func(model.NodeID) (model.Node, bool)
+
+	mu      sync.Mutex
+	tickets *once.Tickets
+}
+
+// serve answers a non-idempotent request.
+func (o *onceRunner) serve(r *http.Request, rq *request, out *delivery) *verdict.Error {
+	key, ticket := r.Header.Get(headerKey), r.Header.Get(headerTicket)
+	if r.Context().Err() != nil {
+		return verdict.Refused(verdict.CallerGone, r.Context().Err())
+	}
+	// A request that was dispatched goes on when its caller is gone: its outcome is recorded for the resend.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), rq.deadline)
+	defer cancel()
+	switch {
+	case ticket != "":
+		return o.serveWithTicket(ctx, rq, ticket, out)
+	case key == "":
+		return verdict.Refused(verdict.KeyMissing, nil)
+	case !validKey(key):
+		return verdict.Refused(verdict.KeyInvalid, errors.Errorf("use 1 to %d printable characters", maxKeyBytes))
+	}
+	return o.serveWithKey(ctx, rq, key, out)
+}
+
+// serveWithKey runs the request under a claim.
+func (o *onceRunner) serveWithKey(ctx context.Context, rq *request, key string, out *delivery) *verdict.Error {
+	result, err := o.claims.Begin(ctx, rq.match.Service.Name, key, rq.fingerprint)
+	for {
+		switch {
+		case err != nil:
+			return err
+		case result.Grant != nil:
+			return o.runClaimed(ctx, rq, result.Grant, out)
+		case result.Replay != nil:
+			return commitError(replay(out.next, result.Replay.Answer, replayedHeaders()...))
+		}
+		result, err = o.awaitHolder(ctx, result.Running)
+	}
+}
+
+func replayedHeaders() []*peerv1.Header {
+	return []*peerv1.Header{{Name: headerReplayed, Value: "1"}}
+}
+
+// runClaimed runs the request under a claim of this node and records the outcome before the caller gets it.
+func (o *onceRunner) runClaimed(ctx context.Context, rq *request, grant *once.Grant, out *delivery) *verdict.Error {
+	err := o.acceptor.attempts(ctx, rq, &grantGate{grant: grant}, out)
+	record, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	var recordErr error
+	switch {
+	case err == nil:
+		recordErr = grant.Record(record, out.recordable())
+	case err.Verdict == verdict.NotRun:
+		recordErr = grant.Release(record)
+	default:
+		recordErr = grant.Uncertain(record, err.Reason)
+	}
+	if recordErr != nil {
+		o.acceptor.log.Emit(events.ClaimOutcomeUnwritten, events.ServiceField(rq.match.Service.Name), events.CauseField(recordErr))
+	}
+	if err != nil {
+		return err
+	}
+	return commitError(out.commit())
+}
+
+// grantGate makes each dispatch ask the claim.
+type grantGate struct {
+	grant *once.Grant
+}
+
+func (g *grantGate) open() bool { return g.grant.Dispatched() }
+
+func (g *grantGate) notRun() { g.grant.NotRun() }
+
+// awaitHolder asks the holder of a claim until the request has an outcome.
+func (o *onceRunner) awaitHolder(ctx context.Context, running *once.Running) (once.Result, *verdict.Error) {
+	heard := time.Now()
+	for {
+		op, ok, lost := o.ask(ctx, running)
+		switch {
+		case lost:
+			return once.Result{}, o.abandon(ctx, running)
+		case !ok && time.Since(heard) > holderGiveUp:
+			return once.Result{}, verdict.Uncertain(verdict.ClaimHolderLost, errors.New("the holder of the claim does not answer"))
+		case ok:
+			heard = time.Now()
+			if result, err, done := o.concludeOperation(ctx, running, op); done {
+				return result, err
+			}
+		}
+		if sleep(ctx, operationPause) != nil {
+			return once.Result{}, verdict.Uncertain(verdict.ClaimRunning, ctx.Err())
+		}
+	}
+}
+
+// ask returns what the holder knows. lost means that the incarnation that made the claim is gone.
+func (o *onceRunner) ask(ctx context.Context, running *once.Running) (op once.Operation, ok, lost bool) {
+	if running.Local {
+		return o.claims.Operation(running.Claim), true, false
+	}
+	holder, known := o.nodeOf(running.Node)
+	if !known {
+		return op, false, false
+	}
+	if holder.Incarnation > running.Incarnation {
+		return op, false, true
+	}
+	res, err := o.acceptor.peers.Operation(ctx, holder.PeerAddress, &peerv1.OperationRequest{
+		Service: string(running.Service), KeyHash: running.KeyHash, Claim: string(running.Claim),
+	})
+	if err != nil {
+		return op, false, false
+	}
+	return operationFromWire(res), true, false
+}
+
+// concludeOperation turns the holder's answer into a result; done is false while the request runs.
+func (o *onceRunner) concludeOperation(ctx context.Context, running *once.Running, op once.Operation) (result once.Result, err *verdict.Error, done bool) {
+	switch op.State {
+	case once.StateRunning:
+		return result, nil, false
+	case once.StateNotRun:
+		result, err = o.claims.TakeOver(ctx, running)
+		return result, err, true
+	case once.StateAnswered:
+		return once.Result{Replay: &once.Replay{Answer: op.Answer}}, nil, true
+	case once.StateMayHaveRun:
+		return result, verdict.Uncertain(op.Reason, nil), true
+	}
+	return result, o.abandon(ctx, running), true
+}
+
+// abandon settles a claim whose holder can no longer tell the outcome.
+func (o *onceRunner) abandon(ctx context.Context, running *once.Running) *verdict.Error {
+	if err := o.claims.Abandon(ctx, running); err != nil {
+		o.acceptor.log.Emit(events.ClaimOutcomeUnwritten, events.ServiceField(running.Service), events.CauseField(err))
+	}
+	return verdict.Uncertain(verdict.ClaimHolderLost, nil)
+}
+
+// operation answers another node's question about a claim of this node.
+func (o *onceRunner) operation(req *peerv1.OperationRequest) *peerv1.OperationResponse {
+	op := o.claims.Operation(once.ClaimID(req.Claim))
+	res := &peerv1.OperationResponse{State: operationStates[op.State], Reason: string(op.Reason)}
+	if op.Answer != nil {
+		res.Head = &peerv1.AnswerHead{
+			Status: int32(op.Answer.Status), Headers: fromHeaders(op.Answer.Headers), ContentLength: int64(len(op.Answer.Body)),
+		}
+		res.Body = op.Answer.Body
+	}
+	return res
+}
+
+var operationStates = map[once.State]peerv1.OperationState{
+	once.StateUnknown:    peerv1.OperationState_OPERATION_STATE_UNKNOWN,
+	once.StateRunning:    peerv1.OperationState_OPERATION_STATE_RUNNING,
+	once.StateNotRun:     peerv1.OperationState_OPERATION_STATE_NOT_RUN,
+	once.StateAnswered:   peerv1.OperationState_OPERATION_STATE_ANSWERED,
+	once.StateMayHaveRun: peerv1.OperationState_OPERATION_STATE_MAY_HAVE_RUN,
+}
+
+func operationFromWire(res *peerv1.OperationResponse) once.Operation {
+	op := once.Operation{State: once.StateUnknown, Reason: verdict.Reason(res.Reason)}
+	for state, wire := range operationStates {
+		if wire == res.State {
+			op.State = state
+		}
+	}
+	if res.Head != nil {
+		op.Answer = &admission.Answer{Status: int(res.Head.Status), Headers: toHeaders(res.Head.Headers), Body: res.Body}
+	}
+	return op
+}
+
+// serveTicket issues an operation ticket.
+func (o *onceRunner) serveTicket(w http.ResponseWriter) {
+	if o.acceptor.stopping.Load() {
+		o.acceptor.refuse(w, nil, verdict.Refused(verdict.NodeStopping, nil))
+		return
+	}
+	o.mu.Lock()
+	ticket := o.tickets.Issue(o.acceptor.clock.now())
+	o.mu.Unlock()
+	w.Header().Set(headerTicket, ticket)
+	w.WriteHeader(http.StatusCreated)
+}
+
+// serveWithTicket runs the request at the node that issued the ticket.
+func (o *onceRunner) serveWithTicket(ctx context.Context, rq *request, text string, out *delivery) *verdict.Error {
+	ticket, err := once.Parse(text)
+	if err != nil {
+		return verdict.Refused(verdict.KeyInvalid, err)
+	}
+	if ticket.Node == o.acceptor.self.ID {
+		return o.redeem(ctx, rq, text, out)
+	}
+	return o.forwardTicket(ctx, rq, ticket, text, out)
+}
+
+// forwardTicket passes the request to the issuing node. Whatever goes wrong, an earlier request with the same ticket may
+// have run, so the outcome is never not-run unless the issuing node says so.
+func (o *onceRunner) forwardTicket(ctx context.Context, rq *request, ticket once.Ticket, text string, out *delivery) *verdict.Error {
+	issuer, known := o.nodeOf(ticket.Node)
+	switch {
+	case !known:
+		return verdict.Uncertain(verdict.TicketUnreachable, errors.New("the issuing node is not known"))
+	case issuer.Incarnation > ticket.Incarnation:
+		return verdict.Uncertain(verdict.TicketLost, errors.New("the issuing incarnation is gone"))
+	}
+	head := rq.redeemHead(o.acceptor.self.ID, text)
+	out.restart("", nil)
+	out.asIs = true
+	trailer, err := o.acceptor.peers.Redeem(ctx, issuer.PeerAddress, head, rq.body, out)
+	if err != nil {
+		return verdict.Uncertain(verdict.TicketUnreachable, err)
+	}
+	if e := conclude(rq, trailer, out); e != nil {
+		return e
+	}
+	return commitError(out.commit())
+}
+
+// redeem runs the request with a ticket of this node.
+func (o *onceRunner) redeem(ctx context.Context, rq *request, text string, out *delivery) *verdict.Error {
+	for {
+		o.mu.Lock()
+		result, err := o.tickets.Begin(o.acceptor.clock.now(), text, rq.fingerprint)
+		o.mu.Unlock()
+		switch {
+		case err != nil:
+			return err
+		case result.State == once.TicketReplay:
+			return commitError(replay(out.next, result.Answer, replayedHeaders()...))
+		case result.State == once.TicketRun:
+			return o.runTicket(ctx, rq, result.Ticket, out)
+		}
+		if sleep(ctx, operationPause) != nil {
+			return verdict.Uncertain(verdict.ClaimRunning, ctx.Err())
+		}
+	}
+}
+
+func (o *onceRunner) runTicket(ctx context.Context, rq *request, ticket once.Ticket, out *delivery) *verdict.Error {
+	err := o.acceptor.attempts(ctx, rq, openGate{}, out)
+	o.endTicket(ticket, err, out)
+	if err != nil {
+		return err
+	}
+	return commitError(out.commit())
+}
+
+func (o *onceRunner) endTicket(ticket once.Ticket, err *verdict.Error, out *delivery) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.acceptor.clock.now()
+	switch {
+	case err == nil:
+		o.tickets.Record(now, ticket, out.recordable())
+	case err.Verdict == verdict.NotRun:
+		o.tickets.Release(now, ticket)
+	default:
+		o.tickets.Uncertain(now, ticket, err.Reason)
+	}
+}
+
+// redeemForPeer runs a request that another node accepted, with a ticket of this node.
+func (o *onceRunner) redeemForPeer(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink peer.Sink) *peerv1.AnswerTrailer {
+	counting := &countingSink{next: sink}
+	rq, err := requestOf(o.acceptor.view.Load(), head, body, o.acceptor.seed^o.acceptor.serial.Add(1))
+	if err == nil {
+		running, cancel := context.WithDeadline(context.WithoutCancel(ctx), rq.deadline)
+		defer cancel()
+		err = o.redeem(running, rq, head.Ticket, newDelivery(counting, onceHoldBytes))
+	}
+	if err == nil {
+		return &peerv1.AnswerTrailer{Verdict: int32(verdict.Ran), TotalBytes: counting.bytes}
+	}
+	trailer := &peerv1.AnswerTrailer{
+		Verdict: int32(err.Verdict), Reason: string(err.Reason), RetryAfterMs: err.RetryAfter.Milliseconds(),
+	}
+	if err.Cause != nil {
+		trailer.Detail = err.Cause.Error()
+	}
+	return trailer
+}
--- /dev/null
+++ b/internal/node/redeem.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"math/rand/v2"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/core"
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/verdict"
+)
+
+// redeemHead returns the head that passes the request to the node that issued the ticket.
+func (rq *request) redeemHead(self model.NodeID, ticket string) *peerv1.ForwardHead {
+	head := proto.Clone(rq.head).(*peerv1.ForwardHead)
+	head.Ticket = ticket
+	head.AcceptingNode = string(self)
+	head.TimeoutMs = rq.remaining().Milliseconds()
+	return head
+}
+
+// requestOf returns the request that another node passed on with a ticket. The route is matched again, because this
+// node is responsible for the outcome.
+func requestOf(view *core.View, head *peerv1.ForwardHead, body []byte, seed uint64) (*request, *verdict.Error) {
+	uri, err := url.ParseRequestURI(head.Uri)
+	if err != nil {
+		return nil, verdict.Refused(verdict.BadRequest, errors.Wrap(err, "URI"))
+	}
+	if view == nil {
+		return nil, verdict.Refused(verdict.NotReady, nil)
+	}
+	match := view.Table.Match(hostOf(head.Host), head.Method, uri.Path)
+	if match == nil {
+		return nil, verdict.Refused(verdict.NoRoute, nil)
+	}
+	rq := &request{
+		match:       match,
+		class:       match.Route.ClassOf(head.Method),
+		head:        head,
+		body:        body,
+		deadline:    time.Now().Add(time.Duration(head.TimeoutMs) * time.Millisecond),
+		fingerprint: fingerprintOf(head.Method, head.Uri, body),
+		rng:         rand.New(rand.NewPCG(seed, 0)),
+	}
+	head.Service = string(match.Service.Name)
+	head.Idempotent = rq.idempotent()
+	return rq, nil
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -72,7 +72,7 @@
 	}
 	defer res.Body.Close()
 	result := Result{Status: res.StatusCode, FirstByte: time.Since(started), Reused: state.reused}
-	result.RetryAfter = parseRetryAfter(res.Header.Get("Retry-After"), time.Now())
+	result.RetryAfter = ParseRetryAfter(res.Header.Get("Retry-After"), time.Now())
 	if shed(res) {
 		result.Outcome = Shed
 		return result
@@ -216,9 +216,9 @@
 	return false
 }
 
-// parseRetryAfter returns the wait that a Retry-After header asks for (RFC 9110, section 10.2.3), 0 if it is absent,
+// ParseRetryAfter returns the wait that a Retry-After header asks for (RFC 9110, section 10.2.3), 0 if it is absent,
 // malformed or past.
-func parseRetryAfter(value string, now time.Time) time.Duration {
+func ParseRetryAfter(value string, now time.Time) time.Duration {
 	if value == "" {
 		return 0
 	}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -142,7 +142,7 @@
 		"Fri, 04 Dec 2026 10:00:05 GMT": 5 * time.Second,
 		"Fri, 04 Dec 2026 09:00:00 GMT": 0,
 	} {
-		if got := parseRetryAfter(value, now); got != want {
+		if got := ParseRetryAfter(value, now); got != want {
 			t.Errorf("%q: got %s, want %s", value, got, want)
 		}
 	}
