Add the operators' language

Cause: one language serves the command-line tool, the API and declaration files, and its errors must point at the place of the fault. Ruled out: fixed words in the grammar for tables, columns and classes, because the parser then names only one alternative and cannot suggest the nearest.

--- /dev/null
+++ b/internal/statement/commands.go
@@ -0,0 +1,64 @@
+package statement
+
+import "github.com/sardinereach/sardinereach/internal/model"
+
+// Explain asks which target a request would get now, and why no other one.
+type Explain struct {
+	Method string
+	Path   string
+	// Host is empty if the statement names none.
+	Host string
+}
+
+// Declare declares one service.
+type Declare struct{ Declaration Declaration }
+
+// Drain asks to give a target no new work.
+type Drain struct {
+	Target model.TargetID
+	// Force drains below the floor.
+	Force bool
+}
+
+// Restore ends the drain of a target.
+type Restore struct{ Target model.TargetID }
+
+// Remove deletes the declaration of a service.
+type Remove struct {
+	Service model.ServiceName
+	// Force removes a service that has routes.
+	Force bool
+}
+
+// Forbid refuses a request fingerprint on all nodes.
+type Forbid struct{ Fingerprint string }
+
+// Release ends the quarantine of a request fingerprint.
+type Release struct{ Fingerprint string }
+
+// Withdraw ends the ejection of a target.
+type Withdraw struct{ Target model.TargetID }
+
+// Verb implements Statement.
+func (*Explain) Verb() string { return "explain" }
+
+// Verb implements Statement.
+func (*Declare) Verb() string { return "declare" }
+
+// Verb implements Statement.
+func (*Drain) Verb() string { return "drain" }
+
+// Verb implements Statement.
+func (*Restore) Verb() string { return "restore" }
+
+// Verb implements Statement.
+func (*Remove) Verb() string { return "remove" }
+
+// Verb implements Statement.
+func (*Forbid) Verb() string { return "forbid" }
+
+// Verb implements Statement.
+func (*Release) Verb() string { return "release" }
+
+// Verb implements Statement.
+func (*Withdraw) Verb() string { return "withdraw" }
--- /dev/null
+++ b/internal/statement/danger.go
@@ -0,0 +1,34 @@
+package statement
+
+import (
+	"fmt"
+
+	"github.com/sardinereach/sardinereach/internal/declaration"
+)
+
+// UnknownCapacity as a capacity means that no target of the service is known.
+const UnknownCapacity = -1
+
+// Dangers lists what an operator must confirm before the change is made, one sentence each. nil stands for a service
+// that is not declared. capacity is the number of slots of all targets of the service, or UnknownCapacity.
+func Dangers(from, to *declaration.Service, capacity int) []string {
+	if to == nil {
+		return removalDangers(from)
+	}
+	var dangers []string
+	if capacity != UnknownCapacity && to.FloorSlots > capacity {
+		text := fmt.Sprintf("the floor of %d slots is above the capacity of %d slots, so that nothing can be ejected or drained", to.FloorSlots, capacity)
+		dangers = append(dangers, text)
+	}
+	if from == nil {
+		return dangers
+	}
+	return append(dangers, classDangers(from, to)...)
+}
+
+func removalDangers(from *declaration.Service) []string {
+	if from == nil || len(from.Routes) == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("the service %s is removed with %d routes, whose requests are refused from then on", from.Name, len(from.Routes))}
+}
--- /dev/null
+++ b/internal/statement/grammar.go
@@ -0,0 +1,140 @@
+package statement
+
+import "github.com/alecthomas/participle/v2/lexer"
+
+// The nodes mirror the grammar. They take any word where the language allows a fixed set, so that the checks after
+// parsing can name the set and suggest the nearest word.
+
+type wordNode struct {
+	Pos  lexer.Position
+	Text string `parser:"@(Word | String)"`
+}
+
+type fileNode struct {
+	Declares []*declareNode `parser:"@@*"`
+}
+
+type statementNode struct {
+	Show     *showNode     `parser:"  @@"`
+	Explain  *explainNode  `parser:"| @@"`
+	Declare  *declareNode  `parser:"| @@"`
+	Drain    *drainNode    `parser:"| @@"`
+	Restore  *restoreNode  `parser:"| @@"`
+	Remove   *removeNode   `parser:"| @@"`
+	Forbid   *forbidNode   `parser:"| @@"`
+	Release  *releaseNode  `parser:"| @@"`
+	Withdraw *withdrawNode `parser:"| @@"`
+}
+
+type showNode struct {
+	Kind    wordNode         `parser:"'show' @@"`
+	Where   []*conditionNode `parser:"('where' @@ ('and' @@)*)?"`
+	Columns []wordNode       `parser:"('columns' @@ (',' @@)*)?"`
+	Sort    *sortNode        `parser:"@@?"`
+	Limit   *wordNode        `parser:"('limit' @@)? ';'?"`
+}
+
+type conditionNode struct {
+	Column   wordNode     `parser:"@@"`
+	Operator operatorNode `parser:"@@"`
+	Value    wordNode     `parser:"@@"`
+}
+
+type operatorNode struct {
+	Pos  lexer.Position
+	Text string `parser:"@Operator"`
+}
+
+type sortNode struct {
+	Column     wordNode `parser:"'sort' 'by' @@"`
+	Descending bool     `parser:"@'desc'?"`
+}
+
+type explainNode struct {
+	Method wordNode  `parser:"'explain' 'request' @@"`
+	Path   wordNode  `parser:"@@"`
+	Host   *wordNode `parser:"('host' @@)? ';'?"`
+}
+
+type drainNode struct {
+	Target wordNode `parser:"'drain' 'target' @@"`
+	Force  bool     `parser:"@'force'? ';'?"`
+}
+
+type restoreNode struct {
+	Target wordNode `parser:"'restore' 'target' @@ ';'?"`
+}
+
+type removeNode struct {
+	Service wordNode `parser:"'remove' 'service' @@"`
+	Force   bool     `parser:"@'force'? ';'?"`
+}
+
+type forbidNode struct {
+	Fingerprint wordNode `parser:"'forbid' 'request' @@ ';'?"`
+}
+
+type releaseNode struct {
+	Fingerprint wordNode `parser:"'release' 'request' @@ ';'?"`
+}
+
+type withdrawNode struct {
+	Target wordNode `parser:"'withdraw' 'ejection' 'of' @@ ';'?"`
+}
+
+type declareNode struct {
+	Pos      lexer.Position
+	Name     wordNode    `parser:"'declare' 'service' @@"`
+	Revision *wordNode   `parser:"('at' 'revision' @@)?"`
+	Items    []*itemNode `parser:"'{' @@* '}'"`
+}
+
+type itemNode struct {
+	Pos    lexer.Position
+	Floor  *wordNode   `parser:"  'floor' @@ 'slots' ';'"`
+	Policy *policyNode `parser:"| 'policy' @@ ';'"`
+	Prefer []wordNode  `parser:"| 'prefer' @@ (',' @@)* ';'"`
+	Route  *routeNode  `parser:"| @@"`
+}
+
+type policyNode struct {
+	Preset         wordNode  `parser:"@@"`
+	FalseAlarmRate *wordNode `parser:"('false_alarm_rate' @@)?"`
+	FailureRate    *wordNode `parser:"('failure_rate' @@)?"`
+}
+
+type routeNode struct {
+	Pos     lexer.Position
+	Methods []methodNode     `parser:"'route' (@@ (',' @@)*)?"`
+	Path    pathNode         `parser:"@@"`
+	Host    *wordNode        `parser:"('host' @@)?"`
+	Items   []*routeItemNode `parser:"('{' @@* '}' ';'? | ';')"`
+}
+
+type methodNode struct {
+	Pos  lexer.Position
+	Text string `parser:"@Word"`
+}
+
+type pathNode struct {
+	Pos  lexer.Position
+	Text string `parser:"@String"`
+}
+
+type routeItemNode struct {
+	Pos       lexer.Position
+	Class     *wordNode  `parser:"  'class' @@ ';'"`
+	Timeout   *wordNode  `parser:"| 'timeout' @@ ';'"`
+	FirstByte *wordNode  `parser:"| 'first_byte' @@ ';'"`
+	Priority  *wordNode  `parser:"| 'priority' @@ ';'"`
+	Retry     []wordNode `parser:"| 'retry' 'on' @@ (',' @@)* ';'"`
+	Fail      []wordNode `parser:"| 'fail' 'on' @@ (',' @@)* ';'"`
+}
+
+// keywords lists the words that the grammar itself knows, for suggestions.
+var keywords = []string{
+	"show", "where", "and", "columns", "sort", "by", "desc", "limit", "explain", "request", "host", "declare", "service",
+	"at", "revision", "floor", "slots", "policy", "false_alarm_rate", "failure_rate", "prefer", "route", "class", "timeout",
+	"first_byte", "priority", "retry", "fail", "on", "drain", "target", "force", "restore", "remove", "forbid", "release",
+	"withdraw", "ejection", "of",
+}
--- /dev/null
+++ b/internal/statement/syntax.go
@@ -0,0 +1,52 @@
+package statement
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/pkg/errors"
+)
+
+// syntaxErrors turns an error of the parser into one of this package.
+func syntaxErrors(text string, verbs []string, err error) Errors {
+	var unexpected *participle.UnexpectedTokenError
+	if errors.As(err, &unexpected) {
+		return Errors{unexpectedToken(text, verbs, unexpected)}
+	}
+	var positioned participle.Error
+	if !errors.As(err, &positioned) {
+		return Errors{{Line: 1, Column: 1, Message: err.Error()}}
+	}
+	at := positioned.Position()
+	return Errors{{Line: max(at.Line, 1), Column: max(at.Column, 1), Message: lexicalMessage(text, at.Offset)}}
+}
+
+// lexicalMessage describes a character that begins no token.
+func lexicalMessage(text string, offset int) string {
+	if offset >= len(text) {
+		return "the text ends too early"
+	}
+	if text[offset] == '"' {
+		return `a string is not closed; end it with '"' on the same line`
+	}
+	return fmt.Sprintf("unexpected character %q", []rune(text[offset:])[0])
+}
+
+func unexpectedToken(text string, verbs []string, err *participle.UnexpectedTokenError) *Error {
+	token := err.Unexpected
+	found := fmt.Sprintf("unexpected %q", token.Value)
+	if token.EOF() {
+		found = "the text ends too early"
+	}
+	expected := expectedWords(text, verbs, err)
+	message := found
+	if len(expected) > 0 {
+		message += "; expected " + strings.Join(expected, ", ")
+	}
+	suggestion, _ := Suggest(token.Value, expected)
+	if len(expected) == 0 {
+		suggestion, _ = Suggest(token.Value, keywords)
+	}
+	return &Error{Line: max(token.Pos.Line, 1), Column: max(token.Pos.Column, 1), Message: message, Suggestion: suggestion}
+}
