--- /dev/null
+++ b/cmd/sardinereachd/main.go
@@ -0,0 +1,78 @@
+// Command sardinereachd is the daemon that runs beside each upstream.
+//
+// Usage:
+//
+//	sardinereachd -config FILE
+//	sardinereachd -config FILE -check
+//
+// It exits with 0 after a graceful shutdown, with 1 after a failure, and with 2 if the settings are not valid.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/metrics"
+	"github.com/sardinereach/sardinereach/internal/node"
+	"github.com/sardinereach/sardinereach/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed  = 1
+	exitInvalid = 2
+)
+
+func main() {
+	klog.InitFlags(nil)
+	config := flag.String("config", "/etc/sardinereach/sardinereachd.ini", "settings `file`")
+	check := flag.Bool("check", false, "check the settings and exit")
+	flag.Parse()
+	code := run(*config, *check)
+	klog.Flush()
+	os.Exit(code)
+}
+
+func run(config string, check bool) int {
+	s, err := settings.Load(config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitInvalid
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	log := events.New(events.Klog{}, time.Now)
+	m := metrics.New()
+	if err := metrics.Publish("sardinereach", m); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	n, err := node.New(s, m, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	go shutDownOnSignal(n)
+	if err := n.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
+
+// shutDownOnSignal begins the graceful shutdown on SIGTERM or SIGINT.
+func shutDownOnSignal(n *node.Node) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	n.Shutdown()
+}
--- a/internal/admission/load_of.go
+++ b/internal/admission/load_of.go
@@ -1,6 +1,10 @@
 package admission
 
-import "github.com/sardinereach/sardinereach/internal/model"
+import (
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
 
 // LoadOf returns the state of a target, false if the point does not have it.
 func (p *Point) LoadOf(id model.TargetID) (Load, bool) {
@@ -10,3 +14,13 @@
 	}
 	return p.load(t), true
 }
+
+// Target returns one target as Targets does, false if the point does not have it.
+func (p *Point) Target(now time.Duration, id model.TargetID) (model.Target, bool) {
+	p.advance(now)
+	t, ok := p.targets[id]
+	if !ok {
+		return model.Target{}, false
+	}
+	return p.describe(t), true
+}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -41,6 +41,8 @@
 type ServiceView struct {
 	Service *declaration.Service
 	Pool    *routing.Pool
+	// Trials are suspected targets that may get a few idempotent requests.
+	Trials []*routing.Candidate
 	// Targets are all known targets, used or not, in order of their IDs.
 	Targets []TargetView
 	// Selection holds the figures of the floor arithmetic.
@@ -175,17 +177,30 @@
 	}
 	candidates := make([]*routing.Candidate, 0, len(s.Selection.Use))
 	for _, id := range s.Selection.Use {
-		t := byID[id]
-		candidates = append(candidates, &routing.Candidate{
-			Target:     t.Target,
-			Node:       t.Node,
-			Distance:   distance(in.Self, t.Node),
-			Rank:       rank(s.Service.Prefer, t.Node.Region),
-			Load:       in.Loads(id),
-			LastResort: restored[id],
-		})
+		c := s.candidate(in, byID[id])
+		c.LastResort = restored[id]
+		candidates = append(candidates, c)
 	}
 	s.Pool = routing.NewPool(candidates)
+	for i := range s.Targets {
+		t := &s.Targets[i]
+		if t.Target.Trial && !restored[t.Target.ID] && t.Reasons&^trialReasons == 0 {
+			s.Trials = append(s.Trials, s.candidate(in, t))
+		}
+	}
+}
+
+// trialReasons are the exclusions under which a target may get trials.
+const trialReasons = capacity.Suspected | capacity.Ejected
+
+func (s *ServiceView) candidate(in *Inputs, t *TargetView) *routing.Candidate {
+	return &routing.Candidate{
+		Target:   t.Target,
+		Node:     t.Node,
+		Distance: distance(in.Self, t.Node),
+		Rank:     rank(s.Service.Prefer, t.Node.Region),
+		Load:     in.Loads(t.Target.ID),
+	}
 }
 
 // CapacityTargets returns the targets in the terms of the floor arithmetic.
@@ -218,3 +233,16 @@
 	}
 	return len(prefer)
 }
+
+// Services returns the declared services in order of their names.
+func (v *View) Services() []*ServiceView {
+	if v == nil {
+		return nil
+	}
+	services := make([]*ServiceView, 0, len(v.services))
+	for _, service := range v.services {
+		services = append(services, service)
+	}
+	sort.Slice(services, func(i, j int) bool { return services[i].Service.Name < services[j].Service.Name })
+	return services
+}
--- a/internal/events/reason_numbers.go
+++ b/internal/events/reason_numbers.go
@@ -33,6 +33,7 @@
 	verdict.LinkBudget:          1026,
 	verdict.CallerGone:          1027,
 	verdict.BadRequest:          1028,
+	verdict.TargetOnTrial:       1029,
 	verdict.UpstreamLost:        1101,
 	verdict.UpstreamTimeout:     1102,
 	verdict.NodeLost:            1103,
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -17,6 +17,8 @@
 	Phase     Phase
 	// Suspect means that the detector of the admitting node holds the target to be failing.
 	Suspect bool
+	// Trial means that the suspected target may get a few idempotent requests as trials.
+	Trial bool
 	// Missing means that the upstream has not announced itself in time.
 	Missing bool
 	// Successes and Failures count outcomes of real work since the node's start.
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -33,6 +33,8 @@
 	view     atomic.Pointer[core.View]
 	ready    func() bool
 	stopping atomic.Bool
+	// lameDuck means that the node still serves but callers' load balancers should leave it.
+	lameDuck atomic.Bool
 
 	peers    *peer.Client
 	admitter *admitter
@@ -174,7 +176,7 @@
 
 func (a *acceptor) serveHealth(w http.ResponseWriter) {
 	switch {
-	case a.stopping.Load():
+	case a.lameDuck.Load() || a.stopping.Load():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
 	case !a.ready():
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
@@ -192,7 +194,11 @@
 func (a *acceptor) localForward(ctx context.Context, head *peerv1.ForwardHead, body []byte, out peer.Sink) *peerv1.AnswerTrailer {
 	head.Incarnation = uint64(a.self.Incarnation)
 	head.AdmitBeforeMs = (a.clock.now() + maxLocalAdmitAhead).Milliseconds()
-	return a.admitter.run(ctx, head, body, out)
+	trailer := a.admitter.run(ctx, head, body, out)
+	if !head.Idempotent {
+		a.admitter.collected(head.Attempt)
+	}
+	return trailer
 }
 
 // maxLocalAdmitAhead is how far ahead the latest admission time of an attempt within the node is.
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -7,6 +7,7 @@
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/admission"
+	"github.com/sardinereach/sardinereach/internal/detect"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/peer"
 	"github.com/sardinereach/sardinereach/internal/upstream"
@@ -24,40 +25,45 @@
 	upstreams   *upstream.Client
 	// observe is told the end of each attempt that was admitted.
 	observe func(observation)
-	// mayRun asks the quarantine for permission to run a fingerprint. It is nil if there is none.
-	mayRun func(fingerprint uint64) *verdict.Error
+	// mayTry rules on attempts at targets on trial.
+	mayTry func(target model.TargetID, idempotent bool) trialRuling
+	crashes *crashes
 
 	mu      sync.Mutex
 	point   *admission.Point
-	waiting map[model.AttemptID]chan ticketOrRefusal
+	waiting map[model.AttemptID]chan slotOrRefusal
+	running map[model.AttemptID]*progress
 }
 
-// ticketOrRefusal ends the wait of a queued attempt.
-type ticketOrRefusal struct {
+// slotOrRefusal ends the wait of a queued attempt.
+type slotOrRefusal struct {
 	address string
 	err     *verdict.Error
 }
 
 // observation is the end of an admitted attempt, as evidence about its target.
 type observation struct {
-	target      model.TargetID
-	service     model.ServiceName
-	route       string
-	idempotent  bool
-	fingerprint uint64
-	// inFlight are the other fingerprints that ran at the target when the attempt ended.
-	inFlight []uint64
-	result   upstream.Result
+	target  model.TargetID
+	service model.ServiceName
+	route   string
+	// warming means that the target was in its cold-start ramp.
+	warming bool
+	// trial means that the attempt was a trial of a suspected target.
+	trial  bool
+	result upstream.Result
 }
 
-func newAdmitter(c clock, incarnation model.Incarnation, limits admission.Limits, upstreams *upstream.Client) *admitter {
+func newAdmitter(c clock, incarnation model.Incarnation, limits admission.Limits, upstreams *upstream.Client, crashes *crashes) *admitter {
 	return &admitter{
 		clock:       c,
 		incarnation: incarnation,
 		upstreams:   upstreams,
+		crashes:     crashes,
 		observe:     func(observation) {},
+		mayTry:      func(model.TargetID, bool) trialRuling { return notOnTrial },
 		point:       admission.NewPoint(limits, incarnation),
-		waiting:     make(map[model.AttemptID]chan ticketOrRefusal),
+		waiting:     make(map[model.AttemptID]chan slotOrRefusal),
+		running:     make(map[model.AttemptID]*progress),
 	}
 }
 
@@ -92,6 +98,16 @@
 	return a.point.InFlight()
 }
 
+// held returns 1 if answers wait for collection, 0 otherwise.
+func (a *admitter) held() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.point.HeldBytes() > 0 {
+		return 1
+	}
+	return 0
+}
+
 // setOperatorDrains drains exactly the given targets among those beside this node.
 func (a *admitter) setOperatorDrains(drained map[model.TargetID]bool) {
 	a.mu.Lock()
@@ -131,9 +147,9 @@
 	for _, e := range events {
 		switch e.Kind {
 		case admission.EventGranted:
-			a.wake(e.Grant.Attempt, ticketOrRefusal{address: e.Grant.Address})
+			a.wake(e.Grant.Attempt, slotOrRefusal{address: e.Grant.Address})
 		case admission.EventRefused:
-			a.wake(e.Attempt, ticketOrRefusal{err: e.Err})
+			a.wake(e.Attempt, slotOrRefusal{err: e.Err})
 		case admission.EventMissing:
 			missing = append(missing, e.Target)
 		}
@@ -143,12 +159,12 @@
 
 func (a *admitter) handleGrants(grants []admission.Grant) {
 	for _, g := range grants {
-		a.wake(g.Attempt, ticketOrRefusal{address: g.Address})
+		a.wake(g.Attempt, slotOrRefusal{address: g.Address})
 	}
 }
 
 // wake ends the wait of a queued attempt. a.mu is held.
-func (a *admitter) wake(attempt model.AttemptID, t ticketOrRefusal) {
+func (a *admitter) wake(attempt model.AttemptID, t slotOrRefusal) {
 	if ch, ok := a.waiting[attempt]; ok {
 		delete(a.waiting, attempt)
 		ch <- t
@@ -161,25 +177,32 @@
 	deadline := a.clock.now() + timeout
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if a.mayRun != nil {
-		if refusal := a.mayRun(head.Fingerprint); refusal != nil {
-			return a.trailer(head, refusal)
-		}
+	if refusal := a.crashes.await(ctx, head); refusal != nil {
+		return a.trailer(head, refusal)
 	}
 	address, refusal := a.admit(ctx, head, deadline)
 	if refusal != nil {
 		return a.trailer(head, refusal)
 	}
+	ruling := a.mayTry(model.TargetID(head.Target), head.Idempotent)
+	if ruling == trialRefused {
+		a.end(head, admission.Result{Outcome: admission.Shed})
+		return a.trailer(head, verdict.Refused(verdict.TargetOnTrial, nil))
+	}
+	if refusal := a.crashes.begin(head); refusal != nil {
+		a.end(head, admission.Result{Outcome: admission.Shed})
+		return a.trailer(head, refusal)
+	}
 	if head.Idempotent {
-		return a.runIdempotent(ctx, address, head, body, sink)
+		return a.runIdempotent(ctx, address, head, body, sink, ruling)
 	}
-	return a.runOnce(ctx, address, head, body, sink)
+	return a.runOnce(ctx, address, head, body, sink, ruling)
 }
 
 // admit waits for a slot and returns the address of the upstream.
 func (a *admitter) admit(ctx context.Context, head *peerv1.ForwardHead, deadline time.Duration) (string, *verdict.Error) {
 	attempt := model.AttemptID(head.Attempt)
-	ch := make(chan ticketOrRefusal, 1)
+	ch := make(chan slotOrRefusal, 1)
 	a.mu.Lock()
 	d := a.point.Admit(a.clock.now(), admission.Request{
 		Attempt:     attempt,
@@ -212,7 +235,7 @@
 
 // leaveQueue takes an attempt out of the queue whose accepting node gave up. If a slot was granted meanwhile, it is
 // given back unused: the request was not run either way.
-func (a *admitter) leaveQueue(ctx context.Context, attempt model.AttemptID, ch chan ticketOrRefusal) (string, *verdict.Error) {
+func (a *admitter) leaveQueue(ctx context.Context, attempt model.AttemptID, ch chan slotOrRefusal) (string, *verdict.Error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.waiting, attempt)
@@ -229,56 +252,85 @@
 }
 
 // runIdempotent runs an admitted attempt. It ends when the accepting node cancels.
-func (a *admitter) runIdempotent(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink peer.Sink) *peerv1.AnswerTrailer {
-	result := a.upstreams.Run(ctx, address, head, body, sink)
-	a.finish(head, result, nil)
-	return a.resultTrailer(head, result)
+func (a *admitter) runIdempotent(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink peer.Sink, ruling trialRuling) *peerv1.AnswerTrailer {
+	result := a.upstreams.Run(ctx, address, head, body, a.track(head, sink))
+	return a.finish(address, head, result, nil, ruling)
 }
 
 // runOnce runs an admitted non-idempotent attempt. It goes on when the accepting node is gone, and holds the answer, so
 // that the accepting node can ask for it on another connection.
-func (a *admitter) runOnce(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink peer.Sink) *peerv1.AnswerTrailer {
+func (a *admitter) runOnce(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink peer.Sink, ruling trialRuling) *peerv1.AnswerTrailer {
 	deadline, _ := ctx.Deadline()
 	running, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
 	holder := &holdingSink{next: sink, limit: maxHeldAnswerBytes}
-	result := a.upstreams.Run(running, address, head, body, holder)
-	a.finish(head, result, holder.answer())
-	return a.resultTrailer(head, result)
+	result := a.upstreams.Run(running, address, head, body, a.track(head, holder))
+	return a.finish(address, head, result, holder.answer(), ruling)
 }
 
-func (a *admitter) finish(head *peerv1.ForwardHead, result upstream.Result, answer *admission.Answer) {
-	attempt := model.AttemptID(head.Attempt)
-	target := model.TargetID(head.Target)
+// track returns a sink that follows the progress of an admitted attempt.
+func (a *admitter) track(head *peerv1.ForwardHead, sink peer.Sink) *progress {
+	p := &progress{
+		next: sink, clock: a.clock, target: model.TargetID(head.Target), route: head.Route,
+		limit: time.Duration(head.FirstByteMs) * time.Millisecond, started: a.clock.now(),
+	}
 	a.mu.Lock()
-	others := a.point.InFlightOf(target)
-	grants := a.point.Finish(a.clock.now(), attempt, admission.Result{Outcome: outcomeOf(result.Outcome), Answer: answer})
-	a.handleGrants(grants)
+	a.running[model.AttemptID(head.Attempt)] = p
 	a.mu.Unlock()
-	a.observe(observation{
-		target:      target,
-		service:     model.ServiceName(head.Service),
-		route:       head.Route,
-		idempotent:  head.Idempotent,
-		fingerprint: head.Fingerprint,
-		inFlight:    fingerprints(others, attempt),
-		result:      result,
-	})
+	return p
 }
 
-func fingerprints(requests []admission.Request, except model.AttemptID) []uint64 {
-	if len(requests) < 2 {
-		return nil
-	}
-	out := make([]uint64, 0, len(requests))
-	for _, r := range requests {
-		if r.Attempt != except {
-			out = append(out, r.Fingerprint)
+// progress returns the attempts that run at a target, in the terms of the detector.
+func (a *admitter) progress(target model.TargetID) []detect.InFlight {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.now()
+	warming := a.isWarming(target)
+	var out []detect.InFlight
+	for _, p := range a.running {
+		if p.target == target {
+			out = append(out, p.inFlight(now, warming))
 		}
 	}
 	return out
 }
 
+// isWarming reports whether the target is in its cold-start ramp. a.mu is held.
+func (a *admitter) isWarming(id model.TargetID) bool {
+	t, ok := a.point.Target(a.clock.now(), id)
+	return ok && t.RampSlots < t.Slots
+}
+
+// finish ends an attempt that was sent to the upstream and returns its trailer.
+func (a *admitter) finish(address string, head *peerv1.ForwardHead, result upstream.Result, answer *admission.Answer, ruling trialRuling) *peerv1.AnswerTrailer {
+	lossSerial := a.crashes.ended(address, head, result)
+	a.mu.Lock()
+	warming := a.isWarming(model.TargetID(head.Target))
+	a.mu.Unlock()
+	a.end(head, admission.Result{Outcome: outcomeOf(result.Outcome), Answer: answer})
+	a.observe(observation{
+		target:  model.TargetID(head.Target),
+		service: model.ServiceName(head.Service),
+		route:   head.Route,
+		warming: warming,
+		trial:   ruling == trialGranted,
+		result:  result,
+	})
+	trailer := a.trailer(head, errorOf(result))
+	trailer.TotalBytes = result.Bytes
+	trailer.LossSerial = lossSerial
+	return trailer
+}
+
+// end frees the slot of an admitted attempt.
+func (a *admitter) end(head *peerv1.ForwardHead, result admission.Result) {
+	attempt := model.AttemptID(head.Attempt)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.running, attempt)
+	a.handleGrants(a.point.Finish(a.clock.now(), attempt, result))
+}
+
 func outcomeOf(o upstream.Outcome) admission.Outcome {
 	switch o {
 	case upstream.Answered:
@@ -293,13 +345,6 @@
 	return admission.Lost
 }
 
-// resultTrailer returns the trailer for the end of a request at an upstream.
-func (a *admitter) resultTrailer(head *peerv1.ForwardHead, result upstream.Result) *peerv1.AnswerTrailer {
-	trailer := a.trailer(head, errorOf(result))
-	trailer.TotalBytes = result.Bytes
-	return trailer
-}
-
 // errorOf returns nil for a whole answer.
 func errorOf(result upstream.Result) *verdict.Error {
 	var e *verdict.Error
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -100,6 +100,9 @@
 	if service == nil || service.Pool.Len() == 0 {
 		return nil, verdict.Refused(verdict.NoTarget, nil)
 	}
+	if trial := a.pickTrial(rq, service, tried); trial != nil {
+		return trial, nil
+	}
 	target := service.Pool.Pick(tried, rq.rng.Uint64())
 	if target == nil {
 		return nil, verdict.Refused(verdict.NoTarget, errors.New("every target was tried"))
@@ -110,6 +113,21 @@
 	return target, nil
 }
 
+// trialShare is the number of idempotent requests of which one is offered to a target on trial.
+const trialShare = 8
+
+// pickTrial returns a target on trial now and then, for a first attempt that can be retried elsewhere.
+func (a *acceptor) pickTrial(rq *request, service *core.ServiceView, tried *routing.Tried) *routing.Candidate {
+	if len(service.Trials) == 0 || !rq.idempotent() || !tried.Empty() || rq.rng.IntN(trialShare) != 0 {
+		return nil
+	}
+	c := service.Trials[rq.rng.IntN(len(service.Trials))]
+	if c.Distance == routing.OtherRegion {
+		return nil
+	}
+	return c
+}
+
 func untried(service *core.ServiceView, tried *routing.Tried) int {
 	if service == nil {
 		return 0
@@ -186,7 +204,11 @@
 	if c.Node.ID == a.self.ID {
 		return a.localForward(ctx, head, rq.body, out), nil
 	}
+	if refusal := a.beginRemote(ctx, head); refusal != nil {
+		return nil, refusal
+	}
 	trailer, err := a.peers.Forward(ctx, c.Node.PeerAddress, head, rq.body, out)
+	a.endRemote(head, trailer)
 	if err == nil {
 		a.pathWorked(c.Node.ID)
 		a.forgetOldIncarnation(c.Node.PeerAddress, trailer)
@@ -195,6 +217,23 @@
 	return a.forwardFailed(ctx, rq, c, head, err, out)
 }
 
+// beginRemote asks the quarantine whether the request may run at a target beside another node. Both nodes ask, so that a
+// request that crashes upstreams is stopped also while the store, by which nodes tell each other, is down.
+func (a *acceptor) beginRemote(ctx context.Context, head *peerv1.ForwardHead) *verdict.Error {
+	if err := a.admitter.crashes.await(ctx, head); err != nil {
+		return err
+	}
+	return a.admitter.crashes.begin(head)
+}
+
+func (a *acceptor) endRemote(head *peerv1.ForwardHead, trailer *peerv1.AnswerTrailer) {
+	if trailer.GetLossSerial() != 0 {
+		a.admitter.crashes.lostElsewhere(head, trailer.LossSerial)
+		return
+	}
+	a.admitter.crashes.finish(head, verdict.Verdict(trailer.GetVerdict()) == verdict.Ran)
+}
+
 // forgetOldIncarnation drops the session of a peer that has restarted, so that the next attempt begins with Hello.
 func (a *acceptor) forgetOldIncarnation(address string, trailer *peerv1.AnswerTrailer) {
 	switch verdict.Reason(trailer.Reason) {
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,253 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/capacity"
+	"github.com/sardinereach/sardinereach/internal/config"
+	"github.com/sardinereach/sardinereach/internal/core"
+	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/eject"
+	"github.com/sardinereach/sardinereach/internal/membership"
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/operator"
+	"github.com/sardinereach/sardinereach/internal/quarantine"
+	"github.com/sardinereach/sardinereach/internal/routing"
+	"github.com/sardinereach/sardinereach/internal/store"
+	"github.com/sardinereach/sardinereach/internal/verdict"
+)
+
+// fleet offers the node's view and commands to the operators' API.
+type fleet struct {
+	node *Node
+}
+
+// Snapshot implements operator.Fleet.
+func (f *fleet) Snapshot() *operator.Snapshot {
+	n := f.node
+	distributed := n.distributor.Snapshot()
+	view := n.acceptor.view.Load()
+	s := &operator.Snapshot{Node: n.self.ID, Complete: n.distributor.Ready()}
+	if distributed.Config != nil {
+		s.ConfigRevision = distributed.Config.Complete
+		for _, service := range view.Services() {
+			s.Services = append(s.Services, operator.ServiceFacts{
+				Service: *service.Service, Revision: distributed.Config.Revisions[service.Service.Name],
+			})
+		}
+	}
+	s.Nodes = f.nodes(distributed.Members)
+	s.Ejections = f.ejections(view)
+	s.Quarantine = f.quarantine()
+	s.Refusals = counts(n.self.ID, n.metrics.Refusals())
+	s.Failures = counts(n.self.ID, n.metrics.Failures())
+	s.Retries = counts(n.self.ID, n.metrics.Retries())
+	return s
+}
+
+func counts(node model.NodeID, byReason map[verdict.Reason]int64) []operator.ReasonCount {
+	out := make([]operator.ReasonCount, 0, len(byReason))
+	for _, reason := range verdict.Reasons() {
+		out = append(out, operator.ReasonCount{Node: node, Reason: reason, Count: byReason[reason]})
+	}
+	return out
+}
+
+func (f *fleet) nodes(members *membership.Snapshot) []operator.NodeFacts {
+	n := f.node
+	var out []operator.NodeFacts
+	for id, member := range n.withSelf(members).Members {
+		record := *member.Record
+		record.Heartbeat = member.Heartbeat
+		record.ConfigRevision = member.ConfigRevision
+		if id == n.self.ID {
+			record.ConfigRevision = n.distributor.Status().Complete
+		}
+		out = append(out, operator.NodeFacts{Record: record, Age: n.heartbeats.age(n.clock.now(), id), Silent: member.State != membership.Alive})
+	}
+	return out
+}
+
+func (f *fleet) ejections(view *core.View) []operator.Ejection {
+	var out []operator.Ejection
+	for _, service := range view.Services() {
+		for _, t := range service.Targets {
+			if !t.Reasons.Has(capacity.Suspected | capacity.Ejected) {
+				continue
+			}
+			out = append(out, operator.Ejection{
+				Target: t.Target.ID, Service: service.Service.Name,
+				Fleetwide: t.Reasons.Has(capacity.Ejected), Cause: t.Reasons.String(),
+			})
+		}
+	}
+	return out
+}
+
+func (f *fleet) quarantine() []operator.QuarantineEntry {
+	var out []operator.QuarantineEntry
+	for _, e := range f.node.crashes.entries() {
+		if len(e.Losses) == 0 {
+			continue
+		}
+		entry := operator.QuarantineEntry{
+			Fingerprint: e.Fingerprint.String(), State: "suspected", Losses: len(e.Losses),
+			Remaining: quarantine.LossTTL - e.Age,
+		}
+		if e.Quarantined() {
+			entry.State, entry.Remaining = "quarantined", quarantine.QuarantineTTL-e.Age
+		}
+		out = append(out, entry)
+	}
+	return out
+}
+
+// Explain implements operator.Fleet.
+func (f *fleet) Explain(request operator.ExplainRequest) operator.Explanation {
+	n := f.node
+	view := n.acceptor.view.Load()
+	if view == nil || !n.distributor.Ready() {
+		return operator.Explanation{Refusal: verdict.NotReady}
+	}
+	match := view.Table.Match(hostOf(request.Host), request.Method, request.Path)
+	if match == nil {
+		return operator.Explanation{Refusal: verdict.NoRoute}
+	}
+	service := view.Service(match.Service.Name)
+	out := operator.Explanation{
+		Service: match.Service.Name, Route: match.Route, Class: match.Route.ClassOf(request.Method),
+	}
+	picked := service.Pool.Pick(new(routing.Tried), explainSeed)
+	if picked == nil {
+		out.Refusal = verdict.NoTarget
+	}
+	for c := range service.Pool.All {
+		out.Candidates = append(out.Candidates, candidateFacts(c, picked))
+	}
+	for _, t := range service.Targets {
+		if !inPool(service.Pool, t.Target.ID) {
+			out.Candidates = append(out.Candidates, operator.Candidate{
+				Target: t.Target.ID, Node: t.Node.ID, Region: t.Node.Region, Domain: t.Node.Domain, Why: t.Reasons.String(),
+			})
+		}
+	}
+	return out
+}
+
+// explainSeed makes explanations repeatable; requests draw their own seeds.
+const explainSeed = 0
+
+func inPool(pool *routing.Pool, id model.TargetID) bool {
+	for c := range pool.All {
+		if c.Target.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func candidateFacts(c, picked *routing.Candidate) operator.Candidate {
+	out := operator.Candidate{
+		Target: c.Target.ID, Node: c.Node.ID, Region: c.Node.Region, Domain: c.Node.Domain, Picked: c == picked,
+	}
+	load := fmt.Sprintf("%d of %d slots in use", max(c.Load.Own.Load(), c.Load.Reported.Load()), c.Target.RampSlots)
+	switch {
+	case out.Picked:
+		out.Why = "the less loaded of two drawn in the nearest tier; " + load
+	case c.LastResort:
+		out.Why = "used only because of the floor; " + load
+	case c.Distance == routing.OtherRegion:
+		out.Why = "another region; " + load
+	default:
+		out.Why = "may be drawn as well; " + load
+	}
+	return out
+}
+
+// ReadService implements operator.Fleet.
+func (f *fleet) ReadService(ctx context.Context, name model.ServiceName) (operator.StoredService, error) {
+	kv, err := f.node.store.Get(ctx, config.ServicePrefix+string(name))
+	if err != nil {
+		return operator.StoredService{}, err
+	}
+	document, err := declaration.DecodeDocument(kv.Value)
+	if err != nil {
+		return operator.StoredService{}, err
+	}
+	return operator.StoredService{Document: *document, Revision: kv.Revision}, nil
+}
+
+// SwapService implements operator.Fleet.
+func (f *fleet) SwapService(ctx context.Context, expect int64, document *declaration.Document) (int64, error) {
+	value, err := declaration.EncodeDocument(document)
+	if err != nil {
+		return 0, err
+	}
+	kv, err := f.node.store.CompareAndSwap(ctx, config.ServicePrefix+string(document.Name), expect, value, 0)
+	if err != nil {
+		return 0, err
+	}
+	f.node.distributor.Learn(config.Document{Key: kv.Key, Value: kv.Value, Revision: kv.Revision})
+	return kv.Revision, nil
+}
+
+// RemoveService implements operator.Fleet.
+func (f *fleet) RemoveService(ctx context.Context, name model.ServiceName, expect int64) error {
+	return f.node.store.CompareAndDelete(ctx, config.ServicePrefix+string(name), expect)
+}
+
+// DrainFigures implements operator.Fleet.
+func (f *fleet) DrainFigures(document *declaration.Service, target model.TargetID) operator.Figures {
+	figures := operator.Figures{Floor: document.FloorSlots}
+	service := f.node.acceptor.view.Load().Service(document.Name)
+	if service == nil {
+		return figures
+	}
+	targets := service.CapacityTargets()
+	for i := range targets {
+		for _, drained := range document.Draining {
+			if targets[i].ID == drained && drained != target {
+				targets[i].Reasons |= capacity.Draining
+			}
+		}
+	}
+	removal := capacity.MayRemove(targets, document.FloorSlots, target)
+	figures.Usable, figures.After = removal.BeforeSlots, removal.AfterSlots
+	return figures
+}
+
+// Forbid implements operator.Fleet.
+func (f *fleet) Forbid(ctx context.Context, fingerprint string) error {
+	parsed, err := parseFingerprint(fingerprint)
+	if err != nil {
+		return err
+	}
+	return f.node.crashes.forbid(ctx, parsed)
+}
+
+// Release implements operator.Fleet.
+func (f *fleet) Release(ctx context.Context, fingerprint string) error {
+	parsed, err := parseFingerprint(fingerprint)
+	if err != nil {
+		return err
+	}
+	return f.node.crashes.releaseFingerprint(ctx, parsed)
+}
+
+// WithdrawEjection implements operator.Fleet.
+func (f *fleet) WithdrawEjection(ctx context.Context, target model.TargetID) error {
+	for key := range f.node.distributor.Snapshot().Ejections {
+		service := model.ServiceName(strings.TrimPrefix(key, eject.Key("")))
+		err := f.node.control.ejector.change(ctx, service, func(doc eject.Document) (eject.Document, error) {
+			return eject.Withdraw(doc, target)
+		})
+		if !errors.Is(err, eject.ErrNoEntry) {
+			return err
+		}
+	}
+	return store.ErrNotFound
+}
--- /dev/null
+++ b/internal/node/handler.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"context"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/peer"
+)
+
+// handler answers the calls of other nodes.
+type handler struct {
+	node *Node
+}
+
+// Hello implements peer.Handler.
+func (h *handler) Hello(*peerv1.HelloRequest) *peerv1.HelloResponse {
+	return &peerv1.HelloResponse{
+		Node:        string(h.node.self.ID),
+		Incarnation: uint64(h.node.self.Incarnation),
+		ClockMs:     h.node.clock.now().Milliseconds(),
+	}
+}
+
+// Forward implements peer.Handler.
+func (h *handler) Forward(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink peer.Sink) *peerv1.AnswerTrailer {
+	return h.node.admitter.run(ctx, head, body, sink)
+}
+
+// Redeem implements peer.Handler.
+func (h *handler) Redeem(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink peer.Sink) *peerv1.AnswerTrailer {
+	return h.node.once.redeemForPeer(ctx, head, body, sink)
+}
+
+// Collected implements peer.Handler.
+func (h *handler) Collected(attempt string) { h.node.admitter.collected(attempt) }
+
+// Lookup implements peer.Handler.
+func (h *handler) Lookup(req *peerv1.LookupRequest) *peerv1.LookupResponse {
+	return lookupResponse(h.node.admitter.lookup(req))
+}
+
+// Operation implements peer.Handler.
+func (h *handler) Operation(req *peerv1.OperationRequest) *peerv1.OperationResponse {
+	return h.node.once.operation(req)
+}
+
+// Pull implements peer.Handler.
+func (h *handler) Pull(req *peerv1.PullRequest) *peerv1.PullResponse {
+	return h.node.distributor.HandlePull(req)
+}
--- /dev/null
+++ b/internal/node/report.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"strings"
+
+	"github.com/sardinereach/sardinereach/internal/config"
+	"github.com/sardinereach/sardinereach/internal/distribution"
+	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/membership"
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// reportDistribution logs what happens in the exchange of records and documents.
+func (n *Node) reportDistribution(e distribution.Event) {
+	service := model.ServiceName(strings.TrimPrefix(e.Key, config.ServicePrefix))
+	switch e.Kind {
+	case distribution.StoreFailed:
+		n.log.Emit(events.StoreUnavailable, events.OperationField(e.Key), events.CauseField(e.Err))
+	case distribution.DocumentApplied:
+		if strings.HasPrefix(e.Key, config.ServicePrefix) {
+			n.log.Emit(events.ConfigApplied, events.ServiceField(service), events.RevisionField(e.Revision))
+		}
+	case distribution.DocumentRejected:
+		n.log.Emit(events.ConfigInvalid, events.ServiceField(service), events.RevisionField(e.Revision), events.CauseField(e.Err))
+	case distribution.MemberChanged:
+		n.reportMember(e)
+	case distribution.WatchStarted:
+		n.log.Emit(events.WatcherStarted, events.DomainField(n.self.Domain))
+	case distribution.WatchStopped:
+		n.log.Emit(events.WatcherStopped, events.DomainField(n.self.Domain))
+	case distribution.BecameReady:
+		n.log.Emit(events.NodeReady, events.NodeField(n.self.ID), events.RevisionField(e.Revision), events.DurationField(n.clock.now()))
+	case distribution.Isolated:
+		n.log.Emit(events.ConfigStale, events.RevisionField(e.Revision))
+	}
+}
+
+func (n *Node) reportMember(e distribution.Event) {
+	switch {
+	case e.To == membership.Alive:
+		n.log.Emit(events.NodeHeard, events.NodeField(e.Node))
+	case e.From == membership.Alive:
+		n.log.Emit(events.NodeSilent, events.NodeField(e.Node))
+	}
+}
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -70,8 +70,9 @@
 		Route:         match.Route.Path,
 		Bulk:          match.Route.Priority == declaration.Bulk,
 	}
+	rq.head.FirstByteMs = orDefault(match.Route.FirstByteMS, declaration.DefaultFirstByteMS)
 	if rq.idempotent() {
-		rq.head.ProgressTimeoutMs = orDefault(match.Route.FirstByteMS, declaration.DefaultFirstByteMS)
+		rq.head.ProgressTimeoutMs = rq.head.FirstByteMs
 	}
 	return rq, nil
 }
--- /dev/null
+++ b/internal/node/shutdown.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/events"
+)
+
+// lameDuckTime is how long the node goes on accepting connections after its health answer has changed. A connection that
+// waits in the system's backlog when the listener closes would be reset.
+const lameDuckTime = 500 * time.Millisecond
+
+// shutdownPoll is the time between two looks at the requests in flight.
+const shutdownPoll = 20 * time.Millisecond
+
+// shutdown ends the node's work without cutting off a request: it takes no new work in either role, finishes what is in
+// flight, and keeps answering other nodes' questions until their answers are collected.
+func (n *Node) shutdown(s servers) {
+	started := time.Now()
+	n.log.Emit(events.NodeStopping, events.NodeField(n.self.ID), events.CountField(n.busy()))
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Shutdown.Grace)
+	defer cancel()
+	n.admitter.stop()
+	n.distributor.SetStopping()
+	n.views.invalidate()
+	// Connections of callers are closed after their next answer, so that a request that is on its way is still served.
+	s.callers.SetKeepAlivesEnabled(false)
+	n.acceptor.lameDuck.Store(true)
+	_ = sleep(ctx, lameDuckTime)
+	callers := make(chan error, 1)
+	go func() { callers <- s.callers.Shutdown(ctx) }()
+	n.awaitIdle(ctx, callers)
+	if left := n.busy(); left > 0 {
+		n.log.Emit(events.GraceExceeded, events.NodeField(n.self.ID), events.CountField(left), events.DurationField(n.settings.Shutdown.Grace))
+	}
+	// Errors only say that the grace is over; the process exits either way.
+	_ = s.operators.Shutdown(ctx)
+	_ = s.upstreams.Shutdown(ctx)
+	_ = s.callers.Close()
+	n.log.Emit(events.NodeStopped, events.NodeField(n.self.ID), events.DurationField(time.Since(started)))
+}
+
+// busy returns the number of requests in flight in both roles and of answers that are not collected yet.
+func (n *Node) busy() int {
+	return int(n.acceptor.inFlight.Load()) + n.admitter.inFlight() + n.admitter.held()
+}
+
+// awaitIdle waits until the callers' server has shut down and nothing is in flight.
+func (n *Node) awaitIdle(ctx context.Context, callers <-chan error) {
+	callersDone := false
+	for {
+		select {
+		case <-callers:
+			callersDone = true
+			n.acceptor.stopping.Store(true)
+		case <-ctx.Done():
+			return
+		case <-time.After(shutdownPoll):
+		}
+		if callersDone && n.busy() == 0 {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/view_publisher.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/core"
+	"github.com/sardinereach/sardinereach/internal/membership"
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+const (
+	// viewPause bounds how often views are built, so that many changes share one.
+	viewPause = 20 * time.Millisecond
+	// viewRefresh is how often a view is built without a change, because permits and ramps change with time alone.
+	viewRefresh = time.Second
+)
+
+// viewPublisher builds a new view when something changes and publishes it to the request path.
+type viewPublisher struct {
+	node  *Node
+	dirty chan struct{}
+	built int64
+}
+
+// invalidate asks for a new view. It never blocks.
+func (p *viewPublisher) invalidate() {
+	select {
+	case p.dirty <- struct{}{}:
+	default:
+	}
+}
+
+func (p *viewPublisher) run(ctx context.Context) {
+	refresh := time.NewTicker(viewRefresh)
+	defer refresh.Stop()
+	for {
+		p.publish()
+		if sleep(ctx, viewPause) != nil {
+			return
+		}
+		select {
+		case <-p.dirty:
+		case <-refresh.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *viewPublisher) publish() {
+	n := p.node
+	snapshot := n.distributor.Snapshot()
+	n.crashes.learn(snapshot)
+	n.heartbeats.note(n.clock.now(), snapshot.Members)
+	view := core.BuildView(core.Inputs{
+		Self:        n.self,
+		Config:      snapshot.Config,
+		Members:     n.withSelf(snapshot.Members),
+		Ejected:     n.control.ejected(),
+		Unreachable: n.paths.avoided(),
+		Scores:      n.control.scores(),
+		Loads:       n.loads.of,
+	})
+	n.acceptor.view.Store(view)
+	p.built++
+	n.metrics.SetSnapshotRevision(p.built)
+	n.metrics.SetConfigRevision(view.Revision)
+	n.admitter.setOperatorDrains(drains(view))
+}
+
+// withSelf returns the members with the newest record of the node itself, which the exchange learns a little later.
+func (n *Node) withSelf(members *membership.Snapshot) *membership.Snapshot {
+	out := &membership.Snapshot{Self: n.self.ID, Members: make(map[model.NodeID]membership.Member)}
+	if members != nil {
+		for id, member := range members.Members {
+			out.Members[id] = member
+		}
+	}
+	record := &model.NodeRecord{Node: n.self, Stopping: n.acceptor.stopping.Load(), Targets: n.control.targets()}
+	out.Members[n.self.ID] = membership.Member{Record: record, State: membership.Alive}
+	return out
+}
+
+// drains returns the targets that operators drain.
+func drains(view *core.View) map[model.TargetID]bool {
+	out := make(map[model.TargetID]bool)
+	for _, service := range view.Services() {
+		for _, id := range service.Service.Draining {
+			out[id] = true
+		}
+	}
+	return out
+}
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -97,7 +97,7 @@
 // isAdmissionRefusal reports whether an admission point gives the reason. Such a refusal costs a message and no work.
 func isAdmissionRefusal(reason verdict.Reason) bool {
 	switch reason {
-	case verdict.SlotsFull, verdict.QueueDeadline, verdict.TargetDraining, verdict.TargetStarting, verdict.TargetUnknown,
+	case verdict.SlotsFull, verdict.QueueDeadline, verdict.TargetDraining, verdict.TargetStarting, verdict.TargetOnTrial, verdict.TargetUnknown,
 		verdict.AttemptFenced, verdict.AdmitExpired, verdict.WrongIncarnation, verdict.NodeStopping:
 		return true
 	}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -187,5 +187,8 @@
 	return t.more[id]
 }
 
+// Empty reports whether no target was added.
+func (t *Tried) Empty() bool { return t.count == 0 && len(t.more) == 0 }
+
 // Clear empties the set for another round over all targets.
 func (t *Tried) Clear() { *t = Tried{} }
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -18,6 +18,8 @@
 	TargetDraining Reason = "target_draining"
 	// TargetStarting means that the target is not ready yet.
 	TargetStarting Reason = "target_starting"
+	// TargetOnTrial means that the target is suspected and takes only a few idempotent requests as trials.
+	TargetOnTrial Reason = "target_on_trial"
 	// TargetUnknown means that the admitting node does not serve the target.
 	TargetUnknown Reason = "target_unknown"
 	// AttemptFenced means that the attempt was fenced before it was admitted.
@@ -101,7 +103,7 @@
 // Reasons returns every reason, in the order of their declaration.
 func Reasons() []Reason {
 	return []Reason{
-		NoRoute, NoTarget, SlotsFull, QueueDeadline, TargetDraining, TargetStarting, TargetUnknown, AttemptFenced,
+		NoRoute, NoTarget, SlotsFull, QueueDeadline, TargetDraining, TargetStarting, TargetOnTrial, TargetUnknown, AttemptFenced,
 		AttemptDuplicate, AdmitExpired, WrongIncarnation, UpstreamShed, UpstreamUnreachable, NodeUnreachable,
 		NodeStopping, NotReady, Overloaded, DeadlineExceeded, BodyTooLarge, BodyIncomplete, BadRequest, KeyMissing, KeyInvalid,
 		KeyReused, StoreUnavailable, Quarantined, LinkBudget, CallerGone,
