Register before listing the members, and test the distributor as a fleet in memory

Cause: in the first fleet test, nodes that started at a time listed the members before any had registered, and with no seeds never found each other. Ruled out: listing again after a pause, which costs calls and still has no bound. Change: the list comes after the own write, so that of two nodes at least one finds the other; a restart under the same ID takes a second write. A start without an answering seed waits for this list. Tests: changes, deletions and permits reach all nodes, store calls do not grow with the fleet, outage of hours, first peer behind, compaction, partition of regions, dead nodes, isolation, bad documents, a lost answer.

--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -35,15 +35,16 @@
 	peerHeard      time.Duration
 	// reported are the revisions of the rejected documents that were reported.
 	reported map[string]int64
-	// listed are the revisions of the member records of the last list, listedNodes the valid ones.
-	listed      map[string]int64
-	listedNodes []model.Node
+	// deadRecords are the member records of the last list that this node is to delete.
+	deadRecords []memberRecord
 
 	publishing sync.Mutex
 	publisher  publisher
 	snapshot   atomic.Pointer[Snapshot]
 	ready      atomic.Bool
-	pulls      sync.WaitGroup
+	// membersTried is closed after the first attempt to register and list the members.
+	membersTried chan struct{}
+	pulls        sync.WaitGroup
 }
 
 // never stands for an answer that did not come yet.
@@ -70,6 +71,8 @@
 		storeHeard: never,
 		peerHeard:  never,
 		reported:   map[string]int64{},
+
+		membersTried: make(chan struct{}),
 	}
 	d.publish()
 	return d, nil
--- /dev/null
+++ b/internal/distribution/distributor_test.go
@@ -0,0 +1,283 @@
+package distribution_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/distribution"
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/store"
+)
+
+// inForce is the time within which a change is in force everywhere.
+const inForce = 12 * time.Second
+
+// Guards against changes, deletions and permits that do not reach every node in time.
+func TestChangesReachAllNodes(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.declare("tariffs", "/v1")
+		nodes := f.startMany(24)
+		f.waitFor(time.Minute, "readiness", nodes, ready)
+		f.waitFor(time.Minute, "the members", nodes, seesLive(24))
+		f.declare("tariffs", "/v2")
+		f.put("ejections/tariffs", []byte("permit"))
+		f.put("quarantine/1f", []byte("request"))
+		f.waitFor(inForce, "the new route", nodes, hasRoute("tariffs", "/v2"))
+		f.waitFor(inForce, "the permit", nodes, func(n *testNode) bool {
+			return len(n.Snapshot().Ejections) == 1 && len(n.Snapshot().Quarantine) == 1
+		})
+		f.remove("config/services/tariffs")
+		f.remove("ejections/tariffs")
+		f.waitFor(inForce, "the deletion", nodes, lacksService("tariffs"))
+		f.waitFor(inForce, "the end of the permit", nodes, func(n *testNode) bool {
+			return len(n.Snapshot().Ejections) == 0
+		})
+	})
+}
+
+// Guards against store calls that grow with the fleet: a start costs the same few calls, and nodes that are no watchers
+// cost none afterwards.
+func TestStoreCallsDoNotGrowWithTheFleet(t *testing.T) {
+	const hour = time.Hour
+	steady := map[int]uint64{}
+	for _, size := range []int{8, 32} {
+		inFleet(t, func(f *fleet) {
+			f.declare("tariffs", "/v1")
+			nodes := f.startMany(size)
+			f.waitFor(time.Minute, "the members", nodes, seesLive(size))
+			time.Sleep(time.Minute)
+			started := f.store.Counts()
+			if writes := started[store.KindCompareAndSwap] - 1; writes != uint64(size) {
+				t.Errorf("%d nodes started with %d writes", size, writes)
+			}
+			time.Sleep(hour)
+			steady[size] = total(f.store.Counts()) - total(started)
+		})
+	}
+	t.Logf("calls in an hour without changes: %v", steady)
+	if steady[32] > steady[8]+steady[8]/10 {
+		t.Errorf("calls in an hour by fleet size: %v", steady)
+	}
+}
+
+func total(counts map[string]uint64) uint64 {
+	sum := uint64(0)
+	for _, count := range counts {
+		sum += count
+	}
+	return sum
+}
+
+// Guards against a configuration that is lost, or a node that cannot start, while the store is down for hours.
+func TestStoreOutageOfHours(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.declare("ledger", "/v1")
+		nodes := f.startMany(12)
+		f.waitFor(time.Minute, "readiness", nodes, ready)
+		f.storeDown(true)
+		time.Sleep(3 * time.Hour)
+		f.stop(nodes[5])
+		nodes[5] = f.start(5, nodes[0].self.PeerAddress)
+		f.waitFor(time.Minute, "readiness without the store", nodes, ready)
+		f.waitFor(time.Minute, "the route without the store", nodes, hasRoute("ledger", "/v1"))
+		time.Sleep(3 * time.Hour)
+		f.waitFor(0, "the members without the store", nodes, seesLive(12))
+		before := total(f.store.Counts())
+		time.Sleep(time.Hour)
+		calls := total(f.store.Counts()) - before
+		// Eight watchers with three prefixes each, and one node that wants to register, at 15 s or more per call.
+		if limit := uint64(25 * 3600 / 15); calls > limit {
+			t.Errorf("%d calls in an hour to a store that is down, want at most %d", calls, limit)
+		}
+		f.storeDown(false)
+		time.Sleep(time.Minute)
+		f.declare("ledger", "/v2")
+		f.waitFor(inForce, "the route after the outage", nodes, hasRoute("ledger", "/v2"))
+		f.waitFor(time.Minute, "the registration after the outage", nodes, func(n *testNode) bool {
+			return n.Status().Registered
+		})
+	})
+}
+
+// Guards against a new node that becomes ready with the old configuration of the first peer that it asks.
+func TestNewNodeReadsAllPeersWithoutTheStore(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.declare("ledger", "/v1")
+		nodes := f.startMany(8)
+		f.waitFor(time.Minute, "readiness", nodes, ready)
+		behind := nodes[0]
+		f.partition(func(from, to model.Node) bool { return from.ID == behind.self.ID || to.ID == behind.self.ID })
+		f.storeDown(true)
+		time.Sleep(time.Minute)
+		// The peer behind stays cut off from the rest and the store, and still answers the new node.
+		f.storeDown(false)
+		f.options = func(o *distribution.Options) {}
+		f.declare("ledger", "/v2")
+		f.waitFor(inForce+time.Minute, "the new route", nodes[1:], hasRoute("ledger", "/v2"))
+		f.storeDown(true)
+		f.partition(func(from, to model.Node) bool {
+			return from.ID == behind.self.ID || to.ID == behind.self.ID && from.ID != "node-9"
+		})
+		added := f.start(9, behind.self.PeerAddress, nodes[3].self.PeerAddress)
+		f.waitFor(time.Minute, "readiness", []*testNode{added}, ready)
+		if !hasRoute("ledger", "/v2")(added) {
+			t.Error("the new node became ready with a configuration that was replaced before it started")
+		}
+	})
+}
+
+// Guards against a fleet that starts without the store and takes the empty configuration of its peers for complete.
+func TestNoConfigurationIsNotReady(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.storeDown(true)
+		nodes := []*testNode{f.start(0, place(1).PeerAddress), f.start(1, place(0).PeerAddress)}
+		time.Sleep(time.Hour)
+		for _, node := range nodes {
+			if node.Ready() {
+				t.Errorf("%s is ready without any configuration", node.self.ID)
+			}
+		}
+		f.storeDown(false)
+		f.declare("ledger", "/v1")
+		f.waitFor(time.Minute, "readiness", nodes, ready)
+	})
+}
+
+// Guards against deleted services that live on where the changes were compacted before they were read, also at nodes
+// whose peers only know the list after the deletion.
+func TestDeletionsSurviveCompaction(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.declare("ledger", "/v1")
+		f.declare("tariffs", "/v1")
+		nodes := f.startMany(8)
+		f.waitFor(time.Minute, "readiness", nodes, ready)
+		f.waitFor(time.Minute, "the service", nodes, hasRoute("ledger", "/v1"))
+		old := nodes[0]
+		f.partition(func(from, to model.Node) bool { return from.ID == old.self.ID || to.ID == old.self.ID })
+		f.storeDown(true)
+		time.Sleep(time.Minute)
+		for _, node := range nodes[1:] {
+			f.stop(node)
+		}
+		f.storeDown(false)
+		f.remove("config/services/ledger")
+		f.store.Compact()
+		f.storeDown(true)
+		time.Sleep(10 * time.Minute)
+		f.storeDown(false)
+		fresh := make([]*testNode, 0, 7)
+		for i := 1; i < 8; i++ {
+			fresh = append(fresh, f.start(i))
+		}
+		f.waitFor(time.Minute, "readiness", fresh, ready)
+		f.storeDown(true)
+		f.heal()
+		f.waitFor(5*time.Minute, "the deletion", []*testNode{old}, lacksService("ledger"))
+		if !hasRoute("tariffs", "/v1")(old) {
+			t.Error("a service that was not deleted is gone")
+		}
+	})
+}
+
+// Guards against regions that never find each other again after a long partition, and against member records that are
+// deleted because of it.
+func TestRegionsMeetAgainAfterPartition(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.declare("ledger", "/v1")
+		nodes := f.startMany(16)
+		f.waitFor(time.Minute, "the members", nodes, seesLive(16))
+		f.partition(func(from, to model.Node) bool { return from.Region != to.Region })
+		time.Sleep(time.Hour)
+		f.waitFor(0, "the loss of the other region", nodes, seesLive(8))
+		f.heal()
+		f.waitFor(2*time.Minute, "the other region", nodes, seesLive(16))
+		if kvs, _, _ := f.store.List(t.Context(), distribution.MemberPrefix); len(kvs) != 16 {
+			t.Errorf("%d member records after the partition, want 16", len(kvs))
+		}
+	})
+}
+
+// Guards against member records of dead nodes that stay in the store, and of stopped watchers that are not replaced.
+func TestDeadNodesAreDeleted(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.declare("ledger", "/v1")
+		nodes := f.startMany(16)
+		f.waitFor(time.Minute, "the members", nodes, seesLive(16))
+		time.Sleep(time.Minute)
+		var rest []*testNode
+		watchers := 0
+		for _, node := range nodes {
+			if node.self.Domain == "domain-1" && node.Status().Watcher {
+				watchers++
+				f.stop(node)
+				continue
+			}
+			rest = append(rest, node)
+		}
+		if watchers != 2 {
+			t.Fatalf("%d watchers in a domain of four nodes, want 2", watchers)
+		}
+		f.waitFor(5*time.Minute, "the death", rest, seesLive(14))
+		f.declare("ledger", "/v2")
+		f.waitFor(inForce, "the route", rest, hasRoute("ledger", "/v2"))
+		f.waitFor(30*time.Minute, "the deletion", rest[:1], func(*testNode) bool {
+			kvs, _, _ := f.store.List(t.Context(), distribution.MemberPrefix)
+			return len(kvs) == 14
+		})
+		time.Sleep(2 * time.Hour)
+		f.waitFor(0, "the dead nodes staying away", rest, func(n *testNode) bool {
+			return len(n.Snapshot().Members.Members) == 14
+		})
+	})
+}
+
+// Guards against a node that is cut off without saying so, or that drops its configuration.
+func TestIsolatedNodeReports(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.declare("ledger", "/v1")
+		nodes := f.startMany(4)
+		f.waitFor(time.Minute, "readiness", nodes, ready)
+		f.storeDown(true)
+		f.partition(func(_, _ model.Node) bool { return true })
+		time.Sleep(time.Hour)
+		for _, node := range nodes {
+			if !node.Status().Isolated || node.events.count(distribution.Isolated) != 1 {
+				t.Errorf("%s did not report once that it is cut off", node.self.ID)
+			}
+		}
+		f.waitFor(0, "the route", nodes, hasRoute("ledger", "/v1"))
+		f.heal()
+		f.waitFor(time.Minute, "the reconnection", nodes, func(n *testNode) bool { return !n.Status().Isolated })
+	})
+}
+
+// Guards against a bad document that takes a service out of force anywhere, or stops the distribution of others.
+func TestBadDocumentLeavesLastGoodOne(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.declare("ledger", "/v1")
+		nodes := f.startMany(8)
+		f.waitFor(time.Minute, "readiness", nodes, ready)
+		f.put("config/services/ledger", []byte("{"))
+		f.declare("tariffs", "/v1")
+		f.waitFor(inForce, "the later document", nodes, hasRoute("tariffs", "/v1"))
+		f.waitFor(0, "the last good document", nodes, hasRoute("ledger", "/v1"))
+		f.waitFor(0, "the report", nodes, func(n *testNode) bool {
+			return n.events.count(distribution.DocumentRejected) == 1
+		})
+	})
+}
+
+// Guards against a lost answer to the registration that leaves a second record or blocks the start.
+func TestRegistrationWithLostAnswer(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.declare("ledger", "/v1")
+		faults := f.store.Faults()
+		faults.LoseAnswers = 1
+		f.store.SetFaults(faults)
+		nodes := f.startMany(1)
+		f.waitFor(time.Minute, "the registration", nodes, func(n *testNode) bool { return n.Status().Registered })
+		if revision := f.store.Revision(); revision != 2 {
+			t.Errorf("the store is at revision %d, want 2: one document and one member record", revision)
+		}
+	})
+}
--- /dev/null
+++ b/internal/distribution/fleet_test.go
@@ -0,0 +1,247 @@
+package distribution_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/distribution"
+	"github.com/sardinereach/sardinereach/internal/fakestore"
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/store"
+)
+
+var errCut = errors.New("no route to the peer")
+
+// fleet is a set of distributors in one bubble, joined by a network in memory.
+type fleet struct {
+	t     testing.TB
+	store *fakestore.Store
+	mu    sync.Mutex
+	nodes map[string]*testNode
+	// cut says whether a pull from one node to another fails.
+	cut          func(from, to model.Node) bool
+	pulls, bytes atomic.Int64
+	remoteBytes  atomic.Int64
+	incarnation  model.Incarnation
+	options      func(*distribution.Options)
+}
+
+type testNode struct {
+	*distribution.Distributor
+	self   model.Node
+	stop   context.CancelFunc
+	events *eventLog
+}
+
+// eventLog counts the events of a node.
+type eventLog struct {
+	mu     sync.Mutex
+	counts map[distribution.EventKind]int
+}
+
+func (l *eventLog) report(event distribution.Event) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts[event.Kind]++
+}
+
+func (l *eventLog) count(kind distribution.EventKind) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts[kind]
+}
+
+// inFleet runs test in a bubble with fake time and stops all nodes at its end.
+func inFleet(t *testing.T, test func(f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		t.Cleanup(f.stopAll)
+		test(f)
+	})
+}
+
+func newFleet(t testing.TB) *fleet {
+	return &fleet{
+		t:       t,
+		store:   fakestore.New(fakestore.Options{}),
+		nodes:   map[string]*testNode{},
+		cut:     func(_, _ model.Node) bool { return false },
+		options: func(*distribution.Options) {},
+	}
+}
+
+// place returns the identity of the index-th node: four domains in two regions take turns.
+func place(index int) model.Node {
+	domain := index % 4
+	return model.Node{
+		ID:          model.NodeID(fmt.Sprintf("node-%d", index)),
+		Region:      model.Region(fmt.Sprintf("region-%d", domain/2)),
+		Domain:      model.FailureDomain(fmt.Sprintf("domain-%d", domain)),
+		PeerAddress: fmt.Sprintf("10.0.0.%d:7000", index),
+	}
+}
+
+func (f *fleet) start(index int, seeds ...string) *testNode {
+	self := place(index)
+	f.incarnation++
+	self.Incarnation = f.incarnation
+	events := &eventLog{counts: map[distribution.EventKind]int{}}
+	options := distribution.Options{
+		Self: self, Store: f.store, Puller: &puller{fleet: f, from: self}, Seeds: seeds,
+		Seed: uint64(index), Report: events.report,
+	}
+	f.options(&options)
+	d, err := distribution.New(options)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	node := &testNode{Distributor: d, self: self, stop: stop, events: events}
+	f.mu.Lock()
+	f.nodes[self.PeerAddress] = node
+	f.mu.Unlock()
+	go d.Run(ctx)
+	return node
+}
+
+func (f *fleet) startMany(count int) []*testNode {
+	nodes := make([]*testNode, count)
+	for i := range nodes {
+		nodes[i] = f.start(i)
+	}
+	return nodes
+}
+
+func (f *fleet) stop(node *testNode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	node.stop()
+	delete(f.nodes, node.self.PeerAddress)
+}
+
+func (f *fleet) stopAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, node := range f.nodes {
+		node.stop()
+	}
+}
+
+func (f *fleet) partition(separated func(from, to model.Node) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = separated
+}
+
+func (f *fleet) heal() { f.partition(func(_, _ model.Node) bool { return false }) }
+
+func (f *fleet) storeDown(down bool) { f.store.SetFaults(fakestore.Faults{Down: down}) }
+
+// declare writes a service whose only route has the path and returns its revision.
+func (f *fleet) declare(name, path string) int64 {
+	service := declaration.Service{Name: model.ServiceName(name), Routes: []declaration.Route{{Path: path}}}
+	value, err := service.Encode()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return f.put("config/services/"+name, value)
+}
+
+func (f *fleet) put(key string, value []byte) int64 {
+	current, _ := f.store.Get(context.Background(), key)
+	kv, err := f.store.CompareAndSwap(context.Background(), key, current.Revision, value, 0)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return kv.Revision
+}
+
+func (f *fleet) remove(key string) {
+	current, err := f.store.Get(context.Background(), key)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := f.store.CompareAndDelete(context.Background(), key, current.Revision); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// waitFor lets the fake time pass until the condition holds at all nodes, and fails after limit.
+func (f *fleet) waitFor(limit time.Duration, what string, nodes []*testNode, holds func(*testNode) bool) time.Duration {
+	f.t.Helper()
+	const step = 100 * time.Millisecond
+	for waited := time.Duration(0); ; waited += step {
+		synctest.Wait()
+		missing := 0
+		for _, node := range nodes {
+			if !holds(node) {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return waited
+		}
+		if waited >= limit {
+			f.t.Fatalf("after %v of fake time, %d of %d nodes lack: %s", limit, missing, len(nodes), what)
+		}
+		time.Sleep(step)
+	}
+}
+
+func ready(node *testNode) bool { return node.Ready() }
+
+func hasRoute(service, path string) func(*testNode) bool {
+	return func(node *testNode) bool {
+		s := node.Snapshot().Config.Services[model.ServiceName(service)]
+		return s != nil && s.Routes[0].Path == path
+	}
+}
+
+func lacksService(service string) func(*testNode) bool {
+	return func(node *testNode) bool {
+		return node.Snapshot().Config.Services[model.ServiceName(service)] == nil
+	}
+}
+
+func seesLive(count int) func(*testNode) bool {
+	return func(node *testNode) bool { return node.Snapshot().Members.Live() == count }
+}
+
+// puller is the network as one node sees it.
+type puller struct {
+	fleet *fleet
+	from  model.Node
+}
+
+func (p *puller) Pull(
+	ctx context.Context, address string, request *peerv1.PullRequest,
+) (*peerv1.PullResponse, error) {
+	p.fleet.mu.Lock()
+	node := p.fleet.nodes[address]
+	cut := node == nil || p.fleet.cut(p.from, node.self)
+	p.fleet.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, errors.Wrap(errCut, address)
+	}
+	response := node.HandlePull(request)
+	size := int64(proto.Size(request) + proto.Size(response))
+	p.fleet.pulls.Add(1)
+	p.fleet.bytes.Add(size)
+	if node.self.Region != p.from.Region {
+		p.fleet.remoteBytes.Add(size)
+	}
+	return response, nil
+}
+
+var _ store.Store = (*fakestore.Store)(nil)
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -18,13 +18,16 @@
 	return MemberPrefix + string(node.Domain) + "/" + string(node.ID)
 }
 
-// runMembers registers the node once and then, while the node is a watcher, lists the members at times.
+// runMembers registers the node, lists the members once and then, while the node is a watcher, lists them at times.
+//
+// The list comes after the write: of two nodes that start at a time, at least one finds the other.
 func (d *Distributor) runMembers(ctx context.Context) {
 	if !sleep(ctx, d.upTo(d.options.RegisterJitter)) {
 		return
 	}
-	pause := d.newBackoff()
-	for d.register(ctx) != nil {
+	err := d.join(ctx)
+	close(d.membersTried)
+	for pause := d.newBackoff(); err != nil; err = d.join(ctx) {
 		if !sleep(ctx, pause.next()) {
 			return
 		}
@@ -36,8 +39,18 @@
 	}
 }
 
-// register writes the member record. A write with an unknown outcome is repeated: it conflicts with itself if it took
-// effect.
+// join registers the node unless that is done, and lists the members.
+func (d *Distributor) join(ctx context.Context) error {
+	if !d.Status().Registered {
+		if err := d.register(ctx); err != nil {
+			return err
+		}
+	}
+	return d.listMembers(ctx)
+}
+
+// register writes the member record; it takes a second write if the node was registered by an earlier incarnation. A
+// write with an unknown outcome is repeated: it conflicts with itself if it took effect.
 func (d *Distributor) register(ctx context.Context) error {
 	self := d.options.Self
 	key := MemberKey(self)
@@ -45,7 +58,7 @@
 	if err != nil {
 		return errors.Wrap(err, "member record")
 	}
-	expect := d.registeredRevision()
+	expect := int64(0)
 	for {
 		err := d.swap(ctx, key, expect, value)
 		var conflict *store.ConflictError
@@ -70,12 +83,6 @@
 	return err
 }
 
-func (d *Distributor) registeredRevision() int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.listed[MemberKey(d.options.Self)]
-}
-
 func (d *Distributor) setRegistered() {
 	d.mu.Lock()
 	d.registered = true
@@ -93,18 +100,29 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.listed = make(map[string]int64, len(kvs))
-	d.listedNodes = d.listedNodes[:0]
+	d.deadRecords = nil
 	for _, kv := range kvs {
-		d.listed[kv.Key] = kv.Revision
 		if node, ok := memberOf(kv); ok {
-			d.listedNodes = append(d.listedNodes, node)
 			d.mergeListed(node)
+			d.noteDead(node, kv.Revision)
 		}
 	}
 	return nil
 }
 
+// memberRecord is a member record of the store with its revision.
+type memberRecord struct {
+	node     model.Node
+	revision int64
+}
+
+// noteDead keeps the record for deletion if its node was dropped as dead and this node is to delete it.
+func (d *Distributor) noteDead(node model.Node, revision int64) {
+	if d.tables.members.Buried(node.ID, node.Incarnation) && d.currentView().Reaps(node.ID, node.Domain) {
+		d.deadRecords = append(d.deadRecords, memberRecord{node: node, revision: revision})
+	}
+}
+
 // memberOf decodes a member record, false if it is not one.
 func memberOf(kv store.KV) (model.Node, bool) {
 	var node model.Node
@@ -123,40 +141,31 @@
 	}
 }
 
-// deleteDead deletes the listed member records of nodes that were dropped as dead, if this node is to delete them. A
-// record that changed since the list, because its node came back, is left alone.
+// deleteDead deletes the member records that the last list found to be dead. A record that changed since, because its
+// node came back, is left alone.
 func (d *Distributor) deleteDead(ctx context.Context) {
-	for _, node := range d.deadListed() {
-		key := MemberKey(node)
-		limited, cancel := context.WithTimeout(ctx, d.options.StoreTimeout)
-		err := d.options.Store.CompareAndDelete(limited, key, d.listedRevision(key))
-		cancel()
-		var conflict *store.ConflictError
-		if errors.As(err, &conflict) {
-			continue
-		}
-		if d.storeAnswered(ctx, key, err) != nil {
+	d.mu.Lock()
+	dead := d.deadRecords
+	d.deadRecords = nil
+	d.mu.Unlock()
+	for _, record := range dead {
+		if d.deleteMember(ctx, record) != nil {
 			return
 		}
-		d.options.Report(Event{Kind: MemberDeleted, Node: node.ID})
 	}
 }
 
-func (d *Distributor) listedRevision(key string) int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.listed[key]
-}
-
-func (d *Distributor) deadListed() []model.Node {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var dead []model.Node
-	view := d.currentView()
-	for _, node := range d.listedNodes {
-		if d.tables.members.Buried(node.ID, node.Incarnation) && view.Reaps(node.ID, node.Domain) {
-			dead = append(dead, node)
-		}
+func (d *Distributor) deleteMember(ctx context.Context, record memberRecord) error {
+	key := MemberKey(record.node)
+	limited, cancel := context.WithTimeout(ctx, d.options.StoreTimeout)
+	defer cancel()
+	err := d.options.Store.CompareAndDelete(limited, key, record.revision)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	if d.storeAnswered(ctx, key, err) == nil {
+		d.options.Report(Event{Kind: MemberDeleted, Node: record.node.ID})
 	}
-	return dead
+	return err
 }
--- a/internal/distribution/options.go
+++ b/internal/distribution/options.go
@@ -75,7 +75,7 @@
 	setDefault(&o.WatchPause, 250*time.Millisecond)
 	setDefault(&o.BackoffMin, 500*time.Millisecond)
 	setDefault(&o.BackoffMax, 30*time.Second)
-	setDefault(&o.RegisterJitter, 5*time.Second)
+	setDefault(&o.RegisterJitter, 2*time.Second)
 	setDefault(&o.RelistInterval, 10*time.Minute)
 	setDefault(&o.LoadInterval, 5*time.Second)
 	setDefault(&o.IsolatedAfter, 15*time.Second)
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -33,14 +33,24 @@
 }
 
 func (d *Distributor) start(ctx context.Context) bool {
-	storeUp := d.listMembers(ctx) == nil
-	d.pullSeeds(ctx)
-	if storeUp && d.readConfig(ctx) == nil {
+	if !d.pullAny(ctx, d.options.Seeds) {
+		d.awaitMembers(ctx)
+		d.pullAny(ctx, d.partnerAddresses())
+	}
+	if d.readConfig(ctx) == nil {
 		return true
 	}
 	return d.pullEveryone(ctx)
 }
 
+// awaitMembers waits for the first attempt to register and to list the members.
+func (d *Distributor) awaitMembers(ctx context.Context) {
+	select {
+	case <-d.membersTried:
+	case <-ctx.Done():
+	}
+}
+
 func (d *Distributor) becomeReady() {
 	d.mu.Lock()
 	revision := d.tables.config.Complete()
@@ -49,19 +59,24 @@
 	d.options.Report(Event{Kind: BecameReady, Revision: revision})
 }
 
-// pullSeeds pulls from the seeds and the partners of the round until one of them has no more to give.
-func (d *Distributor) pullSeeds(ctx context.Context) {
-	addresses := slices.Clone(d.options.Seeds)
+func (d *Distributor) partnerAddresses() []string {
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	var addresses []string
 	for _, partner := range d.currentView().Partners(d.round, d.options.Seed) {
 		addresses = append(addresses, partner.Address)
 	}
-	d.mu.Unlock()
+	return addresses
+}
+
+// pullAny pulls from the addresses until one of them answered and has no more to give.
+func (d *Distributor) pullAny(ctx context.Context, addresses []string) bool {
 	for _, address := range addresses {
 		if d.drain(ctx, address, d.pullOnce) == nil {
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // errOwnAddress is returned for a pull from the node itself, such as a seed list that names all nodes.
