Serve the operators' API

Cause: operators ask any node about the fleet and change its configuration while the store and other nodes may fail. Ruled out: reporting a lost answer of the store to the operator as a failure, because the write may have taken effect. Change: the handlers for statements, apply and export. A swap with a lost answer is repeated under the same change ID, so that a conflict with the own ID proves that it took effect. A drain is decided against the document that it replaces, so that concurrent drains cannot pass the floor together. Conclusion: the API is complete but not yet proved.

--- /dev/null
+++ b/internal/operator/explain.go
@@ -0,0 +1,55 @@
+package operator
+
+import (
+	"fmt"
+
+	"github.com/sardinereach/sardinereach/api/operatorv1"
+	"github.com/sardinereach/sardinereach/internal/statement"
+)
+
+var explainColumns = []string{"target", "node", "region", "domain", "picked", "why"}
+
+func (s *Server) explain(ask *statement.Explain) *operatorv1.ExecuteResponse {
+	snapshot := s.fleet.Snapshot()
+	explanation := s.fleet.Explain(ExplainRequest{Method: ask.Method, Path: ask.Path, Host: ask.Host})
+	answer := &operatorv1.ExecuteResponse{
+		Message:   summary(&explanation),
+		Freshness: freshnessOf(snapshot),
+		Warnings:  partialWarnings(snapshot),
+	}
+	for _, name := range explainColumns {
+		answer.Columns = append(answer.Columns, &operatorv1.Column{Name: name})
+	}
+	for _, candidate := range explanation.Candidates {
+		answer.Rows = append(answer.Rows, candidateRow(candidate))
+	}
+	return answer
+}
+
+func candidateRow(candidate Candidate) *operatorv1.Row {
+	picked := "no"
+	if candidate.Picked {
+		picked = "yes"
+	}
+	return &operatorv1.Row{Cells: []string{
+		string(candidate.Target), string(candidate.Node), string(candidate.Region), string(candidate.Domain), picked,
+		candidate.Why,
+	}}
+}
+
+// summary says what would become of the request.
+func summary(e *Explanation) string {
+	if e.Route == nil {
+		return fmt.Sprintf("refused: %s", orElse(e.Refusal, "no_route"))
+	}
+	place := fmt.Sprintf("service %s, route %s, class %s", e.Service, e.Route.Path, e.Class)
+	if e.Refusal != "" {
+		return fmt.Sprintf("%s: refused: %s", place, e.Refusal)
+	}
+	for _, candidate := range e.Candidates {
+		if candidate.Picked {
+			return fmt.Sprintf("%s: target %s", place, candidate.Target)
+		}
+	}
+	return place + ": refused: no_target"
+}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -28,7 +28,8 @@
 	RemoveService(ctx context.Context, name model.ServiceName, expect int64) error
 
 	// DrainFigures returns the capacity of the service without the targets that document drains and without target.
-	// document is the newest from the store, so that two operators who drain at the same time both meet the floor.
+	// An empty target gives the present figures. document is the newest from the store, so that
+	// two operators who drain at the same time both meet the floor.
 	DrainFigures(document *declaration.Service, target model.TargetID) Figures
 
 	// Forbid quarantines a request fingerprint on all nodes. Repeating it has no further effect, as with Release and
--- a/internal/operator/options.go
+++ b/internal/operator/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
@@ -15,8 +16,11 @@
 	Token string
 	// MaxRequestBytes bounds one request; 0 means DefaultMaxRequestBytes.
 	MaxRequestBytes int
-	// PollInterval is the time between two looks at the nodes while a change is awaited; 0 means DefaultPollInterval.
+	// PollInterval is the time between two looks at the nodes while a change is awaited, and before a write is repeated
+	// whose answer was lost; 0 means DefaultPollInterval.
 	PollInterval time.Duration
+	// Events receives the events of the API; nil writes none.
+	Events *events.Log
 }
 
 const (
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -1,12 +1,12 @@
 package operator
 
 import (
-	"context"
 	"net/http"
 
 	"connectrpc.com/connect"
 
 	"github.com/sardinereach/sardinereach/api/operatorv1"
+	"github.com/sardinereach/sardinereach/internal/events"
 )
 
 // Server implements the operators' API over a Fleet.
@@ -27,22 +27,14 @@
 // Handler returns the path prefix and the HTTP handler of the API, with the check of the token and the size limits.
 func (s *Server) Handler() (string, http.Handler) {
 	return operatorv1.NewOperatorHandler(s,
-		connect.WithInterceptors(newTokenCheck(s.options.Token)),
+		connect.WithInterceptors(newTokenCheck(s.options.Token, s.emit)),
 		connect.WithReadMaxBytes(s.options.MaxRequestBytes),
 	)
 }
 
-// Execute implements the API.
-func (s *Server) Execute(ctx context.Context, request *connect.Request[operatorv1.ExecuteRequest]) (*connect.Response[operatorv1.ExecuteResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, nil)
-}
-
-// Apply implements the API.
-func (s *Server) Apply(ctx context.Context, request *connect.Request[operatorv1.ApplyRequest]) (*connect.Response[operatorv1.ApplyResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, nil)
-}
-
-// Export implements the API.
-func (s *Server) Export(ctx context.Context, request *connect.Request[operatorv1.ExportRequest]) (*connect.Response[operatorv1.ExportResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, nil)
+// emit writes an event if the node has a log.
+func (s *Server) emit(event *events.Event, fields ...events.Field) {
+	if s.options.Events != nil {
+		s.options.Events.Emit(event, fields...)
+	}
 }
--- a/internal/operator/token_check.go
+++ b/internal/operator/token_check.go
@@ -8,6 +8,8 @@
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/events"
 )
 
 const (
@@ -16,11 +18,12 @@
 )
 
 // newTokenCheck returns an interceptor that admits only calls with the token, or all calls if the token is empty.
-func newTokenCheck(token string) connect.UnaryInterceptorFunc {
+func newTokenCheck(token string, emit func(*events.Event, ...events.Field)) connect.UnaryInterceptorFunc {
 	expected := sha256.Sum256([]byte(token))
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
 			if token != "" && !presents(request, expected) {
+				emit(events.OperatorDenied, events.OperationField(request.Spec().Procedure))
 				return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("the operators' token is missing or wrong"))
 			}
 			return next(ctx, request)
