--- /dev/null
+++ b/cmd/sardinereachctl/check.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/sardinereach/sardinereach/internal/statement"
+)
+
+// checkJSON is the JSON form of the result of a check without faults.
+type checkJSON struct {
+	Services int `json:"services"`
+	Routes   int `json:"routes"`
+}
+
+// check checks the declarations of a file without a node.
+func (call *invocation) check() int {
+	text, err := call.read(call.arguments[0])
+	if err != nil {
+		return usageFault(call.stdio, err)
+	}
+	declarations, err := statement.ParseDeclarations(text)
+	if err != nil {
+		return call.failStatement(call.arguments[0], text, err)
+	}
+	routes := 0
+	for i := range declarations {
+		routes += len(declarations[i].Service.Routes)
+	}
+	if call.output == "json" {
+		call.printJSON(checkJSON{len(declarations), routes})
+		return exitOK
+	}
+	fmt.Fprintf(call.out, "%d services, %d routes, no faults\n", len(declarations), routes)
+	return exitOK
+}
--- /dev/null
+++ b/cmd/sardinereachctl/options.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"flag"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// defaultTimeout is the time for one call.
+const defaultTimeout = 10 * time.Second
+
+// options holds the flags that all subcommands share.
+type options struct {
+	server    string
+	tokenFile string
+	output    string
+	timeout   time.Duration
+}
+
+func (o *options) register(flags *flag.FlagSet) {
+	flags.StringVar(&o.server, "server", "", "IP:port of a node's operators' listener")
+	flags.StringVar(&o.tokenFile, "token-file", "", "file with the operators' token")
+	flags.StringVar(&o.output, "output", "table", "table for people or json for programs")
+	flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "time for one call, and for apply -wait")
+}
+
+func (o *options) check() error {
+	if o.output != "table" && o.output != "json" {
+		return errors.Errorf("-output %q: use table or json", o.output)
+	}
+	if o.timeout <= 0 {
+		return errors.Errorf("-timeout %s: use a time above 0", o.timeout)
+	}
+	return nil
+}
