Prove the operators' API against a fleet in memory

Cause: lost answers, concurrent operators and floors are where an API for operators goes wrong unnoticed. Ruled out: a mock per call, because settling needs a store that remembers.

--- /dev/null
+++ b/internal/operator/fakefleet/quarantine.go
@@ -0,0 +1,48 @@
+package fakefleet
+
+import (
+	"context"
+	"slices"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/operator"
+	"github.com/sardinereach/sardinereach/internal/store"
+)
+
+// Forbid implements operator.Fleet.
+func (f *Fleet) Forbid(_ context.Context, fingerprint string) error {
+	return f.write(func() error {
+		if f.entry(fingerprint) < 0 {
+			f.quarantine = append(f.quarantine, operator.QuarantineEntry{Fingerprint: fingerprint, State: "forbidden"})
+		}
+		return nil
+	})
+}
+
+// Release implements operator.Fleet.
+func (f *Fleet) Release(_ context.Context, fingerprint string) error {
+	return f.write(func() error {
+		at := f.entry(fingerprint)
+		if at < 0 {
+			return store.ErrNotFound
+		}
+		f.quarantine = slices.Delete(f.quarantine, at, at+1)
+		return nil
+	})
+}
+
+func (f *Fleet) entry(fingerprint string) int {
+	return slices.IndexFunc(f.quarantine, func(e operator.QuarantineEntry) bool { return e.Fingerprint == fingerprint })
+}
+
+// WithdrawEjection implements operator.Fleet.
+func (f *Fleet) WithdrawEjection(_ context.Context, target model.TargetID) error {
+	return f.write(func() error {
+		at := slices.IndexFunc(f.ejections, func(e operator.Ejection) bool { return e.Target == target })
+		if at < 0 {
+			return store.ErrNotFound
+		}
+		f.ejections = slices.Delete(f.ejections, at, at+1)
+		return nil
+	})
+}
