--- /dev/null
+++ b/internal/relay/link.go
@@ -0,0 +1,36 @@
+package relay
+
+import (
+	"context"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// bitsPerByte converts link rates to byte rates.
+	bitsPerByte = 8
+	// chunkBytes is the greatest number of bytes that the relay reads at a time.
+	chunkBytes = 32 << 10
+)
+
+// Link is a link with a limited rate in each direction. Several relays can share one.
+type Link struct {
+	limiters [directions]*rate.Limiter
+}
+
+// NewLink returns a link that carries bitsPerSecond in each direction.
+func NewLink(bitsPerSecond float64) *Link {
+	link := &Link{}
+	for i := range link.limiters {
+		link.limiters[i] = rate.NewLimiter(rate.Limit(bitsPerSecond/bitsPerByte), chunkBytes)
+	}
+	return link
+}
+
+// wait blocks until the link has carried n bytes, n at most chunkBytes.
+func (l *Link) wait(ctx context.Context, d Direction, n int) error {
+	if l == nil {
+		return ctx.Err()
+	}
+	return l.limiters[d].WaitN(ctx, n)
+}
