--- /dev/null
+++ b/internal/fleettest/binaries.go
@@ -0,0 +1,48 @@
+package fleettest
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+// Names of the programs that a fleet runs.
+const (
+	daemonProgram   = "sardinereachd"
+	controlProgram  = "sardinereachctl"
+	storeProgram    = "fakestore"
+	upstreamProgram = "fakeupstream"
+)
+
+const modulePath = "github.com/sardinereach/sardinereach"
+
+// Binaries are the programs of a fleet, built once.
+type Binaries struct {
+	dir string
+}
+
+// Build builds the programs into a new temporary directory. The working directory must be in the module.
+func Build(ctx context.Context) (*Binaries, error) {
+	dir, err := os.MkdirTemp("", "sardinereach-bin-")
+	if err != nil {
+		return nil, errors.Wrap(err, "build")
+	}
+	args := []string{"build", "-o", dir + string(filepath.Separator)}
+	for _, program := range []string{daemonProgram, controlProgram, storeProgram, upstreamProgram} {
+		args = append(args, modulePath+"/cmd/"+program)
+	}
+	output, err := exec.CommandContext(ctx, "go", args...).CombinedOutput()
+	if err != nil {
+		os.RemoveAll(dir)
+		return nil, errors.Wrapf(err, "build: %s", output)
+	}
+	return &Binaries{dir: dir}, nil
+}
+
+// Remove deletes the programs.
+func (b *Binaries) Remove() { os.RemoveAll(b.dir) }
+
+func (b *Binaries) path(program string) string { return filepath.Join(b.dir, program) }
--- /dev/null
+++ b/internal/fleettest/node.go
@@ -0,0 +1,106 @@
+package fleettest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// healthPath is the callers' health endpoint of a daemon.
+const healthPath = "/_sardinereach/health"
+
+// Node is one daemon of a fleet.
+type Node struct {
+	*Process
+	ID     string
+	Domain Domain
+	// Callers, Peers, Operators and Upstreams are host:port of the daemon's listeners.
+	Callers   string
+	Peers     string
+	Operators string
+	Upstreams string
+
+	vm       string
+	dir      string
+	program  string
+	settings string
+}
+
+// newNode chooses addresses for a daemon on a VM of its own.
+func newNode(dir, program, id string, domain Domain) (*Node, error) {
+	n := &Node{ID: id, Domain: domain, vm: nextVM(), dir: dir, program: program}
+	for _, address := range []*string{&n.Callers, &n.Peers, &n.Operators, &n.Upstreams} {
+		free, err := freeAddress(n.vm)
+		if err != nil {
+			return nil, err
+		}
+		*address = free
+	}
+	return n, nil
+}
+
+// configure writes the settings file.
+func (n *Node) configure(store string, seeds []string, extra map[string]map[string]string) error {
+	settings := nodeSettings{
+		id: n.ID, domain: n.Domain, callers: n.Callers, peers: n.Peers, operators: n.Operators, upstreams: n.Upstreams,
+		store: store, seeds: seeds, extra: extra,
+	}
+	path, err := settings.write(n.dir)
+	n.settings = path
+	return err
+}
+
+// Start starts the daemon, also after its end. It is a new incarnation with the same settings.
+func (n *Node) Start() error {
+	p, err := startProcess(n.dir, n.ID, n.program, "-settings", n.settings)
+	if err != nil {
+		return err
+	}
+	n.Process = p
+	return nil
+}
+
+// WaitReady waits until the daemon takes callers.
+func (n *Node) WaitReady(ctx context.Context) error {
+	return Poll(ctx, n.ID+" to be ready", func(ctx context.Context) error {
+		if !n.Running() {
+			return errors.Errorf("%s has ended", n.ID)
+		}
+		return n.health(ctx)
+	})
+}
+
+func (n *Node) health(ctx context.Context) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Callers+healthPath, nil)
+	if err != nil {
+		return errors.Wrap(err, "health")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "health")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("%s: health status %d", n.ID, response.StatusCode)
+	}
+	return nil
+}
+
+// PeakMemory returns the greatest resident memory of the daemon so far, in bytes.
+func (n *Node) PeakMemory() (int64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "memory")
+	}
+	for line := range strings.Lines(string(data)) {
+		var kilobytes int64
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil {
+			return kilobytes << 10, nil
+		}
+	}
+	return 0, errors.Errorf("memory: %s: no VmHWM", n.ID)
+}
