--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,14 +71,15 @@
 	n.admitter = newAdmitter(n.clock, incarnation, n.admissionLimits(), n.upstreams, n.crashes)
 	n.buildAcceptor(binary.LittleEndian.Uint64(secret))
 	n.buildOnce(secret)
+	n.views = &viewPublisher{node: n, dirty: make(chan struct{}, 1)}
 	if err := n.buildDistributor(binary.LittleEndian.Uint64(secret[8:])); err != nil {
 		return nil, err
 	}
-	n.views = &viewPublisher{node: n, dirty: make(chan struct{}, 1)}
 	n.control = newControl(n)
 	n.admitter.observe = n.control.judge.observe
 	n.admitter.mayTry = n.control.judge.mayTry
 	n.acceptor.pathChanged = n.views.invalidate
+	n.views.publish()
 	return n, nil
 }
 
