--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -159,7 +159,7 @@
 
 // Control runs sardinereachctl against a node with the input and returns what it prints.
 func (f *Fleet) Control(ctx context.Context, node *Node, input string, args ...string) (string, error) {
-	args = append([]string{"-node", node.Operators}, args...)
+	args = append([]string{"-server", node.Operators}, args...)
 	cmd := exec.CommandContext(ctx, f.options.Binaries.path(controlProgram), args...)
 	cmd.Stdin = strings.NewReader(input)
 	output, err := cmd.CombinedOutput()
