--- a/internal/fleettest/answer.go
+++ b/internal/fleettest/answer.go
@@ -1,6 +1,10 @@
 package fleettest
 
-import "time"
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
 
 // Headers of the callers' protocol.
 const (
@@ -49,3 +53,11 @@
 	}
 	return "upstream failure"
 }
+
+// wholeOrError returns nil for a whole answer.
+func (a Answer) wholeOrError() error {
+	if a.Whole {
+		return nil
+	}
+	return errors.Errorf("%s, status %d, %v", a.Outcome(), a.Status, a.Err)
+}
--- a/internal/fleettest/binaries.go
+++ b/internal/fleettest/binaries.go
@@ -24,8 +24,12 @@
 	dir string
 }
 
-// Build builds the programs into a new temporary directory. The working directory must be in the module.
-func Build(ctx context.Context) (*Binaries, error) {
+// relayedProgram is the daemon with another address to listen at than the one it tells its peers.
+const relayedProgram = "internal/fleettest/relayeddaemon"
+
+// Build builds the programs, and the extra packages of the module, into a new temporary directory. The working directory
+// must be in the module.
+func Build(ctx context.Context, extra ...string) (*Binaries, error) {
 	dir, err := os.MkdirTemp("", "sardinereach-bin-")
 	if err != nil {
 		return nil, errors.Wrap(err, "build")
@@ -34,6 +38,9 @@
 	for _, program := range []string{daemonProgram, controlProgram, storeProgram, upstreamProgram} {
 		args = append(args, modulePath+"/cmd/"+program)
 	}
+	for _, path := range extra {
+		args = append(args, modulePath+"/"+path)
+	}
 	output, err := exec.CommandContext(ctx, "go", args...).CombinedOutput()
 	if err != nil {
 		os.RemoveAll(dir)
@@ -45,4 +52,4 @@
 // Remove deletes the programs.
 func (b *Binaries) Remove() { os.RemoveAll(b.dir) }
 
-func (b *Binaries) path(program string) string { return filepath.Join(b.dir, program) }
+func (b *Binaries) path(program string) string { return filepath.Join(b.dir, filepath.Base(program)) }
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -94,7 +94,11 @@
 }
 
 func (f *Fleet) newNode(id string, domain Domain) (*Node, error) {
-	return newNode(f.options.Dir, f.options.Binaries.path(daemonProgram), id, domain)
+	node, err := newNode(f.options.Dir, f.options.Binaries.path(daemonProgram), id, domain)
+	if err != nil || !f.options.Relays {
+		return node, err
+	}
+	return node, node.putRelay(f.options.Binaries.path(relayedProgram))
 }
 
 // AddNode starts one more daemon, with no upstream beside it.
@@ -172,6 +176,11 @@
 		_ = p.Resume()
 		p.Kill()
 	}
+	for _, node := range f.Nodes {
+		if node.Relay != nil {
+			node.Relay.Close()
+		}
+	}
 }
 
 func (f *Fleet) processes() []*Process {
--- a/internal/fleettest/harness_test.go
+++ b/internal/fleettest/harness_test.go
@@ -58,9 +58,22 @@
 // of a failed test are printed.
 func start(t *testing.T, layout Layout) *scene {
 	t.Helper()
+	return startWith(t, Options{Layout: layout})
+}
+
+// startRelayed is start with a relay in front of each node's listener for peers.
+func startRelayed(t *testing.T, layout Layout) *scene {
+	t.Helper()
+	return startWith(t, Options{Layout: layout, Relays: true})
+}
+
+func startWith(t *testing.T, options Options) *scene {
+	t.Helper()
+	options.Binaries = programs
+	options.Dir = t.TempDir()
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	t.Cleanup(cancel)
-	fleet, err := Start(Options{Layout: layout, Binaries: programs, Dir: t.TempDir()})
+	fleet, err := Start(options)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleettest/node.go
+++ b/internal/fleettest/node.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/relay"
 )
 
 // healthPath is the callers' health endpoint of a daemon.
@@ -23,7 +25,11 @@
 	Peers     string
 	Operators string
 	Upstreams string
+	// Relay carries the connections of peers, nil without Options.Relays.
+	Relay *relay.Relay
 
+	// bind is where a relayed daemon listens for peers.
+	bind     string
 	vm       string
 	dir      string
 	program  string
@@ -43,6 +49,18 @@
 	return n, nil
 }
 
+// putRelay puts a relay in front of the listener for peers.
+func (n *Node) putRelay(program string) error {
+	bind, err := freeAddress(n.vm)
+	if err != nil {
+		return err
+	}
+	n.Relay, err = relay.Start(n.Peers, bind, nil)
+	n.bind = bind
+	n.program = program
+	return err
+}
+
 // configure writes the settings file.
 func (n *Node) configure(store string, seeds []string, extra map[string]map[string]string) error {
 	settings := nodeSettings{
@@ -56,7 +74,11 @@
 
 // Start starts the daemon, also after its end. It is a new incarnation with the same settings.
 func (n *Node) Start() error {
-	p, err := startProcess(n.dir, n.ID, n.program, "-settings", n.settings)
+	args := []string{"-settings", n.settings}
+	if n.Relay != nil {
+		args = append(args, "-bind-peers", n.bind)
+	}
+	p, err := startProcess(n.dir, n.ID, n.program, args...)
 	if err != nil {
 		return err
 	}
