--- a/internal/fleettest/node.go
+++ b/internal/fleettest/node.go
@@ -74,7 +74,7 @@
 
 // Start starts the daemon, also after its end. It is a new incarnation with the same settings.
 func (n *Node) Start() error {
-	args := []string{"-settings", n.settings}
+	args := []string{"-config", n.settings}
 	if n.Relay != nil {
 		args = append(args, "-bind-peers", n.bind)
 	}
@@ -86,14 +86,18 @@
 	return nil
 }
 
-// WaitReady waits until the daemon takes callers.
+// WaitReady waits until the daemon takes callers, and fails at once if it has ended.
 func (n *Node) WaitReady(ctx context.Context) error {
-	return Poll(ctx, n.ID+" to be ready", func(ctx context.Context) error {
-		if !n.Running() {
-			return errors.Errorf("%s has ended", n.ID)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-n.Done():
+			cancel()
+		case <-ctx.Done():
 		}
-		return n.health(ctx)
-	})
+	}()
+	return Poll(ctx, n.ID+" to be ready", n.health)
 }
 
 func (n *Node) health(ctx context.Context) error {
