--- /dev/null
+++ b/internal/statement/format_test.go
@@ -0,0 +1,85 @@
+package statement_test
+
+import (
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/statement"
+)
+
+var (
+	anyHost   = rapid.SampledFrom([]string{"", "h.example", "a b", `q"uote`, "at", "é"})
+	anyStatus = rapid.SliceOfNDistinct(rapid.IntRange(400, 599), 0, 3, rapid.ID[int])
+	anyTime   = rapid.Int64Range(0, 86_400_000)
+	anyRate   = rapid.SampledFrom([]float64{0, 1e-9, 0.25, 0.999})
+)
+
+func drawRoute(t *rapid.T) declaration.Route {
+	return declaration.Route{
+		Host:          anyHost.Draw(t, "host"),
+		Methods:       orNil(rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"GET", "POST", "M-SEARCH"}), 0, 3, rapid.ID[string]).Draw(t, "methods")),
+		Path:          "/" + rapid.String().Draw(t, "path"),
+		Class:         rapid.SampledFrom([]declaration.Class{"", declaration.Idempotent, declaration.NonIdempotent}).Draw(t, "class"),
+		TimeoutMS:     anyTime.Draw(t, "timeout"),
+		FirstByteMS:   anyTime.Draw(t, "first byte"),
+		RetryStatuses: orNil(anyStatus.Draw(t, "retry")),
+		FailStatuses:  orNil(anyStatus.Draw(t, "fail")),
+		Priority:      rapid.SampledFrom([]declaration.Priority{"", declaration.Interactive, declaration.Bulk}).Draw(t, "priority"),
+	}
+}
+
+func orNil[T any](list []T) []T {
+	if len(list) == 0 {
+		return nil
+	}
+	return list
+}
+
+func drawService(t *rapid.T) declaration.Service {
+	return declaration.Service{
+		Name:       model.ServiceName(rapid.StringMatching(`[a-z0-9]([a-z0-9.-]{0,8}[a-z0-9])?`).Draw(t, "name")),
+		FloorSlots: rapid.IntRange(0, 1000).Draw(t, "floor"),
+		Prefer:     orNil(rapid.SliceOfNDistinct(rapid.SampledFrom([]model.Region{"tas-south", "north", "a;b", "at"}), 0, 3, rapid.ID[model.Region]).Draw(t, "prefer")),
+		Policy: declaration.Policy{
+			Preset:         rapid.SampledFrom([]declaration.Preset{"", declaration.PresetHuon, declaration.PresetDala}).Draw(t, "preset"),
+			FalseAlarmRate: anyRate.Draw(t, "false alarms"),
+			FailureRate:    anyRate.Draw(t, "failures"),
+		},
+		Routes: rapid.SliceOfNDistinct(rapid.Custom(drawRoute), 0, 4, func(r declaration.Route) string { return r.Path }).Draw(t, "routes"),
+	}
+}
+
+// Guards against an export that does not declare what is in force.
+func TestFormatRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := statement.Declaration{Service: drawService(t), Revision: rapid.Int64Range(-1, 1<<40).Draw(t, "revision"), Line: 1}
+		text := statement.Format(want)
+		got, err := statement.ParseDeclarations(text)
+		if err != nil || len(got) != 1 || !reflect.DeepEqual(got[0], want) {
+			t.Fatalf("%s\ngives %+v, %v, want %+v", text, got, err, want)
+		}
+		if differences := statement.Diff(&want.Service, &got[0].Service); len(differences) > 0 {
+			t.Fatalf("a declaration differs from itself: %v", differences)
+		}
+	})
+}
+
+// Guards against two different services that show no difference, which would hide a change from the operator.
+func TestDiffFindsEveryChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := drawService(t), drawService(t)
+		first, errFrom := from.Encode()
+		second, errTo := to.Encode()
+		if errFrom != nil || errTo != nil {
+			t.Fatal(errFrom, errTo)
+		}
+		differs := len(statement.Diff(&from, &to)) > 0
+		if equal := string(first) == string(second); equal == differs {
+			t.Fatalf("equal %v, differences %v:\n%s\n%s", equal, differs, first, second)
+		}
+	})
+}
