--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -82,7 +82,7 @@
 	label := keyLabel(section, key)
 	text := spec.fallback
 	if from.HasKey(key) {
-		text = from.Key(key).String()
+		text = from.Key(key).Value()
 	} else if !spec.optional {
 		wrong := spec.read(new(Settings), "")
 		c.add(c.lines[keyLabel(section, "")], label, "is missing", wrong.valid)
