--- a/internal/operator/write.go
+++ b/internal/operator/write.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/statement"
 	"github.com/sardinereach/sardinereach/internal/store"
 )
@@ -31,6 +32,7 @@
 			return settleConflict(conflict, document, uncertain)
 		case errors.Is(err, store.ErrUnknownOutcome):
 			uncertain = true
+			s.emit(events.StoreOutcomeUnknown, events.OperationField("compare_and_swap"), events.ServiceField(document.Name))
 		case errors.Is(err, store.ErrUnavailable) && uncertain:
 		default:
 			return 0, err
