--- a/cmd/sardinereachctl/apply.go
+++ b/cmd/sardinereachctl/apply.go
@@ -41,7 +41,7 @@
 func (call *invocation) send() (*operatorv1.ApplyResponse, int) {
 	text, err := call.read(call.arguments[0])
 	if err != nil {
-		return nil, usageFault(call.stdio, err)
+		return nil, call.failFile(err)
 	}
 	if _, err := statement.ParseDeclarations(text); err != nil {
 		return nil, call.failStatement(call.arguments[0], text, err)
--- a/cmd/sardinereachctl/check.go
+++ b/cmd/sardinereachctl/check.go
@@ -16,7 +16,7 @@
 func (call *invocation) check() int {
 	text, err := call.read(call.arguments[0])
 	if err != nil {
-		return usageFault(call.stdio, err)
+		return call.failFile(err)
 	}
 	declarations, err := statement.ParseDeclarations(text)
 	if err != nil {
@@ -30,6 +30,6 @@
 		call.printJSON(checkJSON{len(declarations), routes})
 		return exitOK
 	}
-	fmt.Fprintf(call.out, "%d services, %d routes, no faults\n", len(declarations), routes)
+	fmt.Fprintf(call.out, "no faults; services: %d, routes: %d\n", len(declarations), routes)
 	return exitOK
 }
--- a/cmd/sardinereachctl/fault.go
+++ b/cmd/sardinereachctl/fault.go
@@ -23,3 +23,9 @@
 	}
 	return exitUsage
 }
+
+// failFile reports a file that cannot be read.
+func (call *invocation) failFile(err error) int {
+	call.complain("sardinereachctl: %v", err)
+	return exitUsage
+}
--- a/cmd/sardinereachctl/main.go
+++ b/cmd/sardinereachctl/main.go
@@ -13,7 +13,8 @@
 //
 // FILE may be - for the standard input. The exit code is 0 for success, 1 if the call failed or was refused, 2 for a
 // fault in the usage, a statement or a declaration, 3 for a conflict with another change, 4 for a partial answer, and 5
-// if the node cannot be reached.
+// if the node cannot be reached. A command that was carried out while nodes were silent also ends with 4, because these
+// nodes may not know of it yet.
 package main
 
 import "os"
--- a/cmd/sardinereachctl/options.go
+++ b/cmd/sardinereachctl/options.go
@@ -18,11 +18,16 @@
 	timeout   time.Duration
 }
 
+func defaultOptions() *options {
+	return &options{output: "table", timeout: defaultTimeout}
+}
+
+// register adds the shared flags with their present values as defaults, so that flags before and after the command add up.
 func (o *options) register(flags *flag.FlagSet) {
-	flags.StringVar(&o.server, "server", "", "IP:port of a node's operators' listener")
-	flags.StringVar(&o.tokenFile, "token-file", "", "file with the operators' token")
-	flags.StringVar(&o.output, "output", "table", "table for people or json for programs")
-	flags.DurationVar(&o.timeout, "timeout", defaultTimeout, "time for one call, and for apply -wait")
+	flags.StringVar(&o.server, "server", o.server, "IP:port of a node's operators' listener")
+	flags.StringVar(&o.tokenFile, "token-file", o.tokenFile, "file with the operators' token")
+	flags.StringVar(&o.output, "output", o.output, "table for people or json for programs")
+	flags.DurationVar(&o.timeout, "timeout", o.timeout, "time for one call, and for apply -wait")
 }
 
 func (o *options) check() error {
--- a/cmd/sardinereachctl/run.go
+++ b/cmd/sardinereachctl/run.go
@@ -8,7 +8,7 @@
 
 // run executes one command line and returns the exit code.
 func run(arguments []string, streams stdio) int {
-	shared := new(options)
+	shared := defaultOptions()
 	flags := newFlagSet("sardinereachctl")
 	shared.register(flags)
 	if err := flags.Parse(arguments); err != nil {
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -17,6 +17,9 @@
 		Freshness: freshnessOf(snapshot),
 		Warnings:  partialWarnings(snapshot),
 	}
+	if len(explanation.Candidates) == 0 {
+		return answer
+	}
 	for _, name := range explainColumns {
 		answer.Columns = append(answer.Columns, &operatorv1.Column{Name: name})
 	}
--- a/internal/operator/failure.go
+++ b/internal/operator/failure.go
@@ -62,9 +62,9 @@
 
 // headline is the error without the differences.
 func (e *conflictError) headline() string {
-	text := fmt.Sprintf("conflict: service %s is at revision %d", e.service, e.current)
+	text := fmt.Sprintf("conflict: another change came first, and service %s is at revision %d", e.service, e.current)
 	if e.current == 0 {
-		text = fmt.Sprintf("conflict: service %s does not exist", e.service)
+		text = fmt.Sprintf("conflict: another change came first, and service %s does not exist", e.service)
 	}
 	if e.uncertain {
 		text += "; an answer of the store was lost, and this change may have been in force before that revision"
--- a/internal/operator/faults.go
+++ b/internal/operator/faults.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		return "", err
 	}
-	return fmt.Sprintf("request %s is forbidden on all nodes", ask.Fingerprint), nil
+	return fmt.Sprintf("request %s is forbidden; each node refuses it as soon as it learns of it", ask.Fingerprint), nil
 }
 
 func (s *Server) release(ctx context.Context, ask *statement.Release) (string, error) {
--- a/internal/statement/danger.go
+++ b/internal/statement/danger.go
@@ -30,5 +30,5 @@
 	if from == nil || len(from.Routes) == 0 {
 		return nil
 	}
-	return []string{fmt.Sprintf("the service %s is removed with %d routes, whose requests are refused from then on", from.Name, len(from.Routes))}
+	return []string{fmt.Sprintf("the removal of service %s with its routes (%d) refuses their requests from then on", from.Name, len(from.Routes))}
 }
