Compare evidence with the same period and add detectbench

Ruled out: leaving out the worst quarter of the peers (hides a common trouble); a longer wait before the comparison (delays every detection).

--- /dev/null
+++ b/cmd/detectbench/event.go
@@ -0,0 +1,49 @@
+package main
+
+import "time"
+
+// eventKind says what happens at an event.
+type eventKind uint8
+
+const (
+	arrival eventKind = iota
+	completion
+	exchange
+	answer
+	ask
+	watch
+	probing
+)
+
+// event is one point of a trace.
+type event struct {
+	at     time.Duration
+	serial uint64
+	kind   eventKind
+	target int
+	run    *run
+	sight  *sight
+}
+
+// queue is a heap of events in order of time and then of creation.
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].serial < q[j].serial
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) { *q = append(*q, x.(event)) }
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/cmd/detectbench/main.go
@@ -0,0 +1,44 @@
+// Command detectbench measures the detection of failing targets on generated traces: how many requests and seconds a
+// failing target takes to be suspected, and how often a healthy one is. It drives the decision core alone.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/detect"
+)
+
+func main() {
+	var p plan
+	flag.Uint64Var(&p.seed, "seed", 1, "seed of the traces")
+	flag.IntVar(&p.runs, "runs", 200, "traces of each fault")
+	flag.DurationVar(&p.length, "length", time.Hour, "length of a trace without fault")
+	flag.IntVar(&p.workers, "workers", 2, "traces that run at a time")
+	flag.StringVar(&p.filter, "filter", "", "measure only scenarios whose name contains this")
+	explain := flag.Bool("explain", false, "print each suspicion to the standard error output")
+	flag.Parse()
+	if *explain {
+		p.explain = func(line string) { fmt.Fprintln(os.Stderr, line) }
+	}
+	if err := run1(p); err != nil {
+		fmt.Fprintln(os.Stderr, "detectbench:", err)
+		os.Exit(1)
+	}
+}
+
+func run1(p plan) error {
+	huon := declaration.Policy{Preset: declaration.PresetHuon}
+	dala := declaration.Policy{Preset: declaration.PresetDala}
+	methods := []method{
+		sequentialTest("huon", huon),
+		sequentialTest("dala", dala),
+		consecutiveFailures(),
+		successRateAgainstMean(),
+	}
+	rates := []float64{detect.ParametersOf(huon).FalseAlarmRate, detect.ParametersOf(dala).FalseAlarmRate, 0, 0}
+	return p.table(os.Stdout, methods, rates)
+}
--- a/internal/detect/advance.go
+++ b/internal/detect/advance.go
@@ -8,18 +8,18 @@
 		d.phase = Trial
 		d.trial.begin()
 	}
-	if d.phase == Healthy && d.waiting && now-d.crossed >= patience {
-		d.suspect(now)
+	if d.phase == Healthy && d.claim != nil && now-d.claim.at >= patience {
+		_, at := d.claim.score(d.threshold)
+		d.suspect(now, at)
 	}
 	if d.phase == Healthy {
 		d.hold.decay(now)
 	}
 }
 
-// suspect starts the hold-down.
-func (d *Detector) suspect(now time.Duration) {
-	_, at := d.score()
-	d.trial.cause = at
+// suspect starts the hold-down. The cause is the index of the hypothesis that fits.
+func (d *Detector) suspect(now time.Duration, cause int) {
+	d.trial.cause = cause
 	d.hold.begin(now)
 	d.clear(now, 0)
 	d.phase = Suspect
@@ -38,8 +38,9 @@
 	state := State{Phase: d.phase, Level: d.hold.level}
 	switch d.phase {
 	case Healthy:
-		best, at := d.score()
+		best, at := d.score(d.threshold)
 		state.Score = best / d.threshold
+		state.Waiting = d.claim != nil
 		if best > 0 {
 			state.Hypothesis = bank[at].name
 		}
--- a/internal/detect/baseline.go
+++ b/internal/detect/baseline.go
@@ -16,36 +16,35 @@
 	d.advance(now)
 	others := peers.others(self)
 	d.peerUsual = usualTimes(others)
-	long := d.longShares(others)
-	d.adopt(long)
+	against := d.comparison(others)
+	d.adopt(against.long.worse(against.recent))
 	if d.phase != Healthy {
 		return
 	}
-	for i := range d.excursions {
-		d.compare(now, i, others, long)
+	d.compare(now, against)
+	if d.claim != nil && peers.asOf >= d.claim.at {
+		d.decide(now, against)
 	}
-	d.probes.compare(pool(others, d.probes.start))
 	d.check(now)
-	if d.waiting && peers.asOf >= d.crossed {
-		d.suspect(now)
-	}
 }
 
-// longShares returns the shares of the other targets over the long window.
-func (d *Detector) longShares(others []*peer) Shares {
-	var sum tally
-	for _, one := range others {
-		sum = sum.plus(one.long)
+// decide ends the wait of a claim.
+func (d *Detector) decide(now time.Duration, against comparison) {
+	d.claim.compare(now, against)
+	best, at := d.claim.score(d.threshold)
+	d.claim = nil
+	if best >= d.threshold {
+		d.suspect(now, at)
 	}
-	return estimate(leastShares, sum.work)
 }
 
-// compare computes one sum again with the shares of the period since it started.
-func (d *Detector) compare(now time.Duration, i int, others []*peer, long Shares) {
-	e := &d.excursions[i]
-	if e.score <= 0 {
-		return
+// comparison prepares the comparison with the other targets.
+func (d *Detector) comparison(others []*peer) comparison {
+	long := DefaultShares().after(pool(others, func(p *peer) Counts { return p.long.work }), priorWeight)
+	return comparison{
+		others:      others,
+		long:        long,
+		recent:      long.after(pool(others, (*peer).lately), sameWeight),
+		failureRate: d.parameters.FailureRate,
 	}
-	same := estimate(long, pool(others, e.start).work)
-	e.rescore(now, bank[i].against(same, d.parameters.FailureRate))
 }
--- a/internal/detect/compare.go
+++ b/internal/detect/compare.go
@@ -1,7 +1,6 @@
 package detect
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -9,9 +8,13 @@
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
-// trimmedShare is the share of the peers, the worst ones, that is left out of a comparison, so that one failing target
-// does not hide another.
-const trimmedShare = 0.25
+// outlierFactor bounds the weight of a single target in a comparison, so that one failing target does not hide another.
+// It is above the difference between targets that share a trouble.
+const outlierFactor = 2
+
+// outlierCount is the number of outcomes of a class that always count, because the first outcomes of a trouble that all
+// targets share come to less than half of the targets.
+const outlierCount = 2
 
 // others returns the peers of a target that are not suspected.
 func (p *Peers) others(self model.TargetID) []*peer {
@@ -24,24 +27,57 @@
 	return others
 }
 
-// pool returns what the other targets saw since start, without the worst ones.
-func pool(others []*peer, start time.Duration) tally {
-	seen := make([]tally, len(others))
-	for i, one := range others {
-		seen[i] = one.seen(start)
+// pool adds up what the other targets saw. In each class, a target counts for at most outlierFactor times the median
+// share.
+func pool(others []*peer, seen func(*peer) Counts) Counts {
+	all := make([]Counts, 0, len(others))
+	for _, one := range others {
+		if counts := seen(one); counts.Total() > 0 {
+			all = append(all, counts)
+		}
 	}
-	slices.SortStableFunc(seen, compareBad)
-	keep := len(seen) - int(trimmedShare*float64(len(seen)))
-	var sum tally
-	for _, one := range seen[:keep] {
-		sum = sum.plus(one)
+	var sum Counts
+	for class := Slow; class < classes; class++ {
+		limit := outlierFactor * medianShare(all, class)
+		for _, counts := range all {
+			total := counts.Total()
+			share := min(counts[class]/total, max(limit, leastShares[class], outlierCount/total))
+			sum[class] += share * total
+			sum[Prompt] -= share * total
+		}
+	}
+	for _, counts := range all {
+		sum[Prompt] += counts.Total()
 	}
+	sum[Prompt] = max(0, sum[Prompt])
 	return sum
 }
 
-// compareBad orders tallies by their share of bad outcomes.
-func compareBad(a, b tally) int {
-	return cmp.Compare(a.work.bad()/(a.work.Total()+1), b.work.bad()/(b.work.Total()+1))
+// medianShare returns the median of the targets' shares of a class; the greater one of two.
+func medianShare(all []Counts, class Class) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	shares := make([]float64, len(all))
+	for i, counts := range all {
+		shares[i] = counts[class] / counts.Total()
+	}
+	slices.Sort(shares)
+	return shares[len(shares)/2]
+}
+
+// sinceStart returns what a peer saw since a time, with its requests in flight that do not progress.
+func sinceStart(start time.Duration) func(*peer) Counts {
+	return func(p *peer) Counts { return p.seen(start).work.Plus(p.last.Pending) }
+}
+
+// probesSince adds up the probes of the other targets since a time.
+func probesSince(others []*peer, start time.Duration) tally {
+	var sum tally
+	for _, one := range others {
+		sum = sum.plus(one.seen(start))
+	}
+	return sum
 }
 
 // usualTimes returns, for each route, the median of the other targets' usual time to the first byte.
--- a/internal/detect/detector.go
+++ b/internal/detect/detector.go
@@ -13,27 +13,23 @@
 	threshold  float64
 	healthy    Shares
 	ratios     [hypotheses]ratios
-	excursions [hypotheses]excursion
-	probes     probeEvidence
-	// pending holds the requests in flight that were stalled or silent at the last call of Silence.
-	pending Counts
-	counts  Counts
-	usual   map[Route]*usual
+	evidence
+	counts Counts
+	recent Counts
+	usual  map[Route]*usual
 	// peerUsual holds the other targets' usual times.
 	peerUsual map[Route]time.Duration
-	// crossed is the time at which the evidence first passed the threshold, valid if waiting is set.
-	crossed time.Duration
-	waiting bool
-	hold    holdDown
-	phase   Phase
-	trial   trial
+	// claim is the evidence that passed the threshold and waits for Baseline, nil if there is none.
+	claim *claim
+	hold  holdDown
+	phase Phase
+	trial trial
 }
 
 // New returns the detector of a target that is held to be healthy.
 func New(policy declaration.Policy, now time.Duration) *Detector {
-	d := &Detector{usual: make(map[Route]*usual), hold: holdDown{returned: now}}
+	d := &Detector{healthy: DefaultShares(), usual: make(map[Route]*usual), hold: holdDown{returned: now}}
 	d.SetPolicy(policy)
-	d.adopt(DefaultShares())
 	d.clear(now, 0)
 	return d
 }
@@ -44,6 +40,7 @@
 	d.threshold = d.parameters.threshold()
 	d.hold.base = d.parameters.HoldDown
 	d.trial.ratios = d.trialRatios()
+	d.adopt(d.healthy)
 }
 
 // adopt takes healthy shares for the outcomes that follow.
@@ -60,6 +57,8 @@
 		d.excursions[i].restart(now, head*d.threshold)
 	}
 	d.probes = probeEvidence{total: d.probes.total, failures: d.probes.failures, start: now}
-	d.pending = Counts{}
-	d.waiting = false
+	d.pending = nil
+	d.withPending = [hypotheses]float64{}
+	d.history = history{}
+	d.claim = nil
 }
--- a/internal/detect/hypothesis.go
+++ b/internal/detect/hypothesis.go
@@ -21,7 +21,7 @@
 	{name: "errors", spoilt: Shares{Failed: 1}},
 	{name: "dead", rate: nearlyAll, spoilt: Shares{Failed: 1}},
 	{name: "silent", rate: nearlyAll, spoilt: Shares{Stalled: 0.2, Silent: 0.7, Failed: 0.1}},
-	{name: "often slow", spoilt: Shares{Slow: 0.3, Stalled: 0.5, Silent: 0.2}},
+	{name: "often slow", spoilt: Shares{Slow: 0.1, Stalled: 0.6, Silent: 0.3}},
 	{name: "always slow", rate: nearlyAll, spoilt: Shares{Slow: 0.4, Stalled: 0.45, Silent: 0.15}},
 }
 
--- a/internal/detect/latency.go
+++ b/internal/detect/latency.go
@@ -17,8 +17,8 @@
 	idleSilent  = 15 * time.Second
 )
 
-// judge returns the class of a time to the first byte. A usual time of 0 means that there is nothing to compare with.
-func judge(firstByte, usual time.Duration) Class {
+// ClassOf returns the class of a time to the first byte. A usual time of 0 means that there is nothing to compare with.
+func ClassOf(firstByte, usual time.Duration) Class {
 	if usual <= 0 || firstByte-usual < minimumSlow {
 		return Prompt
 	}
@@ -41,7 +41,7 @@
 	if request.Idle >= idleSilent {
 		return Silent
 	}
-	class := judge(request.Waiting, usual)
+	class := ClassOf(request.Waiting, usual)
 	if request.Idle >= idleStalled {
 		class = max(class, Stalled)
 	}
--- a/internal/detect/observe.go
+++ b/internal/detect/observe.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// recentDecay is the factor on the weight of an outcome for each later one; about the last 8 count.
+const recentDecay = 1 - 1.0/8
+
 // Observe takes in the end of a request.
 func (d *Detector) Observe(now time.Duration, outcome Outcome) {
 	if outcome.Trial {
@@ -16,6 +19,8 @@
 	}
 	d.learnUsual(outcome)
 	d.counts[class]++
+	d.recent = d.recent.Times(recentDecay)
+	d.recent[class]++
 	d.advance(now)
 	switch d.phase {
 	case Healthy:
@@ -30,7 +35,7 @@
 	if outcome.Failed {
 		return Failed, true
 	}
-	class := judge(outcome.FirstByte, d.peerUsual[outcome.Route])
+	class := ClassOf(outcome.FirstByte, d.peerUsual[outcome.Route])
 	if outcome.Warming && (class == Slow || class == Stalled) {
 		return class, false
 	}
@@ -61,5 +66,9 @@
 	for i := range d.excursions {
 		d.excursions[i].add(now, class, d.ratios[i])
 	}
+	d.history.add(now, class)
+	if d.pending != nil {
+		d.weighPending(d.weights)
+	}
 	d.check(now)
 }
--- a/internal/detect/peer.go
+++ b/internal/detect/peer.go
@@ -75,12 +75,14 @@
 	return sum, oldest <= start
 }
 
-// seen returns what the peer saw since start, or in the long window if start is too old, with its requests in flight.
+// seen returns what the peer saw since start, or in the long window if start is too old.
 func (p *peer) seen(start time.Duration) tally {
 	sum, complete := p.after(start)
 	if !complete {
 		sum = p.long
 	}
-	sum.work = sum.work.Plus(p.last.Pending)
 	return sum
 }
+
+// lately returns the peer's last outcomes with its requests in flight that do not progress.
+func (p *peer) lately() Counts { return p.last.Recent.Plus(p.last.Pending) }
--- a/internal/detect/peers.go
+++ b/internal/detect/peers.go
@@ -25,8 +25,11 @@
 func NewPeers() *Peers { return &Peers{targets: make(map[model.TargetID]*peer)} }
 
 // Update takes over the newest report of every target of the service; targets without one are forgotten. The reports
-// cover all that happened until asOf, on the node's own clock.
+// cover all that happened until asOf, on the node's own clock. Reports that are older than the known ones are ignored.
 func (p *Peers) Update(asOf time.Duration, reports []Report) {
+	if p.updated && asOf < p.asOf {
+		return
+	}
 	decay := 0.0
 	if p.updated {
 		decay = math.Exp(-(asOf - p.asOf).Seconds() / longWindow.Seconds())
--- a/internal/detect/report.go
+++ b/internal/detect/report.go
@@ -12,6 +12,9 @@
 	// Counts holds the outcomes since the detector started. It only grows; a smaller total means that the detector
 	// started again.
 	Counts Counts `json:"counts"`
+	// Recent holds the last outcomes with weights that fall by recentDecay for each later one. It shows a trouble of the
+	// whole service at its first requests, which are few among those since the last report.
+	Recent Counts `json:"recent"`
 	// Pending holds the requests in flight that are stalled or silent now.
 	Pending Counts `json:"pending"`
 	// Probes and ProbeFailures count probes since the detector started.
--- a/internal/detect/score.go
+++ b/internal/detect/score.go
@@ -2,38 +2,14 @@
 
 import "time"
 
-// score returns the greatest sum, with the requests in flight and the probes, and the hypothesis that has it.
-func (d *Detector) score() (float64, int) {
-	best, at := 0.0, 0
-	for i := range d.excursions {
-		sum := d.scoreOf(i)
-		if sum > best {
-			best, at = sum, i
-		}
-	}
-	return best, at
-}
-
-// scoreOf returns the sum of one hypothesis.
-func (d *Detector) scoreOf(i int) float64 {
-	sum := d.excursions[i].score + d.ratios[i].of(d.pending)
-	if bank[i].rate == nearlyAll {
-		sum += d.probes.score(d.threshold)
-	}
-	return sum
-}
-
 // check notes when the evidence passes the threshold. The target is suspected only after Baseline has compared the
 // evidence with what the other targets saw in the same period.
 func (d *Detector) check(now time.Duration) {
-	best, _ := d.score()
-	if best < d.threshold {
-		d.waiting = false
+	if d.claim != nil {
 		return
 	}
-	if !d.waiting {
-		d.waiting = true
-		d.crossed = now
+	if best, _ := d.score(d.threshold); best >= d.threshold {
+		d.claim = &claim{evidence: d.evidence, at: now}
 	}
 }
 
@@ -41,14 +17,13 @@
 // stay in flight without progress; each call replaces the one before.
 func (d *Detector) Silence(now time.Duration, inFlight ...InFlight) {
 	d.advance(now)
-	d.pending = Counts{}
-	for _, request := range inFlight {
-		class := judgeInFlight(request, d.peerUsual[request.Route])
-		if class == Silent || (class == Stalled && !request.Warming) {
-			d.pending[class]++
-		}
-	}
-	if d.phase == Healthy {
-		d.check(now)
+	d.pending = d.pendingAmong(now, inFlight)
+	if d.phase != Healthy {
+		return
 	}
+	d.weighPending(d.weights)
+	d.check(now)
 }
+
+// weights returns the ratios that are in force.
+func (d *Detector) weights(_ time.Duration, hypothesis int) ratios { return d.ratios[hypothesis] }
--- a/internal/detect/share.go
+++ b/internal/detect/share.go
@@ -16,7 +16,8 @@
 	return Report{
 		Target:        target,
 		Counts:        d.counts,
-		Pending:       d.pending,
+		Recent:        d.recent,
+		Pending:       d.pendingCounts(),
 		Probes:        d.probes.total,
 		ProbeFailures: d.probes.failures,
 		FirstByte:     d.usualTimes(),
--- a/internal/detect/state.go
+++ b/internal/detect/state.go
@@ -5,9 +5,11 @@
 // State is the detector's judgement at one time.
 type State struct {
 	Phase Phase
-	// Score is the greatest cumulative sum, as a share of the threshold. 1 or more with Phase Healthy means that the
-	// evidence waits for what the other targets saw in the same period.
+	// Score is the greatest cumulative sum, as a share of the threshold.
 	Score float64
+	// Waiting means that the evidence has passed the threshold and waits for news from the other targets. The node
+	// should ask their nodes for reports at once.
+	Waiting bool
 	// Hypothesis names the way of failing that fits best, empty without evidence.
 	Hypothesis string
 	// HoldUntil is the time of the first trial in Phase Suspect, 0 otherwise.
--- a/internal/detect/usual.go
+++ b/internal/detect/usual.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// usualWeight is the weight of one answer in the usual time to the first byte: about the last 32 answers count.
-	usualWeight = 1.0 / 32
+	// usualWeight is the weight of one answer in the usual time to the first byte: about the last 8 answers count, so
+	// that a slow shared dependency soon becomes the usual. A failing target is compared with its peers' usual times.
+	usualWeight = 1.0 / 8
 	// usualStep bounds the effect of one answer, in natural logarithms, so that a few outliers change little.
 	usualStep = 1.0
 	// maxRoutes bounds the routes of one detector; further routes are not judged by latency.
