--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -9,7 +9,8 @@
 // bulkReserve is the number of queue places that bulk requests leave to interactive ones.
 const bulkReserve = 1
 
-// Admit decides on one attempt. A refusal is final for the attempt ID.
+// Admit decides on one attempt. A refusal is final for the attempt ID. IDs come from model.NewAttemptID: one of another
+// form has no watermark, so that nothing is known of it once its record was dropped.
 func (p *Point) Admit(now time.Duration, r Request) Decision {
 	now = p.advance(now)
 	if known := p.records[r.Attempt]; known != nil {
