--- a/cmd/sardinereachd/main.go
+++ b/cmd/sardinereachd/main.go
@@ -2,8 +2,8 @@
 //
 // Usage:
 //
-//	sardinereachd -settings FILE
-//	sardinereachd -settings FILE -check
+//	sardinereachd -config FILE
+//	sardinereachd -config FILE -check
 //
 // It exits with 0 after a graceful shutdown, with 1 after a failure, and with 2 if the settings are not valid.
 package main
@@ -32,7 +32,7 @@
 
 func main() {
 	klog.InitFlags(nil)
-	config := flag.String("settings", "/etc/sardinereach/sardinereachd.ini", "settings `file`")
+	config := flag.String("config", "/etc/sardinereach/sardinereachd.ini", "settings `file`")
 	check := flag.Bool("check", false, "check the settings and exit")
 	flag.Parse()
 	code := run(*config, *check)
