--- a/internal/once/collect.go
+++ b/internal/once/collect.go
@@ -19,6 +19,9 @@
 // settleCalls is the greatest number of calls that one unsettled write takes: read, swap, read back and swap again.
 const settleCalls = 1 + 2*maxSwaps
 
+// minCollectCalls is the least number of calls with which Collect gets on: one to list and one to delete.
+const minCollectCalls = 2
+
 // Collected counts what a call of Collect did.
 type Collected struct {
 	// Calls is the number of store calls.
@@ -40,11 +43,11 @@
 }
 
 // Collect first writes what an earlier failure of the store has left, then deletes claims whose retention is over. It
-// goes round the services in parts and makes at most the given number of store calls, rounded up to the end of one
-// claim. One caller at a time collects a service.
+// goes round the services in parts and makes at most the given number of store calls (2 or more), rounded up to the end
+// of one claim. One caller at a time collects a service.
 func (c *Claims) Collect(ctx context.Context, services []model.ServiceName, calls int) (Collected, error) {
 	counted := &countingStore{Store: c.store}
-	run := &collection{claims: c, store: counted, budget: calls}
+	run := &collection{claims: c, store: counted, budget: max(calls, minCollectCalls)}
 	err := run.settleAll(ctx)
 	for err == nil && len(services) > 0 && run.left() > 0 {
 		if !run.scan(ctx, services, &err) {
