Prove the retry decision

Cause: a retry of a request that may have run breaks at-most-once, and one outside the budget adds to an overload.

Change: a rapid test of Decide over all inputs (5,000 draws, fixed seed), a table of all reasons, tests of budget and backoff.

--- /dev/null
+++ b/internal/retry/main_test.go
@@ -0,0 +1,17 @@
+package retry
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed and the size of the random tests, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "5000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,152 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/verdict"
+)
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// drawInput draws any request whose attempt has just ended.
+func drawInput(t *rapid.T) Input {
+	in := Input{
+		Class:         rapid.SampledFrom([]declaration.Class{declaration.Idempotent, declaration.NonIdempotent, ""}).Draw(t, "class"),
+		Attempt:       rapid.IntRange(1, 4).Draw(t, "attempt"),
+		Hops:          rapid.IntRange(0, 5).Draw(t, "hops"),
+		Untried:       rapid.IntRange(0, 2).Draw(t, "untried"),
+		RetryAfter:    time.Duration(rapid.IntRange(0, 2000).Draw(t, "retry after")) * time.Millisecond,
+		Remaining:     time.Duration(rapid.IntRange(-10, 5000).Draw(t, "remaining")) * time.Millisecond,
+		RetryStatuses: []int{503},
+	}
+	if rapid.Bool().Draw(t, "answered") {
+		in.Status = rapid.SampledFrom([]int{200, 500, 503}).Draw(t, "status")
+		return in
+	}
+	in.Err = &verdict.Error{
+		Verdict:    rapid.SampledFrom([]verdict.Verdict{verdict.NotRun, verdict.MayHaveRun, verdict.Unknown}).Draw(t, "verdict"),
+		Reason:     rapid.SampledFrom(verdict.Reasons()).Draw(t, "reason"),
+		RetryAfter: time.Duration(rapid.IntRange(0, 2000).Draw(t, "error's retry after")) * time.Millisecond,
+	}
+	return in
+}
+
+// Guards against a non-idempotent request that is sent again after it may have run, a delay below Retry-After or beyond
+// the deadline, too many attempts, hops without bound, and a retry that is not in the budget.
+func TestDecideKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := drawInput(t)
+		budget := NewBudget(BudgetLimits{MinPerSecond: float64(rapid.IntRange(0, 2).Draw(t, "budget"))}, 0)
+		before := budget.Available(0)
+		d := Decide(in, budget, 0, newRandom())
+		spent := before - budget.Available(0)
+		notRun := in.Err != nil && in.Err.Verdict == verdict.NotRun
+		switch {
+		case !d.Retry && spent != 0:
+			t.Fatalf("%+v: %d retries drawn without one", d, spent)
+		case !d.Retry:
+			return
+		case in.Class != declaration.Idempotent && !notRun:
+			t.Fatalf("%+v: a request that may have run is sent again", d)
+		case in.Err == nil && in.Status != 503:
+			t.Fatalf("%+v: an answer with status %d is retried", d, in.Status)
+		case d.After+MinAttemptTime > in.Remaining:
+			t.Fatalf("%+v: the retry comes after the deadline in %v", d, in.Remaining)
+		case d.Hop && (!notRun || in.Hops > MaxHops || d.After != 0 || spent != 0 || in.Untried == 0 && !d.SameTarget):
+			t.Fatalf("%+v: not a hop", d)
+		case !d.Hop && (spent != 1 || in.Attempt >= DefaultMaxAttempts):
+			t.Fatalf("%+v: %d retries drawn after attempt %d", d, spent, in.Attempt)
+		case !d.Hop && d.After < in.RetryAfter, !d.Hop && in.Err != nil && d.After < in.Err.RetryAfter:
+			t.Fatalf("%+v: the delay is shorter than Retry-After", d)
+		}
+	})
+}
+
+// Guards against a reason that is treated as the wrong kind of failure.
+func TestDecideByReason(t *testing.T) {
+	hops := map[verdict.Reason]bool{
+		verdict.SlotsFull: true, verdict.QueueDeadline: true, verdict.TargetDraining: true, verdict.TargetStarting: true,
+		verdict.TargetUnknown: true, verdict.AttemptFenced: true, verdict.AdmitExpired: true, verdict.WrongIncarnation: true,
+		verdict.NodeStopping: true,
+	}
+	retries := map[verdict.Reason]bool{
+		verdict.UpstreamShed: true, verdict.UpstreamUnreachable: true, verdict.NodeUnreachable: true, verdict.NoTarget: true,
+		verdict.UpstreamLost: true, verdict.UpstreamTimeout: true, verdict.NodeLost: true, verdict.AnswerIncomplete: true,
+		verdict.AnswerDropped: true, verdict.AttemptDuplicate: true,
+	}
+	for _, reason := range verdict.Reasons() {
+		in := Input{
+			Class: declaration.Idempotent, Attempt: 1, Hops: 1, Untried: 1, Remaining: time.Minute, Err: verdict.Refused(reason, nil),
+		}
+		d := Decide(in, NewBudget(DefaultBudgetLimits(), 0), 0, newRandom())
+		if d.Hop != hops[reason] || d.Retry != (hops[reason] || retries[reason]) || d.Reason != reason {
+			t.Errorf("%s: %+v, want hop %v, retry %v", reason, d, hops[reason], retries[reason])
+		}
+	}
+}
+
+// Guards against a budget that multiplies an overload, that starves a quiet service, or that saves up without bound.
+func TestBudgetIsAShareAndAMinimum(t *testing.T) {
+	take := func(b *Budget, now time.Duration) (taken int) {
+		for b.Take(now) {
+			taken++
+		}
+		return taken
+	}
+	b := NewBudget(DefaultBudgetLimits(), 0)
+	if got := take(b, 0); got != 3 {
+		t.Errorf("at the start: %d retries, want 3", got)
+	}
+	var total int
+	for ms := range 10_000 {
+		now := time.Duration(ms) * time.Millisecond
+		b.Request(now)
+		total += take(b, now)
+	}
+	if total < 1_020 || total > 1_035 {
+		t.Errorf("10,000 requests in 10 s: %d retries, want 10%% and 3 a second", total)
+	}
+	if got := take(b, time.Hour); got != 3 {
+		t.Errorf("after an hour without requests: %d retries, want 3", got)
+	}
+	for range 10_000 {
+		b.Request(time.Hour)
+	}
+	if got := take(b, time.Hour); got != defaultBurst {
+		t.Errorf("after 10,000 requests without a retry: %d retries, want %d", got, defaultBurst)
+	}
+	b.SetMinimum(time.Hour, 0.5)
+	if got := take(b, time.Hour+4*time.Second); got != 1 {
+		t.Errorf("4 s with a minimum of 0.5/s: %d retries, want the burst of 1", got)
+	}
+	b.Available(time.Hour + 8*time.Second)
+	if got := take(b, time.Minute); got != 1 {
+		t.Errorf("with an earlier time: %d retries, want the 1 saved up", got)
+	}
+}
+
+// Guards against callers that return together after the same failure or the same Retry-After.
+func TestBackoffSpreadsOverItsWholeRange(t *testing.T) {
+	rng := newRandom()
+	const samples, parts = 10_000, 10
+	for attempt, bound := range map[int]time.Duration{1: BaseDelay, 3: 4 * BaseDelay, 60: MaxDelay} {
+		var counts [parts]int
+		for range samples {
+			delay := Backoff(attempt, time.Second, rng) - time.Second
+			if delay < 0 || delay >= bound {
+				t.Fatalf("attempt %d: jitter of %v, want 0 to %v", attempt, delay, bound)
+			}
+			counts[delay*parts/bound]++
+		}
+		for part, count := range counts {
+			if count < samples/parts*8/10 || count > samples/parts*12/10 {
+				t.Errorf("attempt %d: %d of %d delays in part %d of %d", attempt, count, samples, part, parts)
+			}
+		}
+	}
+}
