Go to the next target at once when no connection could be opened

Cause: after the kill of an upstream under traffic, every request that picked it used a retry from the budget, and the budget was spent within a second: refusals upstream_unreachable although another target was free. Ruled out: a larger budget, which would also feed retries of work that ran. Change: a connection that could not be opened costs no work and counts as a refusal by the admission point; an upstream whose address refuses connections is missing until it announces itself again.

--- a/internal/node/judge.go
+++ b/internal/node/judge.go
@@ -23,7 +23,9 @@
 
 	mu        sync.Mutex
 	detectors map[model.TargetID]*detector
-	peers     map[model.ServiceName]*detect.Peers
+	// refused are the targets whose address has refused a connection since the last announcement.
+	refused map[model.TargetID]bool
+	peers   map[model.ServiceName]*detect.Peers
 }
 
 // detector is the detector of one target with what the node tells the fleet about it.
@@ -38,6 +40,7 @@
 	return &judge{
 		node:      n,
 		detectors: make(map[model.TargetID]*detector),
+		refused:   make(map[model.TargetID]bool),
 		peers:     make(map[model.ServiceName]*detect.Peers),
 	}
 }
@@ -46,6 +49,11 @@
 func (j *judge) observe(o observation) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if o.result.Refused && !j.refused[o.target] {
+		// The upstream's process is gone. That is a fact and needs no test; the next announcement ends it.
+		j.refused[o.target] = true
+		j.node.control.wake()
+	}
 	d := j.detectors[o.target]
 	if d == nil {
 		return
@@ -63,6 +71,13 @@
 	}
 }
 
+// announced notes that the upstream lives.
+func (j *judge) announced(target model.TargetID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.refused, target)
+}
+
 // failed reports whether the outcome counts against the target.
 func (j *judge) failed(o observation) bool {
 	switch o.result.Outcome {
@@ -125,6 +140,7 @@
 	for i := range targets {
 		t := &targets[i]
 		present[t.ID] = true
+		t.Missing = t.Missing || j.refused[t.ID]
 		d := j.detectorOf(now, t)
 		d.Silence(now, j.node.admitter.progress(t.ID)...)
 		d.Baseline(now, t.ID, j.peers[t.Service])
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -249,6 +249,7 @@
 		n.log.Emit(events.AnnounceRefused, events.AddressField(a.Address), events.CauseField(err))
 		return err
 	}
+	n.control.judge.announced(a.Target)
 	n.control.wake()
 	return nil
 }
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -94,11 +94,13 @@
 	return in.Err.Reason == verdict.AdmitExpired || in.Err.Reason == verdict.WrongIncarnation
 }
 
-// isAdmissionRefusal reports whether an admission point gives the reason. Such a refusal costs a message and no work.
+// isAdmissionRefusal reports whether the request went no further than an admission point, or a connection that could not
+// be opened. Such a refusal costs a message and no work.
 func isAdmissionRefusal(reason verdict.Reason) bool {
 	switch reason {
-	case verdict.SlotsFull, verdict.QueueDeadline, verdict.TargetDraining, verdict.TargetStarting, verdict.TargetOnTrial, verdict.TargetUnknown,
-		verdict.AttemptFenced, verdict.AdmitExpired, verdict.WrongIncarnation, verdict.NodeStopping:
+	case verdict.SlotsFull, verdict.QueueDeadline, verdict.TargetDraining, verdict.TargetStarting, verdict.TargetOnTrial,
+		verdict.TargetUnknown, verdict.AttemptFenced, verdict.AdmitExpired, verdict.WrongIncarnation, verdict.NodeStopping,
+		verdict.UpstreamUnreachable, verdict.NodeUnreachable:
 		return true
 	}
 	return false
@@ -107,7 +109,7 @@
 // isTransient reports whether the failure may be different at another target or a little later.
 func isTransient(reason verdict.Reason) bool {
 	switch reason {
-	case verdict.UpstreamShed, verdict.UpstreamUnreachable, verdict.NodeUnreachable, verdict.NoTarget,
+	case verdict.UpstreamShed, verdict.NoTarget,
 		verdict.UpstreamLost, verdict.UpstreamTimeout, verdict.NodeLost, verdict.AnswerIncomplete, verdict.AnswerDropped,
 		verdict.AttemptDuplicate:
 		return true
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -132,6 +133,7 @@
 	switch {
 	case !state.got && ctx.Err() == nil:
 		result.Outcome = Unreachable
+		result.Refused = errors.Is(err, syscall.ECONNREFUSED)
 	case !state.got:
 		result.Outcome = Unreachable
 		result.Err = ctx.Err()
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -46,6 +46,8 @@
 	Bytes     int64
 	// Reused means that the request went over a connection that had carried others.
 	Reused bool
+	// Refused means that the upstream's address refused the connection: nothing listens there.
+	Refused bool
 	Err    error
 }
 
