Expect a hop after a connection that could not be opened

The table of TestDecideByReason listed upstream_unreachable and node_unreachable as retries from the budget. They cost no work, so that the table now lists them, and the new target_on_trial, as hops. It stays exhaustive over all reasons.

--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -72,10 +72,11 @@
 	hops := map[verdict.Reason]bool{
 		verdict.SlotsFull: true, verdict.QueueDeadline: true, verdict.TargetDraining: true, verdict.TargetStarting: true,
 		verdict.TargetUnknown: true, verdict.AttemptFenced: true, verdict.AdmitExpired: true, verdict.WrongIncarnation: true,
-		verdict.NodeStopping: true,
+		verdict.NodeStopping: true, verdict.TargetOnTrial: true, verdict.UpstreamUnreachable: true,
+		verdict.NodeUnreachable: true,
 	}
 	retries := map[verdict.Reason]bool{
-		verdict.UpstreamShed: true, verdict.UpstreamUnreachable: true, verdict.NodeUnreachable: true, verdict.NoTarget: true,
+		verdict.UpstreamShed: true, verdict.NoTarget: true,
 		verdict.UpstreamLost: true, verdict.UpstreamTimeout: true, verdict.NodeLost: true, verdict.AnswerIncomplete: true,
 		verdict.AnswerDropped: true, verdict.AttemptDuplicate: true,
 	}
