--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -26,7 +26,7 @@
 	// observe is told the end of each attempt that was admitted.
 	observe func(observation)
 	// mayTry rules on attempts at targets on trial.
-	mayTry func(target model.TargetID, idempotent bool) trialRuling
+	mayTry  func(target model.TargetID, idempotent bool) trialRuling
 	crashes *crashes
 
 	mu      sync.Mutex
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -214,7 +214,9 @@
 		upstreams: n.httpServer(upstream.AnnounceHandler(n.announced)),
 	}
 	// The address is known only now if the settings leave the port to the system.
-	group.Go(func() error { return serveHTTP(s.callers, newLimitListener(l.callers, n.settings.Limits.MaxConnections)) })
+	group.Go(func() error {
+		return serveHTTP(s.callers, newLimitListener(l.callers, n.settings.Limits.MaxConnections))
+	})
 	group.Go(func() error { return serveHTTP(s.operators, l.operators) })
 	group.Go(func() error { return serveHTTP(s.upstreams, l.upstreams) })
 	server := peer.NewServer(&handler{node: n}, int(n.settings.Limits.MaxBodyBytes), peer.Options{})
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -48,7 +48,7 @@
 	Reused bool
 	// Refused means that the upstream's address refused the connection: nothing listens there.
 	Refused bool
-	Err    error
+	Err     error
 }
 
 // shed reports whether the upstream declared that it did not run the request.
