Reuse connections between nodes, and send small answers in one write

Cause: drpc closes the transport when a call's context ends before both sides have ended the call, so that every request took a dial and a Hello. A second fault of the same kind lost the confirmation of non-idempotent answers: the caller's context ended first. Ruled out: soft cancel, which does not help a call that was left without an end. Change: the client ends its side with the request, or, for a non-idempotent attempt, as confirmation after the answer, on a context of its own; frames are flushed together.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -7,6 +7,7 @@
 
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
@@ -26,8 +27,14 @@
 	return &conn{address: address, rpc: rpc, client: peerv1.NewDRPCPeerClient(rpc), lastUsed: time.Now()}
 }
 
+// managerOptions are the same on both sides. Messages are flushed by hand, so that the frames of a small request or answer
+// leave in one write.
 func managerOptions() drpcmanager.Options {
-	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
+	return drpcmanager.Options{
+		WriterBufferSize: writerBufferBytes,
+		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		Stream:           drpcstream.Options{ManualFlush: true},
+	}
 }
 
 // isOpen reports whether the connection was not closed, as far as this side knows.
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -43,29 +43,40 @@
 		return nil, &ForwardError{Cause: err}
 	}
 	stampAdmission(head, session)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	// The stream outlives the request by the confirmation of its answer.
+	caller := ctx
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
+	detach := context.AfterFunc(caller, func() { cancel(caller.Err()) })
+	defer detach()
 	stream, err := open(ctx, k)
 	if err != nil {
+		cancel(nil)
 		k.close()
 		return nil, &ForwardError{Cause: err}
 	}
 	x := &exchange{stream: stream, sink: sink, watchdog: newWatchdog(c.opts.Silence, cancel)}
-	defer x.watchdog.stop()
 	trailer, err := x.run(head, body)
 	if err != nil {
+		silent := context.Cause(ctx) == errSilent
+		cancel(nil)
 		k.close()
 		return nil, &ForwardError{
-			Sent: true, HeadSeen: x.headSeen, Silent: context.Cause(ctx) == errSilent,
+			Sent: true, HeadSeen: x.headSeen, Silent: silent,
 			Incarnation: session.Incarnation, AdmitBefore: time.Duration(head.AdmitBeforeMs) * time.Millisecond,
 			Cause: err,
 		}
 	}
 	if head.Idempotent {
 		c.release(key, k, stream)
-	} else {
-		go c.confirm(key, k, stream)
+		cancel(nil)
+		return trailer, nil
 	}
+	go func() {
+		defer cancel(nil)
+		x.watchdog.start()
+		defer x.watchdog.stop()
+		c.confirm(key, k, stream)
+	}()
 	return trailer, nil
 }
 
@@ -139,6 +150,13 @@
 	if err := x.send(head, body); err != nil {
 		return nil, err
 	}
+	// The end of the client's side goes out with the request, so that the connection is free right after the answer. For
+	// a non-idempotent attempt it is the confirmation of the answer.
+	if head.Idempotent {
+		if err := x.stream.CloseSend(); err != nil {
+			return nil, err
+		}
+	}
 	for {
 		x.watchdog.start()
 		frame, err := x.stream.Recv()
@@ -146,12 +164,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if frame.Trailer != nil {
-			return frame.Trailer, nil
-		}
 		if err := x.deliver(frame); err != nil {
 			return nil, err
 		}
+		if frame.Trailer != nil {
+			return frame.Trailer, nil
+		}
 	}
 }
 
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -39,6 +39,10 @@
 
 	// maxMessageBytes bounds one message in memory. A held answer and a page of node records fit in.
 	maxMessageBytes = 16 << 20
+	// writerBufferBytes is the size up to which frames are gathered into one write.
+	writerBufferBytes = 16 << 10
+	// flushDelay is how long a frame may wait for others before it is written.
+	flushDelay = 2 * time.Millisecond
 	// bodyChunkBytes is the size of the body pieces in frames.
 	bodyChunkBytes = 64 << 10
 )
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"io"
-	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc"
@@ -67,14 +65,11 @@
 	if err != nil {
 		return err
 	}
-	sink := &streamSink{stream: stream, interval: s.opts.Progress}
-	sink.startProgress()
-	defer sink.stopProgress()
+	sink := newStreamSink(stream, s.opts.Progress)
 	trailer := run(stream.Context(), head, body, sink)
-	if err := sink.send(&peerv1.AnswerFrame{Trailer: trailer}); err != nil {
+	if err := sink.end(&peerv1.AnswerFrame{Trailer: trailer}); err != nil {
 		return err
 	}
-	sink.stopProgress()
 	if !head.Idempotent {
 		s.awaitConfirmation(stream, head.Attempt)
 	}
@@ -116,58 +111,3 @@
 	}
 	return head, body, nil
 }
-
-// streamSink sends an answer to the accepting node, with progress frames while there is nothing else to send.
-type streamSink struct {
-	stream   serverStream
-	interval time.Duration
-
-	mu      sync.Mutex
-	timer   *time.Timer
-	stopped bool
-}
-
-func (s *streamSink) startProgress() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.timer = time.AfterFunc(s.interval, s.progress)
-}
-
-func (s *streamSink) progress() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopped {
-		return
-	}
-	// A failed progress frame needs no handling: the next real frame fails as well, and the context ends.
-	if s.stream.Send(&peerv1.AnswerFrame{}) == nil {
-		s.timer.Reset(s.interval)
-	}
-}
-
-func (s *streamSink) stopProgress() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stopped = true
-	s.timer.Stop()
-}
-
-func (s *streamSink) send(frame *peerv1.AnswerFrame) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	err := s.stream.Send(frame)
-	if !s.stopped {
-		s.timer.Reset(s.interval)
-	}
-	return err
-}
-
-// Head implements Sink.
-func (s *streamSink) Head(head *peerv1.AnswerHead) error {
-	return s.send(&peerv1.AnswerFrame{Head: head})
-}
-
-// Body implements Sink.
-func (s *streamSink) Body(piece []byte) error {
-	return s.send(&peerv1.AnswerFrame{Body: piece})
-}
--- /dev/null
+++ b/internal/peer/stream_sink.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+)
+
+// streamSink sends an answer to the accepting node. Frames are gathered for a short time; while there is nothing to send,
+// progress frames show that the connection lives.
+type streamSink struct {
+	stream   serverStream
+	flusher  flusher
+	interval time.Duration
+
+	mu        sync.Mutex
+	timer     *time.Timer
+	unflushed bool
+	ended     bool
+}
+
+// flusher is implemented by the streams of drpc.
+type flusher interface {
+	RawFlush() error
+}
+
+func newStreamSink(stream serverStream, interval time.Duration) *streamSink {
+	s := &streamSink{stream: stream, flusher: flusherOf(stream), interval: interval}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer = time.AfterFunc(interval, s.tick)
+	return s
+}
+
+// flusherOf returns the stream below the generated one.
+func flusherOf(stream drpc.Stream) flusher {
+	if wrapped, ok := stream.(interface{ GetStream() drpc.Stream }); ok {
+		stream = wrapped.GetStream()
+	}
+	if f, ok := stream.(flusher); ok {
+		return f
+	}
+	return noFlusher{}
+}
+
+// noFlusher stands for a stream that flushes each message on its own.
+type noFlusher struct{}
+
+func (noFlusher) RawFlush() error { return nil }
+
+// tick writes what was gathered, or a progress frame if there is nothing.
+func (s *streamSink) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
+	if !s.unflushed {
+		// A failure needs no handling here: the next frame of the answer fails as well, and the context ends.
+		if s.stream.Send(&peerv1.AnswerFrame{}) != nil {
+			return
+		}
+	}
+	s.unflushed = false
+	if s.flusher.RawFlush() == nil {
+		s.timer.Reset(s.interval)
+	}
+}
+
+func (s *streamSink) send(frame *peerv1.AnswerFrame) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.stream.Send(frame); err != nil {
+		return err
+	}
+	if !s.unflushed {
+		s.unflushed = true
+		s.timer.Reset(flushDelay)
+	}
+	return nil
+}
+
+// end sends the last frame, which leaves with the end of the call.
+func (s *streamSink) end(frame *peerv1.AnswerFrame) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	s.timer.Stop()
+	return s.stream.Send(frame)
+}
+
+// Head implements Sink.
+func (s *streamSink) Head(head *peerv1.AnswerHead) error {
+	return s.send(&peerv1.AnswerFrame{Head: head})
+}
+
+// Body implements Sink.
+func (s *streamSink) Body(piece []byte) error {
+	return s.send(&peerv1.AnswerFrame{Body: piece})
+}
