--- /dev/null
+++ b/internal/events/sink_test.go
@@ -0,0 +1,85 @@
+package events_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// Guards against a severity that klog writes under another letter, or a line that names this package as its origin.
+func TestKlogSink(t *testing.T) {
+	var out bytes.Buffer
+	klog.LogToStderr(false)
+	// klog writes each line to the output of its severity and of all lower ones.
+	klog.SetOutput(io.Discard)
+	klog.SetOutputBySeverity("INFO", &out)
+	defer klog.LogToStderr(true)
+	log := events.New(events.Klog{}, time.Now)
+	log.Emit(events.NodeReady)
+	log.Emit(events.NodeSilent)
+	log.Emit(events.RegionUnreachable)
+	klog.Flush()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 3 {
+		t.Fatalf("%d lines: %q", len(lines), lines)
+	}
+	for i, letter := range []string{"I", "W", "E"} {
+		if !strings.HasPrefix(lines[i], letter) || !strings.Contains(lines[i], "sink_test.go:") {
+			t.Errorf("line %q, want %s from sink_test.go", lines[i], letter)
+		}
+	}
+}
+
+// Guards against a field that is written under another key, or in another form, than the catalogue says.
+func TestEveryField(t *testing.T) {
+	fields := map[string]events.Field{
+		`node="n"`:            events.NodeField("n"),
+		`incarnation="7"`:     events.IncarnationField(7),
+		`region="r"`:          events.RegionField("r"),
+		`failure_domain="d"`:  events.DomainField("d"),
+		`service="s"`:         events.ServiceField("s"),
+		`target="t"`:          events.TargetField("t"),
+		`attempt="a"`:         events.AttemptField("a"),
+		`address="192.0.2.1"`: events.AddressField("192.0.2.1"),
+		`revision="9"`:        events.RevisionField(9),
+		`phase="draining"`:    events.PhaseField(model.PhaseDraining),
+		`outcome="retried"`:   events.OutcomeField(events.Retried),
+		`fingerprint="9f"`:    events.FingerprintField("9f"),
+		`operation="get"`:     events.OperationField("get"),
+		`cause="none"`:        events.CauseField(nil),
+		`count="2"`:           events.CountField(2),
+		`slots="7"`:           events.SlotsField(7),
+		`floor_slots="20"`:    events.FloorField(20),
+		`duration="1.5s"`:     events.DurationField(1500 * time.Millisecond),
+		`bytes="700"`:         events.BytesField(700),
+	}
+	listed := make(map[events.Key]*events.Event)
+	for _, event := range events.All() {
+		for _, key := range event.Fields {
+			listed[key] = event
+		}
+	}
+	if len(listed) != len(fields) {
+		t.Errorf("the catalogue uses %d keys, and %d are tested", len(listed), len(fields))
+	}
+	for want, field := range fields {
+		key, _, _ := strings.Cut(want, "=")
+		event, ok := listed[events.Key(key)]
+		if !ok {
+			t.Errorf("no event has the field %s", key)
+			continue
+		}
+		sink := new(record)
+		events.New(sink, time.Now).Emit(event, field)
+		if !strings.HasSuffix(sink.lines[0], " "+want) {
+			t.Errorf("line %q lacks %s", sink.lines[0], want)
+		}
+	}
+}
--- a/internal/operator/fakefleet/fleet.go
+++ b/internal/operator/fakefleet/fleet.go
@@ -3,6 +3,7 @@
 package fakefleet
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/sardinereach/sardinereach/internal/declaration"
@@ -26,8 +27,9 @@
 	// faults are consumed by the next writes, one each.
 	faults []Fault
 	// before runs once, before the next write is compared, as the change of another operator.
-	before func()
-	writes int
+	before  func()
+	writes  int
+	history []operator.StoredService
 }
 
 var _ operator.Fleet = (*Fleet)(nil)
@@ -58,10 +60,19 @@
 	return f.writes
 }
 
+// History returns every document that was ever in force, in the order of revisions.
+func (f *Fleet) History() []operator.StoredService {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.history)
+}
+
 // store puts a document and spreads its revision to the nodes that are not held.
 func (f *Fleet) store(document *declaration.Document) int64 {
 	f.advance()
-	f.documents[document.Name] = operator.StoredService{Document: *document, Revision: f.revision}
+	stored := operator.StoredService{Document: *document, Revision: f.revision}
+	f.documents[document.Name] = stored
+	f.history = append(f.history, stored)
 	return f.revision
 }
 
