Decode one character instead of the rest of the text in lexical errors

Cause: the message for an unexpected character converted the whole rest of the text to runes. Ruled out: nothing else; the message is the same. Change: decode the first rune; name commandAnswer after what it returns.

--- a/internal/operator/execute.go
+++ b/internal/operator/execute.go
@@ -36,7 +36,7 @@
 		return nil, err
 	}
 	s.emit(events.OperatorCommand, events.OperationField(parsed.Verb()))
-	return s.told(message), nil
+	return s.commandAnswer(message), nil
 }
 
 // command carries out a statement that changes something and returns the summary of its effect.
@@ -60,8 +60,8 @@
 	return "", errors.Errorf("the statement %q has no implementation", parsed.Verb())
 }
 
-// told returns the answer to a command.
-func (s *Server) told(message string) *operatorv1.ExecuteResponse {
+// commandAnswer returns the answer to a command.
+func (s *Server) commandAnswer(message string) *operatorv1.ExecuteResponse {
 	snapshot := s.fleet.Snapshot()
 	return &operatorv1.ExecuteResponse{Message: message, Freshness: freshnessOf(snapshot), Warnings: partialWarnings(snapshot)}
 }
--- a/internal/statement/syntax.go
+++ b/internal/statement/syntax.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/alecthomas/participle/v2"
 	"github.com/pkg/errors"
@@ -30,7 +31,8 @@
 	if text[offset] == '"' {
 		return `a string is not closed; end it with '"' on the same line`
 	}
-	return fmt.Sprintf("unexpected character %q", []rune(text[offset:])[0])
+	character, _ := utf8.DecodeRuneInString(text[offset:])
+	return fmt.Sprintf("unexpected character %q", character)
 }
 
 func unexpectedToken(text string, verbs []string, err *participle.UnexpectedTokenError) *Error {
