--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -134,18 +134,24 @@
 func TestBackoffSpreadsOverItsWholeRange(t *testing.T) {
 	rng := newRandom()
 	const samples, parts = 10_000, 10
-	for attempt, bound := range map[int]time.Duration{1: BaseDelay, 3: 4 * BaseDelay, 60: MaxDelay} {
+	for _, c := range []struct {
+		attempt        int
+		minimum, bound time.Duration
+	}{
+		{1, 0, BaseDelay}, {3, 0, 4 * BaseDelay}, {60, 0, MaxDelay}, {1, time.Millisecond, BaseDelay},
+		{1, time.Second, time.Second / 2}, {60, time.Second, MaxDelay},
+	} {
 		var counts [parts]int
 		for range samples {
-			delay := Backoff(attempt, time.Second, rng) - time.Second
-			if delay < 0 || delay >= bound {
-				t.Fatalf("attempt %d: jitter of %v, want 0 to %v", attempt, delay, bound)
+			delay := Backoff(c.attempt, c.minimum, rng) - c.minimum
+			if delay < 0 || delay >= c.bound {
+				t.Fatalf("%+v: jitter of %v", c, delay)
 			}
-			counts[delay*parts/bound]++
+			counts[delay*parts/c.bound]++
 		}
 		for part, count := range counts {
 			if count < samples/parts*8/10 || count > samples/parts*12/10 {
-				t.Errorf("attempt %d: %d of %d delays in part %d of %d", attempt, count, samples, part, parts)
+				t.Errorf("%+v: %d of %d delays in part %d of %d", c, count, samples, part, parts)
 			}
 		}
 	}
