--- a/internal/once/collect.go
+++ b/internal/once/collect.go
@@ -44,7 +44,8 @@
 
 // Collect first writes what an earlier failure of the store has left, then deletes claims whose retention is over. It
 // goes round the services in parts and makes at most the given number of store calls (2 or more), rounded up to the end
-// of one claim. One caller at a time collects a service.
+// of one claim. It is called every second or so without services, so that outages are settled soon, and with services by
+// one node at a time.
 func (c *Claims) Collect(ctx context.Context, services []model.ServiceName, calls int) (Collected, error) {
 	counted := &countingStore{Store: c.store}
 	run := &collection{claims: c, store: counted, budget: max(calls, minCollectCalls)}
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -20,7 +20,8 @@
 	MinAttemptTime = 10 * time.Millisecond
 )
 
-// Decide returns whether and when to make another attempt. It draws on the budget only if the answer is yes.
+// Decide returns whether and when to make another attempt. It draws on the budget only if the answer is yes. The budget
+// is that of the request's service and is not nil.
 func Decide(in Input, budget *Budget, now time.Duration, rng *rand.Rand) Decision {
 	reason := failureOf(&in)
 	if reason == "" {
