Return pending events of the admission point without a tick

Cause: grants that follow from Announce or Admit waited for the next Expire while they held their slots.

Change: Events returns them at once. Expire still returns them too.

Measured: the state machine test draws from both and passes.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -106,7 +106,7 @@
 	p.inFlight++
 }
 
-// grantQueued gives free slots of the target to its queue and leaves the grants to the next Expire.
+// grantQueued gives free slots of the target to its queue and leaves the grants to Events.
 func (p *Point) grantQueued(t *target) {
 	for _, grant := range p.grants(t) {
 		p.pending = append(p.pending, Event{Kind: EventGranted, Attempt: grant.Attempt, Target: t.Target, Grant: grant})
@@ -145,7 +145,7 @@
 	}
 }
 
-// refuseQueued refuses a queued attempt and leaves the event to the next Expire.
+// refuseQueued refuses a queued attempt and leaves the event to Events.
 func (p *Point) refuseQueued(w *work, reason verdict.Reason) {
 	w.target.dequeue(w)
 	p.end(w, StateRefused, reason)
--- a/internal/admission/announce.go
+++ b/internal/admission/announce.go
@@ -12,7 +12,7 @@
 )
 
 // Announce takes in what an upstream says about itself. It returns an error for an announcement that makes no sense,
-// which changes nothing. Work that it lets in or refuses is returned by the next Expire.
+// which changes nothing. Work that it lets in or refuses is returned by Events.
 func (p *Point) Announce(now time.Duration, a Announcement) error {
 	p.advance(now)
 	if err := a.validate(); err != nil {
@@ -69,7 +69,7 @@
 	p.removeIfUnused(t)
 }
 
-// SetOperatorDrain sets whether an operator drains the target. Queued attempts are refused by the next Expire.
+// SetOperatorDrain sets whether an operator drains the target. Queued attempts are refused, see Events.
 func (p *Point) SetOperatorDrain(id model.TargetID, drain bool) {
 	if drain {
 		p.drained[id] = true
--- a/internal/admission/expire.go
+++ b/internal/admission/expire.go
@@ -9,8 +9,8 @@
 // sweepEvery is the time between two sweeps of the watermarks.
 const sweepEvery = time.Minute
 
-// Expire applies the passing of time and returns what happened since the last call, including the grants and refusals
-// of calls that return none. It is called at least once a second, and right after a call that changes a target.
+// Expire applies the passing of time and returns what happened since the last call of Events or Expire. It is called at
+// least once a second; ramps and queue deadlines take effect at its calls, so ten times a second is better.
 func (p *Point) Expire(now time.Duration) []Event {
 	now = p.advance(now)
 	for _, t := range p.sorted() {
@@ -26,7 +26,7 @@
 		p.swept = now
 		p.watermarks.sweep(now)
 	}
-	return p.takePending()
+	return p.Events()
 }
 
 func (p *Point) expireTarget(now time.Duration, t *target) {
--- a/internal/admission/lookup.go
+++ b/internal/admission/lookup.go
@@ -8,7 +8,7 @@
 )
 
 // Lookup returns what is known of an attempt. With fence, an attempt that holds no slot never gets one: an unknown one
-// is fenced and a queued one is taken out of the queue, which the next Expire reports.
+// is fenced and a queued one is taken out of the queue, which Events reports.
 //
 // StateNotAdmitted without fence is no promise. An attempt whose record may have been dropped is reported as StateEnded.
 func (p *Point) Lookup(now time.Duration, attempt model.AttemptID, incarnation model.Incarnation, fence bool) Status {
--- a/internal/admission/machine_test.go
+++ b/internal/admission/machine_test.go
@@ -155,7 +155,7 @@
 }
 
 func (m *machine) expire(t *rapid.T) {
-	for _, event := range m.point.Expire(m.now) {
+	for _, event := range append(m.point.Events(), m.point.Expire(m.now)...) {
 		switch event.Kind {
 		case EventGranted:
 			m.grant(t, []Grant{event.Grant})
--- a/internal/admission/point.go
+++ b/internal/admission/point.go
@@ -2,6 +2,8 @@
 // ramp, the records of attempts, fences and held answers. It is a function of its calls and their times: it reads no
 // clock, starts no goroutine and does no I/O. A Point is not safe for concurrent use.
 //
+// Calls that return no events leave them to the next Events or Expire.
+//
 // Times are on the node's own monotonic clock since its start. Expire is called at least once a second; a longer
 // silence means that the process was frozen.
 package admission
@@ -119,7 +121,9 @@
 	return t.Phase
 }
 
-func (p *Point) takePending() []Event {
+// Events returns what has happened since the last call of Events or Expire, nil for nothing. It costs nothing then, so it
+// can follow every other call: a granted attempt holds its slot from the grant on.
+func (p *Point) Events() []Event {
 	events := p.pending
 	p.pending = nil
 	return events
