Measure the trade-off and flapping targets

Cause: the error rates of the presets were guesses. Ruled out: judging trials against fixed shares; a bad caller would then keep a healthy target out. Change: detectbench measures the trade-off of the two error rates and the requests that a flapping target spoils. Trials are judged against the other targets' present shares.

--- a/cmd/detectbench/faults.go
+++ b/cmd/detectbench/faults.go
@@ -20,7 +20,7 @@
 		{name: "one-way cut", draw: drawCut},
 	}
 	for _, period := range []time.Duration{4 * time.Second, 20 * time.Second, 120 * time.Second} {
-		all = append(all, scenario{name: fmt.Sprintf("flapping, period %v", period), draw: drawFlapping(period)})
+		all = append(all, scenario{name: fmt.Sprintf("flapping, period %v", period), draw: drawFlapping(period), flaps: true})
 	}
 	for i := range all {
 		all[i].failing = true
--- a/cmd/detectbench/measure.go
+++ b/cmd/detectbench/measure.go
@@ -8,6 +8,8 @@
 const (
 	// horizon is the time after the onset at which a run ends without a detection.
 	horizon = 2 * time.Minute
+	// flappingShare divides the number of runs of a flapping target, which last to the horizon.
+	flappingShare = 20
 	// seedStep keeps the seeds of the runs of a cell apart from those of other cells with a near seed.
 	seedStep = 1_000_003
 )
--- a/cmd/detectbench/scenario.go
+++ b/cmd/detectbench/scenario.go
@@ -24,6 +24,8 @@
 	name string
 	// failing means that target 0 really fails, so its ejection is right. Otherwise every ejection is false.
 	failing bool
+	// flaps means that the failing target is well for half the time, so that no bound applies to its first detection.
+	flaps bool
 	// draw returns the outcome of a request.
 	draw func(m moment) drawn
 	// probe returns the result of a probe; nil means that all probes succeed.
--- a/internal/detect/class.go
+++ b/internal/detect/class.go
@@ -55,6 +55,3 @@
 	}
 	return c
 }
-
-// bad returns the number of outcomes that are worse than Slow.
-func (c Counts) bad() float64 { return c[Stalled] + c[Silent] + c[Failed] }
--- a/internal/detect/detector.go
+++ b/internal/detect/detector.go
@@ -39,7 +39,6 @@
 	d.parameters = ParametersOf(policy)
 	d.threshold = d.parameters.threshold()
 	d.hold.base = d.parameters.HoldDown
-	d.trial.ratios = d.trialRatios()
 	d.adopt(d.healthy)
 }
 
