Keep what the others saw for as long as the evidence lasts

The evidence of a target may be older than the 16 exchanges that were kept of its peers; it was then weighed by the healthy time after the trouble. Ruled out: dropping evidence that is older than the exchanges kept; targets with little work need minutes. A claim is decided only when the others have shown three outcomes for each of its own; the node asks for reports every AskEvery while it waits.

--- a/cmd/detectbench/world.go
+++ b/cmd/detectbench/world.go
@@ -26,8 +26,8 @@
 	serial  uint64
 	now     time.Duration
 	onset   time.Duration
-	// asked marks targets whose judge has asked for reports.
-	asked [targets]bool
+	// asked holds the time at which each judge last asked for reports.
+	asked [targets]time.Duration
 	// suspected holds what was last seen of each judge.
 	suspected [targets]bool
 	result    result
@@ -143,7 +143,6 @@
 		return
 	}
 	w.judges[e.target].compare(w.now, e.sight)
-	w.asked[e.target] = false
 }
 
 func (w *world) watch() {
@@ -276,8 +275,8 @@
 			}
 		}
 		w.suspected[i] = suspected
-		if !suspected && !w.asked[i] && j.asks(w.now) {
-			w.asked[i] = true
+		if !suspected && j.asks(w.now) && w.now-w.asked[i] >= detect.AskEvery {
+			w.asked[i] = w.now
 			w.push(event{at: w.now + askDelay, kind: ask, target: i})
 		}
 	}
--- a/internal/detect/baseline.go
+++ b/internal/detect/baseline.go
@@ -28,12 +28,15 @@
 	d.check(now)
 }
 
-// decide ends the wait of a claim.
+// decide ends the wait of a claim, unless the other targets have shown too little to compare it with.
 func (d *Detector) decide(now time.Duration, against comparison) {
 	d.claim.compare(now, against)
 	best, at := d.claim.score(d.threshold)
-	d.claim = nil
-	if best >= d.threshold {
+	if best < d.threshold {
+		d.claim = nil
+		return
+	}
+	if against.enough(d.claim.extent(at)) {
 		d.suspect(now, at)
 	}
 }
--- a/internal/detect/evidence.go
+++ b/internal/detect/evidence.go
@@ -70,3 +70,12 @@
 		}
 	}
 }
+
+// extent returns the start of the evidence under a hypothesis and the number of its outcomes.
+func (e *evidence) extent(i int) (time.Duration, float64) {
+	one := e.excursions[i]
+	if e.withPending[i] <= one.score {
+		return one.start, one.counts.Total()
+	}
+	return min(one.start, e.pending[0].since), e.pendingCounts().Total()
+}
--- a/internal/detect/helper_test.go
+++ b/internal/detect/helper_test.go
@@ -39,6 +39,7 @@
 	for i := range s.others {
 		s.others[i] = New(policy, 0)
 	}
+	s.exchange()
 	for range 50 {
 		s.outcome(prompt, prompt)
 	}
--- a/internal/detect/peers.go
+++ b/internal/detect/peers.go
@@ -8,9 +8,7 @@
 )
 
 const (
-	// intervals is the number of exchanges for which the counts of each peer are kept apart.
-	intervals = 16
-	// longWindow is the time constant of the counts that are kept beyond that.
+	// longWindow is the time constant of the counts behind the shares that are assumed between two comparisons.
 	longWindow = 60 * time.Second
 )
 
@@ -38,7 +36,7 @@
 	for _, report := range reports {
 		one := p.targets[report.Target]
 		if one == nil {
-			one = newPeer(report)
+			one = newPeer(asOf, report)
 		} else {
 			one.update(asOf, decay, report)
 		}
