--- a/internal/detect/score.go
+++ b/internal/detect/silence.go
@@ -2,17 +2,6 @@
 
 import "time"
 
-// check notes when the evidence passes the threshold. The target is suspected only after Baseline has compared the
-// evidence with what the other targets saw in the same period.
-func (d *Detector) check(now time.Duration) {
-	if d.claim != nil {
-		return
-	}
-	if best, _ := d.score(d.threshold); best >= d.threshold {
-		d.claim = &claim{evidence: d.evidence, at: now}
-	}
-}
-
 // Silence takes in the requests in flight. Those that do not progress count against the target for as long as they
 // stay in flight without progress; each call replaces the one before.
 func (d *Detector) Silence(now time.Duration, inFlight ...InFlight) {
