Test the faults that earlier tests let through

Cause: of 24 deliberate faults, 8 passed the tests: ranges of cut answers, forgotten early deletions, light updates of unknown versions, cut cursors, a new node that reads only its seed, completeness markers, watches after compaction and cursors of an earlier incarnation. Change: one directed test for each. The new node's only seed is now the peer that is behind.

--- a/internal/config/table_test.go
+++ b/internal/config/table_test.go
@@ -75,3 +75,45 @@
 		t.Errorf("page with three deletions of one revision: %d documents", len(page))
 	}
 }
+
+// Guards against a range that is passed on by a table that has only part of the documents that belong to it: it names
+// too few keys, so that live services would be deleted.
+func TestRangeOfCutAnswerIsNotPassedOn(t *testing.T) {
+	source, middle, last := NewTable("config/", 0), NewTable("config/", 0), NewTable("config/", 0)
+	source.ApplyList([]Document{serviceDocument("a", 1), serviceDocument("b", 3)}, 3)
+	documents, complete := source.Page(0, 1)
+	middle.Apply(documents)
+	middle.Advance(complete)
+	last.Apply([]Document{serviceDocument("b", 2)})
+	if passed, proven := middle.Page(0, 1); proven != 0 || passed[0].isRange() {
+		t.Errorf("the table in the middle passes on %+v as complete up to %d", passed, proven)
+	}
+	documents, complete = middle.Page(0, 1)
+	last.Apply(documents)
+	last.Advance(complete)
+	if held, _ := last.Get(ServicePrefix + "b"); held.Deleted {
+		t.Error("a live service was deleted")
+	}
+	documents, complete = source.Page(middle.Complete(), 1)
+	middle.Apply(documents)
+	middle.Advance(complete)
+	if middle.Proven() != 3 {
+		t.Errorf("after the last part, proven is %d", middle.Proven())
+	}
+}
+
+// Guards against a deletion that arrived early and is forgotten before the table refuses what it replaced.
+func TestEarlyDeletionsAreNotForgotten(t *testing.T) {
+	table := NewTable("config/", 1)
+	for revision := int64(5); revision <= 7; revision++ {
+		table.Apply([]Document{{Key: ServicePrefix + fmt.Sprint(revision), Revision: revision, Deleted: true}})
+	}
+	table.Advance(2)
+	if changed := table.Apply([]Document{serviceDocument("5", 3)}); len(changed) != 0 {
+		t.Error("a document from before its deletion was applied")
+	}
+	table.Advance(7)
+	if table.Len() != 1 {
+		t.Errorf("%d deletions are remembered, want 1", table.Len())
+	}
+}
--- a/internal/distribution/distributor_test.go
+++ b/internal/distribution/distributor_test.go
@@ -132,7 +132,7 @@
 		f.partition(func(from, to model.Node) bool {
 			return from.ID == behind.self.ID || to.ID == behind.self.ID && from.ID != "node-9"
 		})
-		added := f.start(9, behind.self.PeerAddress, rest[2].self.PeerAddress)
+		added := f.start(9, behind.self.PeerAddress)
 		f.waitFor(time.Minute, "readiness", []*testNode{added}, ready)
 		f.waitFor(0, "being behind", []*testNode{behind}, hasRoute("ledger", "/v1"))
 		f.waitFor(0, "the new route", []*testNode{added}, hasRoute("ledger", "/v2"))
@@ -192,6 +192,28 @@
 	})
 }
 
+// Guards against watchers that never catch up once the changes after their revision were compacted.
+func TestWatchersListAfterCompaction(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		gate := &gatedStore{Store: f.store}
+		f.options = func(o *distribution.Options) { o.Store = gate }
+		f.declare("ledger", "/v1")
+		f.declare("tariffs", "/v1")
+		nodes := f.startMany(8)
+		f.waitFor(time.Minute, "readiness", nodes, ready)
+		f.waitFor(time.Minute, "the members", nodes, seesLive(8))
+		gate.closed.Store(true)
+		time.Sleep(time.Minute)
+		f.declare("ledger", "/v2")
+		f.remove("config/services/tariffs")
+		f.store.Compact()
+		time.Sleep(time.Minute)
+		gate.closed.Store(false)
+		f.waitFor(time.Minute, "the change", nodes, hasRoute("ledger", "/v2"))
+		f.waitFor(time.Minute, "the deletion", nodes, lacksService("tariffs"))
+	})
+}
+
 // Guards against regions that never find each other again after a long partition, and against member records that are
 // deleted because of it.
 func TestRegionsMeetAgainAfterPartition(t *testing.T) {
--- /dev/null
+++ b/internal/distribution/exchange_test.go
@@ -0,0 +1,133 @@
+package distribution
+
+import (
+	"context"
+	"testing"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/config"
+	"github.com/sardinereach/sardinereach/internal/fakestore"
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// directPuller answers each Pull by the distributor at the address.
+type directPuller map[string]*Distributor
+
+func (p directPuller) Pull(
+	_ context.Context, address string, request *peerv1.PullRequest,
+) (*peerv1.PullResponse, error) {
+	return p[address].HandlePull(request), nil
+}
+
+func newDistributor(t testing.TB, id string, incarnation model.Incarnation, network directPuller) *Distributor {
+	d, err := New(Options{
+		Self: model.Node{
+			ID: model.NodeID(id), Incarnation: incarnation, Region: "r", Domain: "d", PeerAddress: id,
+		},
+		Store: fakestore.New(fakestore.Options{}), Puller: network, MaxTombstones: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	network[id] = d
+	return d
+}
+
+func mustPull(t *testing.T, d *Distributor, address string) {
+	t.Helper()
+	if _, err := d.pullOnce(t.Context(), address); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func permit(name string, revision int64) config.Document {
+	return config.Document{Key: EjectionPrefix + name, Revision: revision}
+}
+
+func (d *Distributor) permits() int { return len(d.Snapshot().Ejections) }
+
+// Guards against permits that stay in force at a node that is no watcher after they were deleted, or that come back to
+// it from a peer that is behind.
+func TestPermitDeletionsReachOtherNodes(t *testing.T) {
+	network := directPuller{}
+	watcher, other, behind := newDistributor(t, "w", 1, network), newDistributor(t, "o", 2, network),
+		newDistributor(t, "b", 3, network)
+	watcher.applyList(EjectionPrefix, []config.Document{permit("x", 1), permit("y", 2), permit("z", 3)}, 4)
+	mustPull(t, other, "w")
+	mustPull(t, behind, "w")
+	if other.permits() != 3 {
+		t.Fatalf("%d permits, want 3", other.permits())
+	}
+	watcher.applyList(EjectionPrefix, []config.Document{permit("z", 3)}, 9)
+	mustPull(t, other, "w")
+	if other.permits() != 1 || other.tables.ejections.table.Complete() != 9 {
+		t.Errorf("%d permits, complete up to %d", other.permits(), other.tables.ejections.table.Complete())
+	}
+	mustPull(t, other, "b")
+	if other.permits() != 1 {
+		t.Errorf("%d permits after a pull from a peer that is behind", other.permits())
+	}
+	fresh := newDistributor(t, "f", 4, network)
+	mustPull(t, fresh, "b")
+	mustPull(t, fresh, "o")
+	if fresh.permits() != 1 {
+		t.Errorf("%d permits at a new node, want 1", fresh.permits())
+	}
+}
+
+// Guards against a cursor of an earlier incarnation that hides the records of the present one.
+func TestCursorOfEarlierIncarnation(t *testing.T) {
+	network := directPuller{}
+	caller := newDistributor(t, "c", 1, network)
+	peer := newDistributor(t, "p", 2, network)
+	mustPull(t, caller, "p")
+	for range 50 {
+		peer.tables.members.Reserve()
+	}
+	mustPull(t, caller, "p")
+	restarted := newDistributor(t, "p", 3, network)
+	restarted.SetTargets([]model.Target{{ID: "t"}})
+	restarted.beginRound()
+	mustPull(t, caller, "p")
+	member, _ := caller.tables.members.Get("p")
+	if member.Record.Incarnation != 3 || len(member.Record.Targets) != 1 {
+		t.Errorf("record of the restarted peer: %+v", member.Record)
+	}
+}
+
+// Guards against a pull that repeats the own record and all others when nothing changed.
+func TestPullWithoutChangesIsSmall(t *testing.T) {
+	network := directPuller{}
+	caller := newDistributor(t, "c", 1, network)
+	peer := newDistributor(t, "p", 2, network)
+	peer.SetTargets(make([]model.Target, 30))
+	peer.beginRound()
+	mustPull(t, caller, "p")
+	response := peer.HandlePull(caller.pullRequest("p"))
+	if len(response.Nodes) != 0 || len(response.Documents) != 0 {
+		t.Errorf("answer without changes: %v", response)
+	}
+	if request := caller.pullRequest("p"); request.Self.PeerAddress != "" {
+		t.Errorf("the peer has the own record, and gets it again: %v", request.Self)
+	}
+}
+
+// Guards against load figures that spread every round, and changes of phase that wait.
+func TestVersionsOfOwnRecord(t *testing.T) {
+	own := newOwnRecord(model.Node{ID: "n"})
+	own.setTargets([]model.Target{{ID: "t", Phase: model.PhaseReady}})
+	if next := own.advance(0, 10, 100, 0); next == nil || next.Version != 2 {
+		t.Fatalf("a new target: %+v", next)
+	}
+	own.setTargets([]model.Target{{ID: "t", Phase: model.PhaseReady, InFlight: 1}})
+	if next := own.advance(1, 10, 100, 0); next != nil {
+		t.Errorf("load within the interval: %+v", next)
+	}
+	if next := own.advance(10, 10, 100, 0); next == nil || next.Version != 2 || next.Heartbeat != 3 {
+		t.Errorf("heartbeat: %+v", next)
+	}
+	own.setTargets([]model.Target{{ID: "t", Phase: model.PhaseLeaving, InFlight: 1}})
+	if next := own.advance(11, 10, 100, 0); next == nil || next.Version != 3 {
+		t.Errorf("change of phase: %+v", next)
+	}
+}
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -100,3 +100,43 @@
 		t.Errorf("limits: %+v", scaled)
 	}
 }
+
+// Guards against a light update that is taken for the record of a version that never arrived.
+func TestLightUpdateOfUnknownVersion(t *testing.T) {
+	table := NewTable(selfRecord("self"), DefaultTiming())
+	full := memberIn("a", "d")
+	full.Record.Targets = []model.Target{{ID: "target"}}
+	table.Merge(full, 0)
+	newer := beat("a", 2)
+	newer.Record.Version = 2
+	if result := table.Merge(newer, 0); result != Incomplete {
+		t.Errorf("result %d", result)
+	}
+	restarted := beat("a", 1)
+	restarted.Record.Incarnation = 2
+	if result := table.Merge(restarted, 0); result != Incomplete {
+		t.Errorf("result %d for another incarnation", result)
+	}
+	if member, _ := table.Get("a"); len(member.Record.Targets) != 1 || member.Heartbeat != 2 {
+		t.Errorf("member %+v", member)
+	}
+}
+
+// Guards against a cut answer whose cursor skips the rest.
+func TestCutAnswers(t *testing.T) {
+	table := NewTable(selfRecord("self"), DefaultTiming())
+	for _, id := range []string{"a", "b", "c"} {
+		table.Merge(memberIn(id, "d"), 0)
+	}
+	var got []model.NodeID
+	for cursor := uint64(0); cursor < table.Position(); {
+		var updates []Update
+		updates, cursor = table.Since(cursor, 1, nil)
+		for _, update := range updates {
+			got = append(got, update.Record.ID)
+		}
+	}
+	if len(got) != 4 || got[0] != "self" || got[3] != "c" {
+		t.Errorf("records of the parts: %v", got)
+	}
+}
