--- /dev/null
+++ b/internal/distribution/spread_test.go
@@ -0,0 +1,58 @@
+package distribution_test
+
+import (
+	"flag"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/fakestore"
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+var spreadSizes = flag.String("spread.sizes", "16,64", "fleet sizes of TestSpreadBySize, separated by commas")
+
+// Guards against changes that take longer than inForce in a larger fleet, and reports what the exchange costs.
+func TestSpreadBySize(t *testing.T) {
+	for _, text := range strings.Split(*spreadSizes, ",") {
+		size, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(fmt.Sprintf("nodes=%d", size), func(t *testing.T) {
+			inFleet(t, func(f *fleet) { measureSpread(f, size) })
+		})
+	}
+}
+
+func measureSpread(f *fleet, size int) {
+	const changes, pause, quiet = 10, 15 * time.Second, 30 * time.Second
+	f.declare("ledger", "/v0")
+	nodes := f.startMany(size)
+	f.waitFor(2*time.Minute, "the members", nodes, seesLive(size))
+	for _, node := range nodes {
+		node.SetTargets([]model.Target{{ID: model.TargetID(node.self.ID), Service: "ledger", Phase: model.PhaseReady}})
+	}
+	time.Sleep(time.Minute)
+	bytes, remote, pulls := f.bytes.Load(), f.remoteBytes.Load(), f.pulls.Load()
+	time.Sleep(quiet)
+	perNode := float64(size) * quiet.Seconds()
+	f.t.Logf("quiet: %.2f pulls/s and %.0f B/s per node, %.0f B/s between the regions",
+		float64(f.pulls.Load()-pulls)/perNode, float64(f.bytes.Load()-bytes)/perNode,
+		float64(f.remoteBytes.Load()-remote)/quiet.Seconds())
+	var longest, sum time.Duration
+	for change := range changes {
+		path := fmt.Sprint("/v", change+1)
+		f.declare("ledger", path)
+		took := f.waitFor(inForce, "the change", nodes, hasRoute("ledger", path))
+		longest, sum = max(longest, took), sum+took
+		time.Sleep(pause)
+	}
+	f.t.Logf("a change is in force everywhere after %v on average, %v at most, of %d changes",
+		sum/changes, longest, changes)
+	f.store.SetFaults(fakestore.Faults{})
+	synctest.Wait()
+}
