Bound what load figures cost a node in a large fleet

Cause: the benchmark of Pull shows 2,074 bytes for a record of 30 targets. At 5,300 nodes a version every 5 s would cost each node megabytes a second. Ruled out: leaving load figures out, because small fleets can afford them. Change: the interval between versions that differ only in load grows with the fleet and the own targets, like that of heartbeats. Measured: 5 s at 1 node, over 300 s at 101 nodes with 30 targets each; changes of phase, slots or suspicion do not wait.

--- a/internal/distribution/exchange_test.go
+++ b/internal/distribution/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/config"
@@ -112,6 +113,22 @@
 	}
 }
 
+// Guards against load figures that cost more than their share in a large fleet.
+func TestLoadIntervalGrowsWithTheFleet(t *testing.T) {
+	d := newDistributor(t, "n", 1, directPuller{})
+	d.SetTargets(make([]model.Target, pullTargets))
+	if interval := d.loadInterval(); interval != d.options.LoadInterval {
+		t.Errorf("interval of one node: %v", interval)
+	}
+	for index := range 100 {
+		d.tables.members.Merge(benchUpdate(index, 1, false), 0)
+	}
+	cost := 101 * (recordBytes + pullTargets*recordTargetBytes) / d.options.LoadBytesPerSecond
+	if interval := d.loadInterval(); interval < time.Duration(cost)*time.Second {
+		t.Errorf("interval of 101 nodes: %v, want at least %d s", interval, cost)
+	}
+}
+
 // Guards against load figures that spread every round, and changes of phase that wait.
 func TestVersionsOfOwnRecord(t *testing.T) {
 	own := newOwnRecord(model.Node{ID: "n"})
--- a/internal/distribution/options.go
+++ b/internal/distribution/options.go
@@ -45,6 +45,9 @@
 	RelistInterval time.Duration
 	// LoadInterval is the least time between two versions of the own record that differ only in load figures.
 	LoadInterval time.Duration
+	// LoadBytesPerSecond is what the load figures of all nodes may cost a node; in large fleets it makes the interval
+	// between two versions longer.
+	LoadBytesPerSecond int
 	// IsolatedAfter is how long store and peers may be silent before Isolated is reported.
 	IsolatedAfter time.Duration
 	// HeartbeatInterval is the least time between two heartbeats.
@@ -64,8 +67,12 @@
 	MaxTombstones int
 }
 
-// heartbeatBytes is the size of one heartbeat in a Pull answer, times the partners that may send it.
-const heartbeatBytes = 40 * membership.PartnersPerRound
+// Measured sizes in a Pull answer, see docs/measurements/distribution.md, times the partners that may send them.
+const (
+	heartbeatBytes    = 40 * membership.PartnersPerRound
+	recordBytes       = 160 * membership.PartnersPerRound
+	recordTargetBytes = 70 * membership.PartnersPerRound
+)
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.RoundInterval, time.Second)
@@ -78,6 +85,7 @@
 	setDefault(&o.RegisterJitter, 2*time.Second)
 	setDefault(&o.RelistInterval, 10*time.Minute)
 	setDefault(&o.LoadInterval, 5*time.Second)
+	setDefault(&o.LoadBytesPerSecond, 2048)
 	setDefault(&o.IsolatedAfter, 15*time.Second)
 	setDefault(&o.HeartbeatInterval, time.Second)
 	setDefault(&o.HeartbeatBytesPerSecond, 2048)
--- a/internal/distribution/rounds.go
+++ b/internal/distribution/rounds.go
@@ -42,7 +42,7 @@
 func (d *Distributor) beat(now time.Duration) {
 	interval := d.heartbeatInterval()
 	d.tables.members.SetTiming(d.options.Timing.Scaled(interval))
-	next := d.self.advance(now, interval, d.options.LoadInterval, d.tables.config.Complete())
+	next := d.self.advance(now, interval, d.loadInterval(), d.tables.config.Complete())
 	if next != nil {
 		d.tables.members.SetSelf(next)
 	}
@@ -53,6 +53,13 @@
 	return membership.Interval(d.tables.members.Len(), heartbeatBytes, o.HeartbeatBytesPerSecond, o.HeartbeatInterval)
 }
 
+// loadInterval assumes that the other nodes have as many targets as this one.
+func (d *Distributor) loadInterval() time.Duration {
+	o := d.options
+	size := recordBytes + recordTargetBytes*len(d.self.targets)
+	return membership.Interval(d.tables.members.Len(), size, o.LoadBytesPerSecond, o.LoadInterval)
+}
+
 func (d *Distributor) expire(now time.Duration) {
 	for _, transition := range d.tables.members.Expire(now) {
 		d.options.Report(Event{
--- a/internal/distribution/wire.go
+++ b/internal/distribution/wire.go
@@ -69,8 +69,9 @@
 		Stopping:       state.GetStopping(),
 		ConfigRevision: state.GetConfigRevision(),
 	}
-	for _, target := range state.GetTargets() {
-		r.Targets = append(r.Targets, targetOf(target))
+	r.Targets = make([]model.Target, len(state.GetTargets()))
+	for i, target := range state.GetTargets() {
+		r.Targets[i] = targetOf(target)
 	}
 	return membership.Update{Record: r, Light: r.PeerAddress == ""}
 }
