Bring changes into force within 12 s over silent connections and right after an outage

Cause: a watch of 20 s on a connection that went silent is noticed after 22 s, and a watcher that backed off to 30 s waits that long after an outage; both are over the 12 s of the target scale. Ruled out: heartbeats on the watch, which the protocol does not have. Change: watches wait 6 s, watchers back off to 8 s at most; starts keep 30 s. Pull answers are cut earlier, so that they stay under the 4 MiB of a drpc message.

--- a/internal/distribution/gated_store_test.go
+++ b/internal/distribution/gated_store_test.go
@@ -12,6 +12,8 @@
 type gatedStore struct {
 	store.Store
 	closed atomic.Bool
+	// silenced counts the times at which all open connections went silent.
+	silenced atomic.Int64
 }
 
 func (g *gatedStore) List(ctx context.Context, prefix string) ([]store.KV, int64, error) {
@@ -36,7 +38,12 @@
 	if g.closed.Load() {
 		return nil, 0, store.ErrUnavailable
 	}
+	connection := g.silenced.Load()
 	changes, revision, err := g.Store.Watch(ctx, prefix, after, wait)
+	if g.silenced.Load() != connection {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	if g.closed.Load() {
 		return nil, 0, store.ErrUnavailable
 	}
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -27,7 +27,7 @@
 	}
 	err := d.join(ctx)
 	close(d.membersTried)
-	for pause := d.newBackoff(); err != nil; err = d.join(ctx) {
+	for pause := d.newBackoff(d.options.BackoffMax); err != nil; err = d.join(ctx) {
 		if !sleep(ctx, pause.next()) {
 			return
 		}
--- a/internal/distribution/options.go
+++ b/internal/distribution/options.go
@@ -24,7 +24,8 @@
 	Now func() time.Duration
 	// Report receives events; it must not block and must not call the Distributor. Nil drops them.
 	Report func(Event)
-	// OnSnapshot is called with each new snapshot, one call at a time; it must not block. It may be nil.
+	// OnSnapshot is called with each new snapshot, one call at a time and first from New; it must not block. It may be
+	// nil.
 	OnSnapshot func(*Snapshot)
 
 	// RoundInterval is the time between two rounds of pulls.
@@ -33,12 +34,16 @@
 	PullTimeout time.Duration
 	// StoreTimeout limits one store call, on top of the wait of a watch.
 	StoreTimeout time.Duration
-	// WatchWait is how long a watch waits for changes.
+	// WatchWait is how long a watch waits for changes. A connection that went silent is noticed only after this time and
+	// StoreTimeout, so it is part of the time until a change is in force.
 	WatchWait time.Duration
 	// WatchPause is the least time between two watches of one prefix, so that many changes share one call.
 	WatchPause time.Duration
 	// BackoffMin and BackoffMax bound the pause after a failed store call. It doubles with each failure, with jitter.
 	BackoffMin, BackoffMax time.Duration
+	// WatchBackoffMax bounds the pause of a watcher. It is shorter, because watchers are few and a change right after an
+	// outage waits for them.
+	WatchBackoffMax time.Duration
 	// RegisterJitter spreads the writes of member records when many nodes start at a time.
 	RegisterJitter time.Duration
 	// RelistInterval is how often a watcher lists the members, to find unknown ones and delete dead ones.
@@ -57,9 +62,11 @@
 	HeartbeatBytesPerSecond int
 	// Timing holds the limits of failure detection at one heartbeat per second.
 	Timing membership.Timing
-	// MaxPullBytes is the size from which a Pull answer is cut, in bytes of documents and records.
+	// MaxPullBytes is the size from which the configuration documents of a Pull answer are cut. The last document may go
+	// over it by up to a megabyte.
 	MaxPullBytes int
-	// MaxPullRecords is the number of records from which a Pull answer is cut.
+	// MaxPullRecords is the number of records from which a Pull answer is cut. Permit and quarantine documents are not
+	// cut. With the defaults an answer stays under 4 MiB, the bound of drpc, up to about 1.5 MB of those.
 	MaxPullRecords int
 	// SyncParallel is the number of pulls at a time when a starting node reads all peers.
 	SyncParallel int
@@ -78,10 +85,11 @@
 	setDefault(&o.RoundInterval, time.Second)
 	setDefault(&o.PullTimeout, 2*time.Second)
 	setDefault(&o.StoreTimeout, 2*time.Second)
-	setDefault(&o.WatchWait, 20*time.Second)
+	setDefault(&o.WatchWait, 6*time.Second)
 	setDefault(&o.WatchPause, 250*time.Millisecond)
 	setDefault(&o.BackoffMin, 500*time.Millisecond)
 	setDefault(&o.BackoffMax, 30*time.Second)
+	setDefault(&o.WatchBackoffMax, 8*time.Second)
 	setDefault(&o.RegisterJitter, 2*time.Second)
 	setDefault(&o.RelistInterval, 10*time.Minute)
 	setDefault(&o.LoadInterval, 5*time.Second)
@@ -90,8 +98,8 @@
 	setDefault(&o.HeartbeatInterval, time.Second)
 	setDefault(&o.HeartbeatBytesPerSecond, 2048)
 	setDefault(&o.Timing, membership.DefaultTiming())
-	setDefault(&o.MaxPullBytes, 1<<20)
-	setDefault(&o.MaxPullRecords, 1000)
+	setDefault(&o.MaxPullBytes, 512<<10)
+	setDefault(&o.MaxPullRecords, 400)
 	setDefault(&o.SyncParallel, 16)
 	if o.Report == nil {
 		o.Report = func(Event) {}
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -20,7 +20,7 @@
 // With the store up, the peers give most of the documents and the store proves that none is missing. With the store
 // down, every seed and every peer that can be reached is read, because any of them may hold the newest document.
 func (d *Distributor) runStart(ctx context.Context) {
-	pause := d.newBackoff()
+	pause := d.newBackoff(d.options.BackoffMax)
 	for ctx.Err() == nil {
 		if d.start(ctx) {
 			d.becomeReady()
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -12,7 +12,7 @@
 
 // runWatch watches the prefix in the store while this node is a watcher of its domain.
 func (d *Distributor) runWatch(ctx context.Context, prefix string) {
-	pause := d.newBackoff()
+	pause := d.newBackoff(d.options.WatchBackoffMax)
 	for {
 		wait := d.options.RoundInterval
 		if d.isWatching() {
