Let a new partner send recent changes instead of its whole table

A node that pulls from a partner for the first time, or after long, got its whole table, 10 MB at the target scale, and partners change every 30 rounds. Ruled out: partners for hours, which only makes it rarer; a digest of all records, which the protocol has no field for and which grows with the fleet too. Change: a node that takes part in the exchange asks a new partner for the changes of the last minute; a heartbeat of a record that it does not have makes it ask for everything. Partners stay 120 rounds. Permit documents still come whole, because nothing would reveal a missing one.

--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -29,10 +29,12 @@
 	view           *membership.View
 	viewGeneration uint64
 	watching       bool
-	isolated       bool
-	registered     bool
-	storeHeard     time.Duration
-	peerHeard      time.Duration
+	// synced means that the node has read a peer's records from the beginning and was in contact with peers since.
+	synced     bool
+	isolated   bool
+	registered bool
+	storeHeard time.Duration
+	peerHeard  time.Duration
 	// reported are the revisions of the rejected documents that were reported.
 	reported map[string]int64
 	// deadRecords are the member records of the last list that this node is to delete.
@@ -63,8 +65,8 @@
 		tables: tables{
 			members:    membership.NewTable(own.record, options.Timing),
 			config:     config.NewTable(ConfigPrefix, options.MaxTombstones),
-			ejections:  newAuxiliary(EjectionPrefix, options.MaxTombstones),
-			quarantine: newAuxiliary(QuarantinePrefix, options.MaxTombstones),
+			ejections:  newAuxiliary(EjectionPrefix, options.MaxAuxiliaryTombstones),
+			quarantine: newAuxiliary(QuarantinePrefix, options.MaxAuxiliaryTombstones),
 		},
 		peers:      map[string]*peerState{},
 		self:       own,
--- a/internal/distribution/exchange_test.go
+++ b/internal/distribution/exchange_test.go
@@ -25,7 +25,7 @@
 		Self: model.Node{
 			ID: model.NodeID(id), Incarnation: incarnation, Region: "r", Domain: "d", PeerAddress: id,
 		},
-		Store: fakestore.New(fakestore.Options{}), Puller: network, MaxTombstones: 1,
+		Store: fakestore.New(fakestore.Options{}), Puller: network, MaxAuxiliaryTombstones: 1,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -96,6 +96,41 @@
 	}
 }
 
+// Guards against a new partner that sends its whole table to a node that takes part in the exchange, and against a
+// record that such a node then never gets.
+func TestNewPartnerSendsRecentChanges(t *testing.T) {
+	network := directPuller{}
+	caller, first, second := newDistributor(t, "c", 1, network), newDistributor(t, "f", 2, network),
+		newDistributor(t, "s", 3, network)
+	now := time.Duration(0)
+	for _, d := range network {
+		d.options.Now = func() time.Duration { return now }
+	}
+	for index := range 100 {
+		first.tables.members.Merge(benchUpdate(index, 1, false), 0)
+	}
+	mustPull(t, caller, "f")
+	mustPull(t, second, "f")
+	second.tables.members.Merge(benchUpdate(100, 1, false), 0)
+	for range 3 {
+		now += second.options.RecentWindow / 3
+		second.beginRound()
+		mustPull(t, caller, "f")
+	}
+	second.tables.members.Merge(benchUpdate(0, 2, false), now)
+	response := second.HandlePull(caller.pullRequest("s"))
+	if len(response.Nodes) > 5 {
+		t.Errorf("a new partner sends %d records, of which one changed", len(response.Nodes))
+	}
+	mustPull(t, caller, "s")
+	second.tables.members.Merge(benchUpdate(100, 2, true), now)
+	mustPull(t, caller, "s")
+	mustPull(t, caller, "s")
+	if _, ok := caller.tables.members.Get("node-000100"); !ok {
+		t.Error("a heartbeat of an unknown node did not bring its record")
+	}
+}
+
 // Guards against a pull that repeats the own record and all others when nothing changed.
 func TestPullWithoutChangesIsSmall(t *testing.T) {
 	network := directPuller{}
--- a/internal/distribution/handle_pull.go
+++ b/internal/distribution/handle_pull.go
@@ -33,7 +33,23 @@
 // answerChanges adds the records and the auxiliary documents after the caller's cursor.
 func (d *Distributor) answerChanges(request *peerv1.PullRequest, response *peerv1.PullResponse) {
 	cursor := request.GetCursor()
-	if request.GetIncarnation() != uint64(d.options.Self.Incarnation) {
+	known := request.GetIncarnation() == uint64(d.options.Self.Incarnation) && cursor != recentOnly
+	d.answerAuxiliary(cursor, known, response)
+	if !known && cursor != 0 {
+		// The caller has the older records from others, or from this node's earlier incarnation.
+		cursor = d.tables.members.RecentCursor()
+		response.Nodes = append(response.Nodes, stateOf(d.tables.members.Whole()))
+	}
+	updates, next := d.tables.members.Since(cursor, d.options.MaxPullRecords, d.skip(request, cursor))
+	for _, update := range updates {
+		response.Nodes = append(response.Nodes, stateOf(update))
+	}
+	response.Cursor = next
+}
+
+// answerAuxiliary adds the permit and quarantine documents, all of them unless the caller's cursor is known here.
+func (d *Distributor) answerAuxiliary(cursor uint64, known bool, response *peerv1.PullResponse) {
+	if !known {
 		cursor = 0
 	}
 	for _, auxiliary := range []*auxiliary{d.tables.ejections, d.tables.quarantine} {
@@ -41,11 +57,6 @@
 			response.Documents = append(response.Documents, documentMessage(document))
 		}
 	}
-	updates, next := d.tables.members.Since(cursor, d.options.MaxPullRecords, d.skip(request, cursor))
-	for _, update := range updates {
-		response.Nodes = append(response.Nodes, stateOf(update))
-	}
-	response.Cursor = next
 }
 
 // skip returns which records the caller does not need: its own and, if it is of another region and has pulled here
--- a/internal/distribution/options.go
+++ b/internal/distribution/options.go
@@ -55,6 +55,8 @@
 	LoadBytesPerSecond int
 	// IsolatedAfter is how long store and peers may be silent before Isolated is reported.
 	IsolatedAfter time.Duration
+	// RecentWindow is the time whose changes a new partner sends, longer than a change takes to spread.
+	RecentWindow time.Duration
 	// HeartbeatInterval is the least time between two heartbeats.
 	HeartbeatInterval time.Duration
 	// HeartbeatBytesPerSecond is what the heartbeats of all nodes may cost a node; in large fleets it makes the interval
@@ -70,8 +72,10 @@
 	MaxPullRecords int
 	// SyncParallel is the number of pulls at a time when a starting node reads all peers.
 	SyncParallel int
-	// MaxTombstones is the number of deleted keys remembered per prefix.
+	// MaxTombstones is the number of deleted configuration documents that are remembered one by one.
 	MaxTombstones int
+	// MaxAuxiliaryTombstones is the same for permit and quarantine documents, each. A new partner sends all of them.
+	MaxAuxiliaryTombstones int
 }
 
 // Measured sizes in a Pull answer, see docs/measurements/distribution.md, times the partners that may send them.
@@ -95,12 +99,14 @@
 	setDefault(&o.LoadInterval, 5*time.Second)
 	setDefault(&o.LoadBytesPerSecond, 2048)
 	setDefault(&o.IsolatedAfter, 15*time.Second)
+	setDefault(&o.RecentWindow, time.Minute)
 	setDefault(&o.HeartbeatInterval, time.Second)
 	setDefault(&o.HeartbeatBytesPerSecond, 2048)
 	setDefault(&o.Timing, membership.DefaultTiming())
 	setDefault(&o.MaxPullBytes, 512<<10)
 	setDefault(&o.MaxPullRecords, 400)
 	setDefault(&o.SyncParallel, 16)
+	setDefault(&o.MaxAuxiliaryTombstones, 128)
 	if o.Report == nil {
 		o.Report = func(Event) {}
 	}
--- a/internal/distribution/peer_state.go
+++ b/internal/distribution/peer_state.go
@@ -1,5 +1,7 @@
 package distribution
 
+import "time"
+
 // peerState is what this node remembers of the pulls from one peer address.
 type peerState struct {
 	// incarnation and cursor are those of the last answer.
@@ -7,6 +9,12 @@
 	cursor      uint64
 	// selfVersion is the version of the own record that the peer has.
 	selfVersion uint64
+	// pulledAt is the time of the last answer.
+	pulledAt time.Duration
+	// whole means that the cursor goes back to the beginning of the peer's change log without a gap.
+	whole bool
+	// repeat means that the last answer was about records that this node does not have.
+	repeat bool
 	// pulls counts the pulls since the whole own record was sent.
 	pulls    int
 	inFlight bool
--- a/internal/distribution/pull.go
+++ b/internal/distribution/pull.go
@@ -9,8 +9,14 @@
 	"github.com/sardinereach/sardinereach/internal/membership"
 )
 
-// documentsOnly is the cursor of a Pull that asks for configuration documents alone. It is past every change log.
-const documentsOnly = math.MaxUint64
+// Cursors with a special meaning. They are past every change log.
+const (
+	// documentsOnly asks for configuration documents alone.
+	documentsOnly = math.MaxUint64
+	// recentOnly asks for the records that changed lately, for a caller that takes part in the exchange and has the
+	// others from its other partners. A whole table of the target scale is 10 MB.
+	recentOnly = math.MaxUint64 - 1
+)
 
 // startPull pulls from the address unless a pull from it is under way.
 func (d *Distributor) startPull(ctx context.Context, address string) {
@@ -111,12 +117,21 @@
 	return &peerv1.PullRequest{
 		Node:             string(record.ID),
 		Incarnation:      peer.incarnation,
-		Cursor:           peer.cursor,
+		Cursor:           d.cursor(peer),
 		DocumentRevision: d.tables.config.Complete(),
 		Self:             stateOf(membership.Update{Record: record, Light: light}),
 	}
 }
 
+// cursor returns where the peer's answer is to begin.
+func (d *Distributor) cursor(peer *peerState) uint64 {
+	fresh := peer.incarnation != 0 && d.options.Now()-peer.pulledAt < d.options.RecentWindow/2
+	if d.synced && !fresh && !peer.repeat {
+		return recentOnly
+	}
+	return peer.cursor
+}
+
 func (d *Distributor) applyPull(address string, request *peerv1.PullRequest, response *peerv1.PullResponse) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -126,17 +141,32 @@
 	restarted := peer.incarnation != response.Incarnation
 	peer.incarnation = response.Incarnation
 	peer.cursor = response.Cursor
-	if !complete {
-		// The peer takes this node to have a record that it dropped; everything is asked for again.
+	peer.pulledAt = d.options.Now()
+	peer.whole = request.Cursor == 0 || peer.whole && !restarted && request.Cursor != recentOnly
+	// The peer takes this node to have a record that it does not have; everything is asked for again.
+	peer.repeat = !complete
+	if peer.repeat {
 		peer.cursor = 0
 	}
+	cut := len(response.Nodes) >= d.options.MaxPullRecords
+	if peer.whole && complete && !cut {
+		d.markSynced()
+	}
 	if request.Self.PeerAddress != "" {
 		peer.selfVersion = request.Self.Version
 		peer.pulls = 0
 	} else if restarted {
 		peer.selfVersion = 0
 	}
-	return len(response.Documents) > 0 || len(response.Nodes) >= d.options.MaxPullRecords
+	return len(response.Documents) > 0 || cut
+}
+
+// markSynced notes that the records of a peer were read from the beginning.
+func (d *Distributor) markSynced() {
+	if !d.synced {
+		d.synced = true
+		d.tables.members.MarkSynced()
+	}
 }
 
 // mergeStates merges the records of an answer. It returns false if a light update was about an unknown record.
--- a/internal/distribution/rounds.go
+++ b/internal/distribution/rounds.go
@@ -31,6 +31,7 @@
 	d.round++
 	d.beat(now)
 	d.expire(now)
+	d.tables.members.MarkTime(now, d.options.RecentWindow)
 	d.checkIsolation(now)
 	d.forgetPeers()
 	view := d.currentView()
@@ -70,6 +71,9 @@
 
 // checkIsolation reports when neither the store nor a peer has answered for long, and when one answers again.
 func (d *Distributor) checkIsolation(now time.Duration) {
+	if now-d.peerHeard >= d.options.RecentWindow/2 {
+		d.synced = false
+	}
 	silent := now-max(d.storeHeard, d.peerHeard, 0) >= d.options.IsolatedAfter
 	if silent == d.isolated {
 		return
--- a/internal/membership/partners.go
+++ b/internal/membership/partners.go
@@ -10,8 +10,8 @@
 	// PartnersPerRound is the number of nodes that a node pulls from each round.
 	PartnersPerRound = 3
 	// stickyRounds is how long a partner is kept. A partner that was pulled from lately has little to send; a new one
-	// sends all changes since the last pull from it.
-	stickyRounds = 30
+	// sends the changes of the last minute and all permit documents.
+	stickyRounds = 120
 	// bridgesPerDomain is the number of nodes of a domain that pull from other domains and regions all the time.
 	bridgesPerDomain = 2
 	// crossDomainRounds is how often a node that is no bridge pulls from another domain of its region.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -19,6 +19,7 @@
 	entries map[model.NodeID]*entry
 	graves  map[model.NodeID]grave
 	log     changelog
+	recent  recent
 	// generation grows when a member appears, goes or changes its state, address or place.
 	generation uint64
 }
@@ -75,6 +76,9 @@
 	return e.member(), true
 }
 
+// Whole returns the node's own record as a full update.
+func (t *Table) Whole() Update { return Update{Record: t.Self()} }
+
 // Since returns the changes after cursor, oldest first and each member once, and the cursor to continue from. At most
 // limit members are returned, 0 for no limit. Dead members are left out, so that they do not spread any more.
 func (t *Table) Since(cursor uint64, limit int, skip func(*model.NodeRecord) bool) ([]Update, uint64) {
