--- a/internal/distribution/peer_state.go
+++ b/internal/distribution/peer_state.go
@@ -13,8 +13,6 @@
 	pulledAt time.Duration
 	// whole means that the cursor goes back to the beginning of the peer's change log without a gap.
 	whole bool
-	// repeat means that the last answer was about records that this node does not have.
-	repeat bool
 	// pulls counts the pulls since the whole own record was sent.
 	pulls    int
 	inFlight bool
--- a/internal/distribution/pull.go
+++ b/internal/distribution/pull.go
@@ -126,7 +126,7 @@
 // cursor returns where the peer's answer is to begin.
 func (d *Distributor) cursor(peer *peerState) uint64 {
 	fresh := peer.incarnation != 0 && d.options.Now()-peer.pulledAt < d.options.RecentWindow/2
-	if d.synced && !fresh && !peer.repeat {
+	if d.synced && !fresh {
 		return recentOnly
 	}
 	return peer.cursor
@@ -143,9 +143,8 @@
 	peer.cursor = response.Cursor
 	peer.pulledAt = d.options.Now()
 	peer.whole = request.Cursor == 0 || peer.whole && !restarted && request.Cursor != recentOnly
-	// The peer takes this node to have a record that it does not have; everything is asked for again.
-	peer.repeat = !complete
-	if peer.repeat {
+	if !complete {
+		// The peer takes this node to have a record that it does not have; everything is asked for again.
 		peer.cursor = 0
 	}
 	cut := len(response.Nodes) >= d.options.MaxPullRecords
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -122,6 +122,32 @@
 	}
 }
 
+// Guards against records of a first exchange that count as news, and changes of the window that are left out.
+func TestRecentCursor(t *testing.T) {
+	table := NewTable(selfRecord("self"), DefaultTiming())
+	table.MarkTime(0, time.Minute)
+	table.Merge(memberIn("first", "d"), 0)
+	table.MarkSynced()
+	for second := range 90 {
+		now := time.Duration(second) * time.Second
+		if second == 20 || second == 60 {
+			table.Merge(memberIn(now.String(), "d"), now)
+		}
+		table.MarkTime(now, time.Minute)
+		if second == 40 {
+			if updates, _ := table.Since(table.RecentCursor(), 0, nil); len(updates) != 1 || updates[0].Record.ID != "20s" {
+				t.Errorf("changes after 40 s: %v", updates)
+			}
+		}
+	}
+	if updates, _ := table.Since(table.RecentCursor(), 0, nil); len(updates) != 1 || updates[0].Record.ID != "1m0s" {
+		t.Errorf("changes of the last minute: %v", updates)
+	}
+	if len(table.recent.marks) > 62 {
+		t.Errorf("%d marks are kept", len(table.recent.marks))
+	}
+}
+
 // Guards against a cut answer whose cursor skips the rest.
 func TestCutAnswers(t *testing.T) {
 	table := NewTable(selfRecord("self"), DefaultTiming())
