--- a/internal/membership/benchmark_test.go
+++ b/internal/membership/benchmark_test.go
@@ -32,13 +32,14 @@
 		Version:   version,
 		Heartbeat: version,
 	}
-	for i := range targets {
-		record.Targets = append(record.Targets, model.Target{
+	record.Targets = make([]model.Target, targets)
+	for i := range record.Targets {
+		record.Targets[i] = model.Target{
 			ID:      model.TargetID(fmt.Sprintf("target-%06d-%02d", index, i)),
 			Service: model.ServiceName(fmt.Sprintf("service-%04d", (index*30+i)%3800)),
 			Address: fmt.Sprintf("10.1.%d.%d:%d", index/256, index%256, 9000+i),
 			Slots:   7, RampSlots: 7, Phase: model.PhaseReady, Successes: 100_000, FirstByte: time.Millisecond,
-		})
+		}
 	}
 	return record
 }
