--- a/internal/distribution/distributor_test.go
+++ b/internal/distribution/distributor_test.go
@@ -302,6 +302,30 @@
 	})
 }
 
+// Guards against a domain that gets no changes while its lost watchers still count as live: they must come from the
+// other domains.
+func TestBothWatchersLost(t *testing.T) {
+	inFleet(t, func(f *fleet) {
+		f.declare("ledger", "/v1")
+		nodes := f.startMany(24)
+		f.waitFor(time.Minute, "the members", nodes, seesLive(24))
+		time.Sleep(time.Minute)
+		var rest []*testNode
+		for _, node := range nodes {
+			if node.self.Domain == "domain-1" && node.Status().Watcher {
+				f.stop(node)
+				continue
+			}
+			rest = append(rest, node)
+		}
+		f.declare("ledger", "/v2")
+		f.waitFor(inForce, "the route", rest, hasRoute("ledger", "/v2"))
+		if len(rest) != 22 {
+			t.Errorf("%d nodes are left, want 22", len(rest))
+		}
+	})
+}
+
 // Guards against a node that is cut off without saying so, or that drops its configuration.
 func TestIsolatedNodeReports(t *testing.T) {
 	inFleet(t, func(f *fleet) {
--- a/internal/distribution/options.go
+++ b/internal/distribution/options.go
@@ -70,7 +70,8 @@
 	// MaxPullRecords is the number of records from which a Pull answer is cut. Permit and quarantine documents are not
 	// cut. With the defaults an answer stays under 4 MiB, the bound of drpc, up to about 1.5 MB of those.
 	MaxPullRecords int
-	// SyncParallel is the number of pulls at a time when a starting node reads all peers.
+	// SyncParallel is the number of pulls at a time when a starting node reads all peers. Each that is cut off takes
+	// PullTimeout, so a few would hold up the start for minutes while a region is cut off.
 	SyncParallel int
 	// MaxTombstones is the number of deleted configuration documents that are remembered one by one.
 	MaxTombstones int
@@ -105,7 +106,7 @@
 	setDefault(&o.Timing, membership.DefaultTiming())
 	setDefault(&o.MaxPullBytes, 512<<10)
 	setDefault(&o.MaxPullRecords, 400)
-	setDefault(&o.SyncParallel, 16)
+	setDefault(&o.SyncParallel, 64)
 	setDefault(&o.MaxAuxiliaryTombstones, 128)
 	if o.Report == nil {
 		o.Report = func(Event) {}
