--- a/internal/distribution/fleet_test.go
+++ b/internal/distribution/fleet_test.go
@@ -92,6 +92,17 @@
 }
 
 func (f *fleet) start(index int, seeds ...string) *testNode {
+	node := f.prepare(index, seeds...)
+	ctx, stop := context.WithCancel(context.Background())
+	node.stop = stop
+	f.mu.Lock()
+	f.nodes[node.self.PeerAddress] = node
+	f.mu.Unlock()
+	go node.Run(ctx)
+	return node
+}
+
+func (f *fleet) prepare(index int, seeds ...string) *testNode {
 	self := place(index)
 	f.incarnation++
 	self.Incarnation = f.incarnation
@@ -105,13 +116,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	node := &testNode{Distributor: d, self: self, stop: stop, events: events}
-	f.mu.Lock()
-	f.nodes[self.PeerAddress] = node
-	f.mu.Unlock()
-	go d.Run(ctx)
-	return node
+	return &testNode{Distributor: d, self: self, events: events}
 }
 
 func (f *fleet) startMany(count int) []*testNode {
--- a/internal/membership/benchmark_test.go
+++ b/internal/membership/benchmark_test.go
@@ -67,31 +67,17 @@
 	}
 }
 
-// BenchmarkSince reports the time to collect the changes of an answer from a table of 5,300 nodes.
-func BenchmarkSince(b *testing.B) {
+// BenchmarkChanges reports the time to collect the changes of an answer and to merge heartbeats, in a table of 5,300
+// nodes.
+func BenchmarkChanges(b *testing.B) {
 	for _, changed := range []int{10, 100, 1000} {
-		b.Run(fmt.Sprintf("changed=%d", changed), func(b *testing.B) {
-			table := benchTable(5300, 30)
-			cursor := table.Position()
-			for i := range changed {
-				table.Merge(Update{Record: benchRecord(i+1, 30, 2)}, 0)
-			}
-			for b.Loop() {
-				table.Since(cursor, 0, nil)
-			}
-		})
-	}
-}
-
-// BenchmarkMerge reports the time to merge heartbeats into a table of 5,300 nodes.
-func BenchmarkMerge(b *testing.B) {
-	for _, changed := range []int{10, 100, 1000} {
-		b.Run(fmt.Sprintf("changed=%d", changed), func(b *testing.B) {
-			table := benchTable(5300, 30)
-			updates := make([]Update, changed)
-			for i := range updates {
-				updates[i] = Update{Record: benchRecord(i+1, 0, 1), Light: true}
-			}
+		table := benchTable(5300, 30)
+		cursor := table.Position()
+		updates := make([]Update, changed)
+		for i := range updates {
+			updates[i] = Update{Record: benchRecord(i+1, 0, 1), Light: true}
+		}
+		b.Run(fmt.Sprintf("merge/changed=%d", changed), func(b *testing.B) {
 			for b.Loop() {
 				for _, update := range updates {
 					update.Record.Heartbeat++
@@ -99,56 +85,32 @@
 				}
 			}
 		})
-	}
-}
-
-// BenchmarkView reports the time to group the members after one appeared, went or changed its state.
-func BenchmarkView(b *testing.B) {
-	for _, size := range []int{500, 1500, 5300} {
-		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
-			table := benchTable(size, 0)
+		b.Run(fmt.Sprintf("since/changed=%d", changed), func(b *testing.B) {
 			for b.Loop() {
-				table.View()
-			}
-		})
-	}
-}
-
-// BenchmarkRound reports the time of the election of watchers and the choice of partners in one round.
-func BenchmarkRound(b *testing.B) {
-	for _, size := range []int{500, 1500, 5300} {
-		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
-			view := benchTable(size, 0).View()
-			round := uint64(0)
-			for b.Loop() {
-				round++
-				view.IsWatcher()
-				view.Partners(round, 1)
-			}
-		})
-	}
-}
-
-// BenchmarkExpire reports the time to update the states of all members.
-func BenchmarkExpire(b *testing.B) {
-	for _, size := range []int{500, 1500, 5300} {
-		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
-			table := benchTable(size, 0)
-			for b.Loop() {
-				table.Expire(0)
+				table.Since(cursor, 0, nil)
 			}
 		})
 	}
 }
 
-// BenchmarkSnapshot reports the time to publish all members.
-func BenchmarkSnapshot(b *testing.B) {
+// BenchmarkTable reports the time of what a node does in each round, and the grouping of members that follows a change
+// of their states.
+func BenchmarkTable(b *testing.B) {
+	round := uint64(0)
 	for _, size := range []int{500, 1500, 5300} {
-		b.Run(fmt.Sprintf("nodes=%d", size), func(b *testing.B) {
-			table := benchTable(size, 0)
-			for b.Loop() {
-				table.Snapshot()
-			}
-		})
+		table := benchTable(size, 0)
+		view := table.View()
+		for name, work := range map[string]func(){
+			"view":     func() { table.View() },
+			"expire":   func() { table.Expire(0) },
+			"snapshot": func() { table.Snapshot() },
+			"partners": func() { round++; view.IsWatcher(); view.Partners(round, 1) },
+		} {
+			b.Run(fmt.Sprintf("%s/nodes=%d", name, size), func(b *testing.B) {
+				for b.Loop() {
+					work()
+				}
+			})
+		}
 	}
 }
