--- a/examples/internal/tour/tour.go
+++ b/examples/internal/tour/tour.go
@@ -62,7 +62,7 @@
 	if err := os.WriteFile(path, []byte(t.plan.Layout.Declarations), declarationFileMode); err != nil {
 		return errors.Wrap(err, "declarations")
 	}
-	output, err := t.fleet.Control(ctx, t.fleet.Nodes[0], "", "apply", path)
+	output, err := t.fleet.Control(ctx, t.fleet.Nodes[0], "", "apply", "-wait", path)
 	if err != nil {
 		return err
 	}
--- a/internal/fleettest/address.go
+++ b/internal/fleettest/address.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -23,9 +24,24 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%octet, n/vmsPerNetwork%octet, 1+n%vmsPerNetwork)
 }
 
-// freeAddress returns host:port with a port that is free on the VM. Outgoing connections on loopback come from
-// 127.0.0.1, so they do not take the port before its process listens on it.
+// given holds the addresses that this process gave out. The kernel may offer a port again once it is closed.
+var given sync.Map
+
+// freeAddress returns host:port with a port that is free on the VM and was not given out before. Outgoing connections on
+// loopback come from 127.0.0.1, so they do not take the port before its process listens on it.
 func freeAddress(vm string) (string, error) {
+	for {
+		address, err := offeredAddress(vm)
+		if err != nil {
+			return "", err
+		}
+		if _, taken := given.LoadOrStore(address, true); !taken {
+			return address, nil
+		}
+	}
+}
+
+func offeredAddress(vm string) (string, error) {
 	listener, err := net.Listen("tcp", net.JoinHostPort(vm, "0"))
 	if err != nil {
 		return "", errors.Wrap(err, "free port")
--- a/internal/fleettest/apply.go
+++ b/internal/fleettest/apply.go
@@ -4,7 +4,7 @@
 
 // Apply applies the layout's declarations through the operators' listener of a node.
 func (f *Fleet) Apply(ctx context.Context, node *Node) error {
-	_, err := f.Control(ctx, node, f.options.Layout.Declarations, "apply", "-")
+	_, err := f.Control(ctx, node, f.options.Layout.Declarations, "apply", "-wait", "-")
 	return err
 }
 
--- a/internal/fleettest/declare.go
+++ b/internal/fleettest/declare.go
@@ -16,6 +16,9 @@
 	if err != nil {
 		return errors.Wrap(err, "declarations")
 	}
+	if err := f.Store.waitUp(ctx); err != nil {
+		return err
+	}
 	for i := range declarations {
 		service := &declarations[i].Service
 		value, err := service.Encode()
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -128,8 +128,20 @@
 	return seeds
 }
 
-// WaitReady waits until every daemon takes callers and every upstream is accepted as ready.
+// WaitReady waits until every daemon takes callers and every daemon knows every upstream as ready.
 func (f *Fleet) WaitReady(ctx context.Context) error {
+	if err := f.waitStarted(ctx); err != nil {
+		return err
+	}
+	for _, node := range f.Nodes {
+		if err := f.waitKnown(ctx, node); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) waitStarted(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, node := range f.Nodes {
 		group.Go(func() error { return node.WaitReady(ctx) })
@@ -163,7 +175,7 @@
 
 // Control runs sardinereachctl against a node with the input and returns what it prints.
 func (f *Fleet) Control(ctx context.Context, node *Node, input string, args ...string) (string, error) {
-	args = append([]string{"-node", node.Operators}, args...)
+	args = append(args, "-server", node.Operators)
 	cmd := exec.CommandContext(ctx, f.options.Binaries.path(controlProgram), args...)
 	cmd.Stdin = strings.NewReader(input)
 	output, err := cmd.CombinedOutput()
--- a/internal/fleettest/node.go
+++ b/internal/fleettest/node.go
@@ -74,7 +74,7 @@
 
 // Start starts the daemon, also after its end. It is a new incarnation with the same settings.
 func (n *Node) Start() error {
-	args := []string{"-config", n.settings}
+	args := []string{"-settings", n.settings}
 	if n.Relay != nil {
 		args = append(args, "-bind-peers", n.bind)
 	}
--- a/internal/fleettest/relayeddaemon/main.go
+++ b/internal/fleettest/relayeddaemon/main.go
@@ -20,7 +20,7 @@
 )
 
 func main() {
-	config := flag.String("config", "", "settings `file`")
+	config := flag.String("settings", "", "settings `file`")
 	bind := flag.String("bind-peers", "", "`address` to listen at for peers")
 	flag.Parse()
 	if err := run(*config, *bind); err != nil {
--- a/internal/fleettest/store_content.go
+++ b/internal/fleettest/store_content.go
@@ -14,6 +14,14 @@
 	return storev1.NewStoreClient(http.DefaultClient, "http://"+s.address)
 }
 
+// waitUp waits until the store answers.
+func (s *Store) waitUp(ctx context.Context) error {
+	return Poll(ctx, "the store", func(ctx context.Context) error {
+		_, err := s.Keys(ctx, "config/")
+		return err
+	})
+}
+
 // create writes a key that must not exist.
 func (s *Store) create(ctx context.Context, key string, value []byte) error {
 	request := connect.NewRequest(&storev1.CompareAndSwapRequest{Key: key, Value: value})
--- a/internal/fleettest/wait_routes.go
+++ b/internal/fleettest/wait_routes.go
@@ -7,8 +7,7 @@
 	"github.com/pkg/errors"
 )
 
-// waitRoutesOf waits until the node knows every route. A GET on a route for POST, and a POST without a key, are refused
-// with another reason than no_route, so that nothing runs.
+// waitRoutesOf waits until the node knows every route.
 func (f *Fleet) waitRoutesOf(ctx context.Context, client *Client, node *Node) error {
 	for _, service := range f.options.Layout.Services {
 		err := Poll(ctx, node.ID+" to route to "+service.Name, func(ctx context.Context) error {
@@ -21,7 +20,7 @@
 	return nil
 }
 
-// probeRoute sends a read, and where the route takes none, an operation without a key.
+// probeRoute sends a read, and where the route takes none, an operation without a key, which is refused and does not run.
 func (c *Client) probeRoute(ctx context.Context, node, path string) error {
 	answer := c.Fetch(ctx, node, Request{Path: path, Token: "probe"})
 	if answer.Whole {
