--- a/examples/internal/tour/tour.go
+++ b/examples/internal/tour/tour.go
@@ -30,6 +30,8 @@
 	small      *traffic
 	bulk       *traffic
 	operations *traffic
+	// before are the counters at the beginning of the traffic.
+	before reasons
 	// faults describe promises that did not hold, besides those in the tallies.
 	faults []string
 }
@@ -46,6 +48,11 @@
 	if err := t.fleet.WaitRoutes(ctx); err != nil {
 		return err
 	}
+	before, err := t.countReasons(ctx)
+	if err != nil {
+		return err
+	}
+	t.before = before
 	t.small = newTraffic(t.plan.Small, t.fleet, t.client)
 	t.bulk = newTraffic(t.plan.Bulk, t.fleet, t.client)
 	t.operations = newTraffic(t.plan.Operations, t.fleet, t.client)
--- a/internal/fleettest/harness_test.go
+++ b/internal/fleettest/harness_test.go
@@ -67,8 +67,14 @@
 	return startWith(t, Options{Layout: layout, Relays: true})
 }
 
+// fleets limits the fleets that run at the same time, because the machine is shared.
+var fleets = make(chan struct{}, 3)
+
 func startWith(t *testing.T, options Options) *scene {
 	t.Helper()
+	t.Parallel()
+	fleets <- struct{}{}
+	t.Cleanup(func() { <-fleets })
 	options.Binaries = programs
 	options.Dir = t.TempDir()
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
