--- a/cmd/latencybench/measure.go
+++ b/cmd/latencybench/measure.go
@@ -61,7 +61,9 @@
 				// Values over maxLatencyUS cannot occur within the request's timeout.
 				_ = s.latency.RecordValue(max(1, d.Microseconds()))
 			}
-			s.failed += failed
+			for reason, n := range failed {
+				s.failed[reason] += n
+			}
 		})
 	}
 	ready.Wait()
@@ -71,13 +73,13 @@
 	s.seconds += time.Since(started).Seconds()
 }
 
-func (c *callers) loop(ctx context.Context, address, token string, slice time.Duration) ([]time.Duration, int) {
+func (c *callers) loop(ctx context.Context, address, token string, slice time.Duration) ([]time.Duration, map[string]int) {
 	var took []time.Duration
-	failed := 0
+	failed := map[string]int{}
 	for end := time.Now().Add(slice); time.Now().Before(end) && ctx.Err() == nil; {
 		started := time.Now()
 		if err := c.request(ctx, address, token); err != nil {
-			failed++
+			failed[err.Error()]++
 			continue
 		}
 		took = append(took, time.Since(started))
@@ -103,7 +105,7 @@
 		return errors.Wrap(err, "answer")
 	}
 	if response.StatusCode != http.StatusOK || n != c.size || response.Header.Get(fakeupstream.HeaderRequest) != token {
-		return errors.Errorf("status %d, %d bytes", response.StatusCode, n)
+		return errors.Errorf("status %d %s", response.StatusCode, response.Header.Get("Sardinereach-Reason"))
 	}
 	return nil
 }
--- a/cmd/latencybench/path.go
+++ b/cmd/latencybench/path.go
@@ -15,7 +15,8 @@
 	latency *hdrhistogram.Histogram
 	// seconds is the time in which the answers were received.
 	seconds float64
-	failed  int
+	// failed counts answers that are not whole, by their status and reason.
+	failed map[string]int
 }
 
 const (
@@ -28,7 +29,7 @@
 func newPath(name, address string) *path {
 	p := &path{name: name, address: address, samples: map[int]*sample{}}
 	for _, callers := range concurrencies {
-		p.samples[callers] = &sample{latency: hdrhistogram.New(1, maxLatencyUS, significantDigits)}
+		p.samples[callers] = &sample{latency: hdrhistogram.New(1, maxLatencyUS, significantDigits), failed: map[string]int{}}
 	}
 	return p
 }
--- a/cmd/latencybench/report.go
+++ b/cmd/latencybench/report.go
@@ -22,7 +22,7 @@
 	for _, callers := range concurrencies {
 		for _, p := range paths {
 			s := p.samples[callers]
-			fmt.Fprintf(table, "%d\t%s\t%.3f\t%.3f\t%.0f\t%d\t%d\t\n", callers, p.name,
+			fmt.Fprintf(table, "%d\t%s\t%.3f\t%.3f\t%.0f\t%d\t%v\t\n", callers, p.name,
 				at(s, median), at(s, tail), s.throughput(), s.latency.TotalCount(), s.failed)
 		}
 	}
