--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -46,7 +46,9 @@
 	Bytes     int64
 	// Reused means that the request went over a connection that had carried others.
 	Reused bool
-	Err    error
+	// Refused means that the upstream's address refused the connection: nothing listens there.
+	Refused bool
+	Err     error
 }
 
 // shed reports whether the upstream declared that it did not run the request.
