--- a/examples/internal/tour/tour.go
+++ b/examples/internal/tour/tour.go
@@ -30,6 +30,8 @@
 	small      *traffic
 	bulk       *traffic
 	operations *traffic
+	// before are the counters at the beginning of the traffic.
+	before reasons
 	// faults describe promises that did not hold, besides those in the tallies.
 	faults []string
 }
@@ -46,6 +48,11 @@
 	if err := t.fleet.WaitRoutes(ctx); err != nil {
 		return err
 	}
+	before, err := t.countReasons(ctx)
+	if err != nil {
+		return err
+	}
+	t.before = before
 	t.small = newTraffic(t.plan.Small, t.fleet, t.client)
 	t.bulk = newTraffic(t.plan.Bulk, t.fleet, t.client)
 	t.operations = newTraffic(t.plan.Operations, t.fleet, t.client)
@@ -62,7 +69,7 @@
 	if err := os.WriteFile(path, []byte(t.plan.Layout.Declarations), declarationFileMode); err != nil {
 		return errors.Wrap(err, "declarations")
 	}
-	output, err := t.fleet.Control(ctx, t.fleet.Nodes[0], "", "apply", path)
+	output, err := t.fleet.Control(ctx, t.fleet.Nodes[0], "", "apply", "-wait", path)
 	if err != nil {
 		return err
 	}
--- a/internal/distribution/handle_pull.go
+++ b/internal/distribution/handle_pull.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/sardinereach/sardinereach/api/peerv1"
-	"github.com/sardinereach/sardinereach/internal/config"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
@@ -22,34 +21,35 @@
 	return response
 }
 
-// answerConfig adds the configuration documents after the caller's revision. A cut answer is complete up to the last
-// document in it; it is never cut between documents of one revision, because the rest would be skipped.
+// answerConfig adds the configuration documents after the caller's revision.
 func (d *Distributor) answerConfig(request *peerv1.PullRequest, response *peerv1.PullResponse) {
-	response.DocumentRevision = d.tables.config.Complete()
-	size := 0
-	last := int64(0)
-	for _, document := range d.tables.config.Since(request.GetDocumentRevision()) {
-		if size >= d.options.MaxPullBytes && document.Revision > last {
-			response.DocumentRevision = min(response.DocumentRevision, last)
-			return
-		}
-		size += documentSize(document)
+	documents, complete := d.tables.config.Page(request.GetDocumentRevision(), d.options.MaxPullBytes)
+	response.DocumentRevision = complete
+	for _, document := range documents {
 		response.Documents = append(response.Documents, documentMessage(document))
-		if document.Key != ConfigPrefix {
-			last = document.Revision
-		}
 	}
 }
 
-// documentOverhead is the size of a document message without its key and value, in bytes.
-const documentOverhead = 16
-
-func documentSize(d config.Document) int { return len(d.Key) + len(d.Value) + documentOverhead }
-
 // answerChanges adds the records and the auxiliary documents after the caller's cursor.
 func (d *Distributor) answerChanges(request *peerv1.PullRequest, response *peerv1.PullResponse) {
 	cursor := request.GetCursor()
-	if request.GetIncarnation() != uint64(d.options.Self.Incarnation) {
+	known := request.GetIncarnation() == uint64(d.options.Self.Incarnation) && cursor != recentOnly
+	d.answerAuxiliary(cursor, known, response)
+	if !known && cursor != 0 {
+		// The caller has the older records from others, or from this node's earlier incarnation.
+		cursor = d.tables.members.RecentCursor()
+		response.Nodes = append(response.Nodes, stateOf(d.tables.members.Whole()))
+	}
+	updates, next := d.tables.members.Since(cursor, d.options.MaxPullRecords, d.skip(request, cursor))
+	for _, update := range updates {
+		response.Nodes = append(response.Nodes, stateOf(update))
+	}
+	response.Cursor = next
+}
+
+// answerAuxiliary adds the permit and quarantine documents, all of them unless the caller's cursor is known here.
+func (d *Distributor) answerAuxiliary(cursor uint64, known bool, response *peerv1.PullResponse) {
+	if !known {
 		cursor = 0
 	}
 	for _, auxiliary := range []*auxiliary{d.tables.ejections, d.tables.quarantine} {
@@ -57,11 +57,6 @@
 			response.Documents = append(response.Documents, documentMessage(document))
 		}
 	}
-	updates, next := d.tables.members.Since(cursor, d.options.MaxPullRecords, d.skip(request, cursor))
-	for _, update := range updates {
-		response.Nodes = append(response.Nodes, stateOf(update))
-	}
-	response.Cursor = next
 }
 
 // skip returns which records the caller does not need: its own and, if it is of another region and has pulled here
