--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -108,7 +108,7 @@
 	}
 	listener := &countingListener{Listener: inner}
 	if handler.collected == nil {
-		handler.collected = make(chan string, 100)
+		handler.collected = make(chan string, 1000)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
