Never answer not-run after an attempt that may have run; stop crashing requests before the resend

Cause 1: an idempotent request whose first attempts crashed their upstreams and whose last attempt was refused was answered not-run, although it had run. Found by TestCrashingRequestIsQuarantined. Cause 2: news of a crash reached other admitting nodes through the store only, so that resends through other nodes took down more upstreams (4 runs instead of 2, TestCrashingOperationIsQuarantined); and the listener of an exiting process outlived its connections, so that some crashes were taken for broken connections (3 runs). Cause 3: a new node took callers before the view with its configuration was in force (no_route in TestNodeStartsWhileStoreIsDown). Ruled out: reading the store before each dispatch, which costs a read per request. Change: the outcome of a request is may-have-run if any attempt may have run; the admitting node warns the other admitting nodes of the service before it answers; the look at a lost upstream is repeated; readiness follows the view.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -25,6 +25,8 @@
 	budget := a.budgets.of(rq.match.Service.Name, a.clock.now())
 	budget.request(a.clock.now())
 	var tried routing.Tried
+	// uncertain is the last outcome of an attempt that may have run. A refusal of a later attempt does not undo it.
+	var uncertain *verdict.Error
 	in := retry.Input{Class: rq.class, RetryStatuses: rq.match.Route.RetryStatuses, Attempt: 1, Hops: 1}
 	for {
 		service := a.view.Load().Service(rq.match.Service.Name)
@@ -36,20 +38,31 @@
 		if out.committed {
 			return err
 		}
+		if err != nil && err.Verdict != verdict.NotRun {
+			uncertain = err
+		}
 		in.Err, in.Status, in.Remaining = err, out.status(), rq.remaining()
 		in.RetryAfter = retryAfterOf(out)
 		in.Untried = untried(service, &tried)
 		decision := budget.decide(in, a.clock.now(), rq.rng)
 		if !decision.Retry {
-			return a.giveUp(err, decision)
+			return overall(a.giveUp(err, decision), uncertain)
 		}
 		if err := a.prepareRetry(ctx, rq, target, &tried, decision); err != nil {
-			return err
+			return overall(err, uncertain)
 		}
 		in.Attempt, in.Hops = in.Next(decision)
 	}
 }
 
+// overall returns the outcome of the whole request: it may have run if any of its attempts may have run.
+func overall(last, uncertain *verdict.Error) *verdict.Error {
+	if last == nil || last.Verdict != verdict.NotRun || uncertain == nil {
+		return last
+	}
+	return uncertain
+}
+
 // giveUp returns the outcome of the last attempt and counts the limit that prevented another one.
 func (a *acceptor) giveUp(err *verdict.Error, decision retry.Decision) *verdict.Error {
 	if decision.Reason == verdict.RetryBudget || decision.Reason == verdict.RetryAttempts {
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -24,6 +24,9 @@
 const (
 	// crashDialTimeout bounds the look whether an upstream that broke a connection still listens.
 	crashDialTimeout = 500 * time.Millisecond
+	// crashLooks and crashLookPause are how often and how far apart the upstream is looked at after a connection broke.
+	crashLooks     = 3
+	crashLookPause = 20 * time.Millisecond
 	// quarantineWriteTimeout bounds the write of an entry to the store.
 	quarantineWriteTimeout = 2 * time.Second
 )
@@ -31,9 +34,10 @@
 // crashes finds requests that crash their upstreams. It is the shell around the package quarantine.
 type crashes struct {
 	clock clock
-	self  model.Node
 	store store.Store
 	log   *events.Log
+	// warn tells the admitting nodes of the target's service and returns when they know, or after a short time.
+	warn func(target model.TargetID, entry []byte)
 
 	mu     sync.Mutex
 	table  *quarantine.Table
@@ -48,7 +52,8 @@
 
 func newCrashes(c clock, self model.Node, s store.Store, log *events.Log) *crashes {
 	return &crashes{
-		clock: c, self: self, store: s, log: log, table: quarantine.New(),
+		clock: c, store: s, log: log, table: quarantine.New(),
+		warn: func(model.TargetID, []byte) {},
 		// Serials of different incarnations differ, so that a loss after a restart is not taken for an earlier one.
 		serial: uint64(self.Incarnation),
 		merged: make(map[string]int64), writes: make(chan quarantine.Entry, pendingEntries),
@@ -111,15 +116,26 @@
 }
 
 // listens reports whether the upstream still accepts connections. Only a refused connection says that it does not: a
-// slow or silent upstream has not crashed.
+// slow or silent upstream has not crashed. The listener of a process that exits may outlive its connections for a moment,
+// so that a first success is checked again.
 func listens(address string) bool {
+	for range crashLooks {
+		if refuses(address) {
+			return false
+		}
+		time.Sleep(crashLookPause)
+	}
+	return !refuses(address)
+}
+
+func refuses(address string) bool {
 	c, err := net.DialTimeout("tcp", address, crashDialTimeout)
 	if err != nil {
-		return !errors.Is(err, syscall.ECONNREFUSED)
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	// Nothing was written, so that the error of closing tells nothing.
 	_ = c.Close()
-	return true
+	return false
 }
 
 // lost notes the loss of an upstream and attributes it to the fingerprints in flight there. The first of the requests
@@ -142,9 +158,8 @@
 // lostElsewhere notes that another node has reported the loss of an upstream under an attempt of this node.
 func (c *crashes) lostElsewhere(head *peerv1.ForwardHead, serial uint64) {
 	c.mu.Lock()
-	entries := c.table.Lose(c.clock.now(), quarantine.Loss{Target: model.TargetID(head.Target), Serial: serial})
+	c.table.Lose(c.clock.now(), quarantine.Loss{Target: model.TargetID(head.Target), Serial: serial})
 	c.mu.Unlock()
-	c.report(model.TargetID(head.Target), entries)
 }
 
 // finish notes the end of an attempt whose upstream was not lost.
@@ -166,10 +181,21 @@
 		}
 		c.log.Emit(event, events.TargetField(target), events.FingerprintField(entry.Fingerprint.String()),
 			events.CountField(len(entry.Losses)))
+		c.warnOf(target, entry)
 		c.publish(entry)
 	}
 }
 
+// warnOf tells the other admitting nodes of the service before the accepting node learns of the loss, so that a resend
+// through any node meets an admission point that knows.
+func (c *crashes) warnOf(target model.TargetID, entry quarantine.Entry) {
+	value, err := json.Marshal(entry)
+	if err != nil {
+		return
+	}
+	c.warn(target, value)
+}
+
 // publish hands an entry to the writer. It never blocks.
 func (c *crashes) publish(entry quarantine.Entry) {
 	select {
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -48,3 +48,6 @@
 func (h *handler) Pull(req *peerv1.PullRequest) *peerv1.PullResponse {
 	return h.node.distributor.HandlePull(req)
 }
+
+// Warn implements peer.Handler.
+func (h *handler) Warn(req *peerv1.WarnRequest) { h.node.crashes.merge(req.Entry) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,6 +47,8 @@
 	crashes     *crashes
 	heartbeats  *heartbeats
 
+	// ready is set once a view with the complete configuration is in force.
+	ready    atomic.Bool
 	stopOnce sync.Once
 	stop     chan struct{}
 }
@@ -68,6 +71,7 @@
 	n.peers = peer.NewClient(n.self.ID, peer.Options{Count: n.countPeerBytes})
 	n.upstreams = upstream.NewClient(s.Limits.MaxHeaderBytes)
 	n.crashes = newCrashes(n.clock, n.self, n.store, log)
+	n.crashes.warn = n.warnService
 	n.admitter = newAdmitter(n.clock, incarnation, n.admissionLimits(), n.upstreams, n.crashes)
 	n.buildAcceptor(binary.LittleEndian.Uint64(secret))
 	n.buildOnce(secret)
@@ -93,7 +97,7 @@
 func (n *Node) buildAcceptor(seed uint64) {
 	n.acceptor = &acceptor{
 		self: n.self, clock: n.clock, limits: n.settings.Limits,
-		ready: func() bool { return n.distributor.Ready() },
+		ready: n.ready.Load,
 		peers: n.peers, admitter: n.admitter, paths: n.paths, link: newLinkBudget(n.settings.Limits.LinkBytesPerSecond),
 		budgets: newBudgets(), metrics: n.metrics, log: n.log, seed: seed,
 	}
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -29,6 +29,7 @@
 	case distribution.WatchStopped:
 		n.log.Emit(events.WatcherStopped, events.DomainField(n.self.Domain))
 	case distribution.BecameReady:
+		n.views.invalidate()
 		n.log.Emit(events.NodeReady, events.NodeField(n.self.ID), events.RevisionField(e.Revision), events.DurationField(n.clock.now()))
 	case distribution.Isolated:
 		n.log.Emit(events.ConfigStale, events.RevisionField(e.Revision))
--- a/internal/node/view_publisher.go
+++ b/internal/node/view_publisher.go
@@ -50,6 +50,7 @@
 
 func (p *viewPublisher) publish() {
 	n := p.node
+	ready := n.distributor.Ready()
 	snapshot := n.distributor.Snapshot()
 	n.crashes.learn(snapshot)
 	n.heartbeats.note(n.clock.now(), snapshot.Members)
@@ -63,6 +64,9 @@
 		Loads:       n.loads.of,
 	})
 	n.acceptor.view.Store(view)
+	if ready {
+		n.ready.Store(true)
+	}
 	p.built++
 	n.metrics.SetSnapshotRevision(p.built)
 	n.metrics.SetConfigRevision(view.Revision)
--- /dev/null
+++ b/internal/node/warn.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/core"
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+const (
+	// warnTimeout bounds how long an answer waits until the admitting nodes of its service are warned.
+	warnTimeout = 500 * time.Millisecond
+	// maxWarned bounds the nodes that are warned directly. Others learn through the store.
+	maxWarned = 128
+)
+
+// warnService tells the admitting nodes of the target's service of a request that has crashed the target. Every dispatch
+// passes one of them, so that a resend is stopped before the store has spread the news.
+func (n *Node) warnService(target model.TargetID, entry []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), warnTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, address := range n.admittingNodes(target) {
+		wg.Go(func() {
+			// A node that cannot be told learns through the store.
+			_ = n.peers.Warn(ctx, address, &peerv1.WarnRequest{Entry: entry})
+		})
+	}
+	wg.Wait()
+}
+
+// admittingNodes returns the peer addresses of the other nodes that stand beside targets of the target's service.
+func (n *Node) admittingNodes(target model.TargetID) []string {
+	service := serviceOf(n.acceptor.view.Load(), target)
+	if service == nil {
+		return nil
+	}
+	seen := map[model.NodeID]bool{n.self.ID: true}
+	var addresses []string
+	for _, t := range service.Targets {
+		if seen[t.Node.ID] || len(addresses) == maxWarned {
+			continue
+		}
+		seen[t.Node.ID] = true
+		addresses = append(addresses, t.Node.PeerAddress)
+	}
+	return addresses
+}
+
+func serviceOf(view *core.View, target model.TargetID) *core.ServiceView {
+	for _, service := range view.Services() {
+		for _, t := range service.Targets {
+			if t.Target.ID == target {
+				return service
+			}
+		}
+	}
+	return nil
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -112,6 +112,14 @@
 	return res, err
 }
 
+// Warn tells an admitting node of a request that may crash its upstream.
+func (c *Client) Warn(ctx context.Context, address string, req *peerv1.WarnRequest) error {
+	return c.call(ctx, address, func(ctx context.Context, k *conn) error {
+		_, err := k.client.Warn(ctx, req)
+		return err
+	})
+}
+
 // call makes one unary call. A call that fails on an idle connection is made once more on a new one: all unary calls
 // are idempotent.
 func (c *Client) call(ctx context.Context, address string, do func(context.Context, *conn) error) error {
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -19,4 +19,6 @@
 	Lookup(*peerv1.LookupRequest) *peerv1.LookupResponse
 	Operation(*peerv1.OperationRequest) *peerv1.OperationResponse
 	Pull(*peerv1.PullRequest) *peerv1.PullResponse
+	// Warn takes in what another node has found about a request that crashes its upstreams.
+	Warn(*peerv1.WarnRequest)
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -49,6 +49,8 @@
 
 func (h *echoHandler) Pull(*peerv1.PullRequest) *peerv1.PullResponse { return &peerv1.PullResponse{} }
 
+func (h *echoHandler) Warn(*peerv1.WarnRequest) {}
+
 func echo(_ context.Context, _ *peerv1.ForwardHead, body []byte, sink Sink) *peerv1.AnswerTrailer {
 	if sink.Head(&peerv1.AnswerHead{Status: 200, ContentLength: int64(len(body))}) != nil || sink.Body(body) != nil {
 		return &peerv1.AnswerTrailer{Verdict: int32(verdict.MayHaveRun)}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -45,6 +45,12 @@
 	return s.handler.Pull(req), nil
 }
 
+// Warn implements the generated interface.
+func (s *service) Warn(_ context.Context, req *peerv1.WarnRequest) (*peerv1.WarnResponse, error) {
+	s.handler.Warn(req)
+	return &peerv1.WarnResponse{}, nil
+}
+
 // Forward implements the generated interface.
 func (s *service) Forward(stream peerv1.DRPCPeer_ForwardStream) error {
 	return s.serve(stream, s.handler.Forward)
