--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -156,6 +156,7 @@
 	tasks.Go(func() { d.runRounds(ctx) })
 	tasks.Go(func() { d.runStart(ctx) })
 	tasks.Go(func() { d.runMembers(ctx) })
+	tasks.Go(func() { d.runPublish(ctx) })
 	for _, prefix := range []string{ConfigPrefix, EjectionPrefix, QuarantinePrefix} {
 		tasks.Go(func() { d.runWatch(ctx, prefix) })
 	}
--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"context"
 	"time"
 
 	"github.com/sardinereach/sardinereach/internal/config"
@@ -23,6 +24,13 @@
 	heartbeatPause = 10 * time.Second
 )
 
+// runPublish publishes what had to wait for memberPause.
+func (d *Distributor) runPublish(ctx context.Context) {
+	for sleep(ctx, memberPause) {
+		d.publish()
+	}
+}
+
 // publish makes a new snapshot if something changed.
 func (d *Distributor) publish() {
 	d.publishing.Lock()
