Compare targets by full reports, asked for at once while evidence waits

Cause: the detectors compared with success and failure counts of records up to 3 s old, so that slowness was never found and each suspicion waited for seconds. Ruled out: asking all nodes each second, which is 1,260 calls/s for a node with 30 targets of 42-target services. Change: records carry the detector's report; a node whose evidence waits asks the service's other admitting nodes at once; the distributor publishes everything it has read before it becomes ready. Measured: TestNodeStartsWhileStoreIsDown failed in one of two runs before; the whole package passes now.

--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -31,6 +31,16 @@
 	}
 }
 
+// publishNow makes a new snapshot of everything without waiting for the pauses.
+func (d *Distributor) publishNow() {
+	d.mu.Lock()
+	d.publisher.documents = true
+	d.publisher.members = true
+	d.publisher.at = -heartbeatPause
+	d.mu.Unlock()
+	d.publish()
+}
+
 // publish makes a new snapshot if something changed.
 func (d *Distributor) publish() {
 	d.publishing.Lock()
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -55,6 +55,8 @@
 	d.mu.Lock()
 	revision := d.tables.config.Complete()
 	d.mu.Unlock()
+	// What was read at the start must be in the snapshot before the node takes callers.
+	d.publishNow()
 	d.ready.Store(true)
 	d.options.Report(Event{Kind: BecameReady, Revision: revision})
 }
--- a/internal/distribution/wire.go
+++ b/internal/distribution/wire.go
@@ -49,6 +49,7 @@
 		Trial:       t.Trial,
 		Successes:   t.Successes,
 		Failures:    t.Failures,
+		Report:      t.Report,
 		FirstByteUs: t.FirstByte.Microseconds(),
 	}
 }
@@ -91,6 +92,7 @@
 		Trial:     t.GetTrial(),
 		Successes: t.GetSuccesses(),
 		Failures:  t.GetFailures(),
+		Report:    t.GetReport(),
 		FirstByte: time.Duration(t.GetFirstByteUs()) * time.Microsecond,
 	}
 }
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -24,6 +24,8 @@
 	// Successes and Failures count outcomes of real work since the node's start.
 	Successes uint64
 	Failures  uint64
+	// Report is the evidence of the admitting node's detector, in JSON, for the detectors of the service's other targets.
+	Report string
 	// FirstByte is the smoothed time to first byte, 0 if no request was answered yet.
 	FirstByte time.Duration
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -114,7 +114,7 @@
 
 // routingState returns the target without the figures that change with every request.
 func routingState(t model.Target) model.Target {
-	t.InFlight, t.Queued, t.Successes, t.Failures, t.FirstByte = 0, 0, 0, 0, 0
+	t.InFlight, t.Queued, t.Successes, t.Failures, t.FirstByte, t.Report = 0, 0, 0, 0, 0, ""
 	return t
 }
 
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/peer"
 )
 
@@ -51,3 +52,8 @@
 
 // Warn implements peer.Handler.
 func (h *handler) Warn(req *peerv1.WarnRequest) { h.node.crashes.merge(req.Entry) }
+
+// Reports implements peer.Handler.
+func (h *handler) Reports(req *peerv1.ReportsRequest) *peerv1.ReportsResponse {
+	return h.node.control.judge.reports(model.ServiceName(req.Service))
+}
--- a/internal/node/judge.go
+++ b/internal/node/judge.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"encoding/json"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/detect"
 	"github.com/sardinereach/sardinereach/internal/events"
@@ -26,6 +28,9 @@
 	// refused are the targets whose address has refused a connection since the last announcement.
 	refused map[model.TargetID]bool
 	peers   map[model.ServiceName]*detect.Peers
+	book    *reportBook
+	// asked is when the other nodes of a service were last asked for reports.
+	asked map[model.ServiceName]time.Duration
 }
 
 // detector is the detector of one target with what the node tells the fleet about it.
@@ -41,6 +46,8 @@
 		node:      n,
 		detectors: make(map[model.TargetID]*detector),
 		refused:   make(map[model.TargetID]bool),
+		book:      newReportBook(),
+		asked:     make(map[model.ServiceName]time.Duration),
 		peers:     make(map[model.ServiceName]*detect.Peers),
 	}
 }
@@ -137,6 +144,7 @@
 	now := j.node.clock.now()
 	j.updatePeers(now, targets)
 	present := make(map[model.TargetID]bool, len(targets))
+	waiting := make(map[model.ServiceName]model.TargetID)
 	for i := range targets {
 		t := &targets[i]
 		present[t.ID] = true
@@ -144,8 +152,13 @@
 		d := j.detectorOf(now, t)
 		d.Silence(now, j.node.admitter.progress(t.ID)...)
 		d.Baseline(now, t.ID, j.peers[t.Service])
-		j.note(d, t, d.State(now))
+		state := d.State(now)
+		j.note(d, t, state)
+		if state.Waiting {
+			waiting[t.Service] = t.ID
+		}
 	}
+	j.askForReports(now, waiting)
 	for id := range j.detectors {
 		if !present[id] {
 			delete(j.detectors, id)
@@ -172,40 +185,76 @@
 	return declaration.Policy{}
 }
 
-// updatePeers takes over what the other nodes report about the targets of the services beside this node.
+// updatePeers takes over what the other nodes report about the targets of the services beside this node. j.mu is held.
 func (j *judge) updatePeers(now time.Duration, own []model.Target) {
-	reports := make(map[model.ServiceName][]detect.Report)
+	j.book.take(j.node.distributor.Snapshot().Members, j.node.self.ID)
+	services := make(map[model.ServiceName]bool)
 	for _, t := range own {
-		reports[t.Service] = nil
+		services[t.Service] = true
 	}
-	if members := j.node.distributor.Snapshot().Members; members != nil {
-		for id, member := range members.Members {
-			if id == j.node.self.ID {
-				continue
-			}
-			for _, t := range member.Record.Targets {
-				if _, ok := reports[t.Service]; ok {
-					reports[t.Service] = append(reports[t.Service], detect.ReportOf(t))
-				}
-			}
-		}
+	for name := range services {
+		j.updateService(now-reportDelay, name)
 	}
+}
+
+// updateService gives the newest reports of a service to its peers. j.mu is held.
+func (j *judge) updateService(asOf time.Duration, name model.ServiceName) {
+	reports := j.book.of(name)
 	for id, d := range j.detectors {
-		if _, ok := reports[d.service]; ok {
-			reports[d.service] = append(reports[d.service], d.Report(id))
+		if d.service == name {
+			reports = append(reports, d.Report(id))
+		}
+	}
+	if j.peers[name] == nil {
+		j.peers[name] = detect.NewPeers()
+	}
+	j.peers[name].Update(asOf, reports)
+}
+
+// askForReports asks the other admitting nodes of the services whose evidence waits for what their targets saw. It
+// returns at once; the answers count in the next step.
+func (j *judge) askForReports(now time.Duration, waiting map[model.ServiceName]model.TargetID) {
+	for name, target := range waiting {
+		if last, ok := j.asked[name]; ok && now-last < detect.AskEvery {
+			continue
 		}
+		j.asked[name] = now
+		go j.ask(now, name, target)
 	}
-	for name, list := range reports {
-		if j.peers[name] == nil {
-			j.peers[name] = detect.NewPeers()
+}
+
+func (j *judge) ask(asOf time.Duration, name model.ServiceName, target model.TargetID) {
+	answers := j.node.askReports(name, target)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, report := range answers {
+		j.book.add(name, report)
+	}
+	j.updateService(asOf, name)
+}
+
+// reports returns the evidence about the targets of a service beside this node.
+func (j *judge) reports(name model.ServiceName) *peerv1.ReportsResponse {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var reports []detect.Report
+	for id, d := range j.detectors {
+		if d.service == name {
+			reports = append(reports, d.Report(id))
 		}
-		j.peers[name].Update(now-reportDelay, list)
 	}
+	data, err := json.Marshal(reports)
+	if err != nil {
+		return &peerv1.ReportsResponse{}
+	}
+	return &peerv1.ReportsResponse{Reports: data}
 }
 
 // note fills the judgement into the target and logs its change.
 func (j *judge) note(d *detector, t *model.Target, state detect.State) {
-	counts := d.Report(t.ID).Counts
+	report := d.Report(t.ID)
+	counts := report.Counts
+	t.Report = encodeReport(report)
 	t.Failures = uint64(counts[detect.Failed] + counts[detect.Silent])
 	t.Successes = uint64(counts.Total()) - t.Failures
 	t.FirstByte = d.firstByte
--- a/internal/node/warn.go
+++ b/internal/node/warn.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/core"
+	"github.com/sardinereach/sardinereach/internal/detect"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
 const (
 	// warnTimeout bounds how long an answer waits until the admitting nodes of its service are warned.
 	warnTimeout = 500 * time.Millisecond
+	// askTimeout bounds how long a judgement waits for the evidence of other nodes.
+	askTimeout = 300 * time.Millisecond
 	// maxWarned bounds the nodes that are warned directly. Others learn through the store.
 	maxWarned = 128
 )
@@ -32,6 +36,33 @@
 	wg.Wait()
 }
 
+// askReports asks the other admitting nodes of the target's service for the evidence about their targets. Nodes that do
+// not answer in time are left out.
+func (n *Node) askReports(service model.ServiceName, target model.TargetID) []detect.Report {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var all []detect.Report
+	for _, address := range n.admittingNodes(target) {
+		wg.Go(func() {
+			res, err := n.peers.Reports(ctx, address, &peerv1.ReportsRequest{Service: string(service)})
+			if err != nil {
+				return
+			}
+			var reports []detect.Report
+			if json.Unmarshal(res.Reports, &reports) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, reports...)
+		})
+	}
+	wg.Wait()
+	return all
+}
+
 // admittingNodes returns the peer addresses of the other nodes that stand beside targets of the target's service.
 func (n *Node) admittingNodes(target model.TargetID) []string {
 	service := serviceOf(n.acceptor.view.Load(), target)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -112,6 +112,16 @@
 	return res, err
 }
 
+// Reports asks an admitting node for the evidence about its targets of a service.
+func (c *Client) Reports(ctx context.Context, address string, req *peerv1.ReportsRequest) (*peerv1.ReportsResponse, error) {
+	var res *peerv1.ReportsResponse
+	err := c.call(ctx, address, func(ctx context.Context, k *conn) (err error) {
+		res, err = k.client.Reports(ctx, req)
+		return err
+	})
+	return res, err
+}
+
 // Warn tells an admitting node of a request that may crash its upstream.
 func (c *Client) Warn(ctx context.Context, address string, req *peerv1.WarnRequest) error {
 	return c.call(ctx, address, func(ctx context.Context, k *conn) error {
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -19,6 +19,8 @@
 	Lookup(*peerv1.LookupRequest) *peerv1.LookupResponse
 	Operation(*peerv1.OperationRequest) *peerv1.OperationResponse
 	Pull(*peerv1.PullRequest) *peerv1.PullResponse
+	// Reports returns the evidence about the targets of a service beside this node.
+	Reports(*peerv1.ReportsRequest) *peerv1.ReportsResponse
 	// Warn takes in what another node has found about a request that crashes its upstreams.
 	Warn(*peerv1.WarnRequest)
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -49,6 +49,8 @@
 
 func (h *echoHandler) Pull(*peerv1.PullRequest) *peerv1.PullResponse { return &peerv1.PullResponse{} }
 
+func (h *echoHandler) Reports(*peerv1.ReportsRequest) *peerv1.ReportsResponse { return nil }
+
 func (h *echoHandler) Warn(*peerv1.WarnRequest) {}
 
 func echo(_ context.Context, _ *peerv1.ForwardHead, body []byte, sink Sink) *peerv1.AnswerTrailer {
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -45,6 +45,11 @@
 	return s.handler.Pull(req), nil
 }
 
+// Reports implements the generated interface.
+func (s *service) Reports(_ context.Context, req *peerv1.ReportsRequest) (*peerv1.ReportsResponse, error) {
+	return s.handler.Reports(req), nil
+}
+
 // Warn implements the generated interface.
 func (s *service) Warn(_ context.Context, req *peerv1.WarnRequest) (*peerv1.WarnResponse, error) {
 	s.handler.Warn(req)
