--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -48,7 +48,9 @@
 	membersTried chan struct{}
 	// urgent has a message while the own record has a change that peers must learn at once.
 	urgent chan struct{}
-	pulls  sync.WaitGroup
+	// unpublished has a message while changes of members wait for memberPause.
+	unpublished chan struct{}
+	pulls       sync.WaitGroup
 }
 
 // never stands for an answer that did not come yet.
@@ -78,6 +80,7 @@
 
 		membersTried: make(chan struct{}),
 		urgent:       make(chan struct{}, 1),
+		unpublished:  make(chan struct{}, 1),
 	}
 	d.publish()
 	return d, nil
@@ -134,9 +137,12 @@
 }
 
 // hurry makes the next round begin soon, because the pulls of a round carry the own record.
-func (d *Distributor) hurry() {
+func (d *Distributor) hurry() { signal(d.urgent) }
+
+// signal leaves a message in the channel unless it has one.
+func signal(channel chan struct{}) {
 	select {
-	case d.urgent <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -26,7 +26,15 @@
 
 // runPublish publishes what had to wait for memberPause.
 func (d *Distributor) runPublish(ctx context.Context) {
-	for sleep(ctx, memberPause) {
+	for {
+		select {
+		case <-d.unpublished:
+		case <-ctx.Done():
+			return
+		}
+		if !sleep(ctx, memberPause) {
+			return
+		}
 		d.publish()
 	}
 }
@@ -79,9 +87,13 @@
 	if d.snapshot.Load() == nil {
 		return true
 	}
-	pause := heartbeatPause
-	if d.publisher.members || d.publisher.generation != d.tables.members.Generation() {
-		pause = memberPause
+	elapsed := d.options.Now() - d.publisher.at
+	if !d.publisher.members && d.publisher.generation == d.tables.members.Generation() {
+		return elapsed >= heartbeatPause
+	}
+	if elapsed < memberPause {
+		signal(d.unpublished)
+		return false
 	}
-	return d.options.Now()-d.publisher.at >= pause
+	return true
 }
