--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -112,12 +112,16 @@
 	return k, session, nil
 }
 
-// release takes the connection back after the peer has ended the call, which it does right after the trailer.
+// release takes the connection back after the peer has ended the call, which it does right after the trailer. The stream
+// has to be finished before its context is cancelled: drpc closes the connection otherwise.
 func (c *Client) release(key poolKey, k *conn, stream frameStream) {
 	if _, err := stream.Recv(); !errors.Is(err, io.EOF) {
 		k.close()
 		return
 	}
+	if f, ok := underlying(stream).(interface{ Finished() <-chan struct{} }); ok {
+		<-f.Finished()
+	}
 	c.pool.put(key, k)
 }
 
--- a/internal/peer/stream_sink.go
+++ b/internal/peer/stream_sink.go
@@ -35,17 +35,21 @@
 	return s
 }
 
-// flusherOf returns the stream below the generated one.
 func flusherOf(stream drpc.Stream) flusher {
-	if wrapped, ok := stream.(interface{ GetStream() drpc.Stream }); ok {
-		stream = wrapped.GetStream()
-	}
-	if f, ok := stream.(flusher); ok {
+	if f, ok := underlying(stream).(flusher); ok {
 		return f
 	}
 	return noFlusher{}
 }
 
+// underlying returns the stream below the generated one.
+func underlying(stream drpc.Stream) drpc.Stream {
+	if wrapped, ok := stream.(interface{ GetStream() drpc.Stream }); ok {
+		return wrapped.GetStream()
+	}
+	return stream
+}
+
 // noFlusher stands for a stream that flushes each message on its own.
 type noFlusher struct{}
 
