Carry the age of ejection permits with them, and finish the wiring of the decision packages

Cause: a node that learned a permit from a peer that was cut off from the store honoured it for a whole TTL from then on, beyond the time for which the permit keeps its share of the floor. Claims that an outage had left unsettled were settled only by watchers. The minimum of the retry budget grew with the number of nodes. Change: permit documents carry the time since they were surely in the store; each node settles its own claims each second; the minimum is divided among the nodes (30/s for the fleet and service); the operators' API writes its events.

--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -23,6 +23,7 @@
 	random *rand.Rand
 	tables tables
 	peers  map[string]*peerState
+	ages   permitAges
 	self   ownRecord
 	round  uint64
 	// view is valid for viewGeneration of the member table.
@@ -73,6 +74,7 @@
 			quarantine: newAuxiliary(QuarantinePrefix, options.MaxAuxiliaryTombstones),
 		},
 		peers:      map[string]*peerState{},
+		ages:       permitAges{},
 		self:       own,
 		storeHeard: never,
 		peerHeard:  never,
@@ -147,11 +149,13 @@
 	}
 }
 
-// Learn merges a document that this node itself read from the store or wrote to it, so that it is in force here before
-// the watchers report it. Documents outside the distributed prefixes are ignored.
-func (d *Distributor) Learn(document config.Document) {
+// Learn merges a document that this node itself read from the store or wrote to it, by a call that started at the given
+// time, so that it is in force here before the watchers report it. Documents outside the distributed prefixes are
+// ignored.
+func (d *Distributor) Learn(document config.Document, started time.Duration) {
 	d.mu.Lock()
 	d.applyDocuments([]config.Document{document})
+	d.ages.note(document, started)
 	d.mu.Unlock()
 	d.publish()
 }
--- a/internal/distribution/handle_pull.go
+++ b/internal/distribution/handle_pull.go
@@ -60,7 +60,9 @@
 	}
 	for _, auxiliary := range []*auxiliary{d.tables.ejections, d.tables.quarantine} {
 		for _, document := range auxiliary.after(cursor) {
-			response.Documents = append(response.Documents, documentMessage(document))
+			message := documentMessage(document)
+			message.AgeMs = d.ages.age(document.Key, d.options.Now()).Milliseconds()
+			response.Documents = append(response.Documents, message)
 		}
 	}
 }
--- a/internal/distribution/pull.go
+++ b/internal/distribution/pull.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/config"
@@ -60,11 +61,12 @@
 // another Pull may bring more.
 func (d *Distributor) pullOnce(ctx context.Context, address string) (more bool, err error) {
 	request := d.pullRequest(address)
+	started := d.options.Now()
 	response, err := d.call(ctx, address, request)
 	if err != nil {
 		return false, err
 	}
-	more = d.applyPull(address, request, response)
+	more = d.applyPull(address, request, response, started)
 	d.publish()
 	return more, nil
 }
@@ -78,12 +80,13 @@
 		DocumentRevision: d.tables.config.Complete(),
 	}
 	d.mu.Unlock()
+	started := d.options.Now()
 	response, err := d.call(ctx, address, request)
 	if err != nil {
 		return false, err
 	}
 	d.mu.Lock()
-	d.applyConfig(response)
+	d.applyConfig(response, started)
 	d.mu.Unlock()
 	d.publish()
 	return len(response.Documents) > 0, nil
@@ -132,11 +135,11 @@
 	return peer.cursor
 }
 
-func (d *Distributor) applyPull(address string, request *peerv1.PullRequest, response *peerv1.PullResponse) bool {
+func (d *Distributor) applyPull(address string, request *peerv1.PullRequest, response *peerv1.PullResponse, started time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	complete := d.mergeStates(response.Nodes)
-	d.applyConfig(response)
+	d.applyConfig(response, started)
 	peer := d.peer(address)
 	restarted := peer.incarnation != response.Incarnation
 	peer.incarnation = response.Incarnation
@@ -192,12 +195,15 @@
 	return result
 }
 
-// applyConfig merges the documents of an answer.
-func (d *Distributor) applyConfig(response *peerv1.PullResponse) {
+// applyConfig merges the documents of an answer to a call that started at the given time.
+func (d *Distributor) applyConfig(response *peerv1.PullResponse, started time.Duration) {
 	documents := make([]config.Document, 0, len(response.Documents))
 	for _, message := range response.Documents {
 		documents = append(documents, documentOf(message))
 	}
 	d.applyDocuments(documents)
+	for i, message := range response.Documents {
+		d.ages.note(documents[i], started-time.Duration(message.AgeMs)*time.Millisecond)
+	}
 	d.advance(ConfigPrefix, response.DocumentRevision)
 }
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -56,6 +56,7 @@
 func (d *Distributor) list(ctx context.Context, prefix string) error {
 	limited, cancel := context.WithTimeout(ctx, d.options.StoreTimeout)
 	defer cancel()
+	started := d.options.Now()
 	kvs, revision, err := d.options.Store.List(limited, prefix)
 	if d.storeAnswered(ctx, prefix, err) != nil {
 		return err
@@ -66,6 +67,7 @@
 	}
 	d.mu.Lock()
 	d.applyList(prefix, documents, revision)
+	d.noteAges(documents, started)
 	d.mu.Unlock()
 	d.publish()
 	return nil
@@ -78,6 +80,7 @@
 	d.mu.Unlock()
 	limited, cancel := context.WithTimeout(ctx, wait+d.options.StoreTimeout)
 	defer cancel()
+	started := d.options.Now()
 	changes, revision, err := d.options.Store.Watch(limited, prefix, after, wait)
 	if errors.Is(err, store.ErrCompacted) {
 		return err
@@ -93,6 +96,7 @@
 	}
 	d.mu.Lock()
 	d.applyDocuments(documents)
+	d.noteAges(documents, started)
 	d.advance(prefix, revision)
 	d.mu.Unlock()
 	d.publish()
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -20,6 +20,8 @@
 	collectInterval = time.Minute
 	// collectCalls bounds the store calls of one round over old claims.
 	collectCalls = 10
+	// settleCalls bounds the store calls a second that make up for writes that an outage has left.
+	settleCalls = 5
 	// pathProbeTimeout bounds one try of a path that is avoided.
 	pathProbeTimeout = time.Second
 )
@@ -134,6 +136,8 @@
 		c.tryPaths(ctx, now)
 		n.peers.ExpireIdle(idleConnections)
 		c.forgetGone()
+		// Writes that an outage of the store has left are made up for. Without any the call costs nothing.
+		_, _ = n.once.claims.Collect(ctx, nil, settleCalls)
 		if now-rotated >= latencyWindow {
 			rotated = now
 			n.metrics.RotateLatencies()
--- a/internal/node/ejector.go
+++ b/internal/node/ejector.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		return false
 	}
-	return e.view(service).Learn(doc, document.Revision, 0, now)
+	return e.view(service).Learn(doc, document.Revision, e.node.distributor.PermitAge(document.Key), now)
 }
 
 // view returns the view of a service. e.mu is held.
@@ -266,10 +266,11 @@
 	if err != nil {
 		return err
 	}
+	started := e.node.clock.now()
 	kv, err := e.node.store.CompareAndSwap(ctx, eject.Key(service), revision, value, 0)
 	if err != nil {
 		return err
 	}
-	e.node.distributor.Learn(config.Document{Key: kv.Key, Value: kv.Value, Revision: kv.Revision})
+	e.node.distributor.Learn(config.Document{Key: kv.Key, Value: kv.Value, Revision: kv.Revision}, started)
 	return nil
 }
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -23,6 +23,7 @@
 
 // fleet offers the node's view and commands to the operators' API.
 type fleet struct {
+	operator.Documents
 	node *Node
 }
 
@@ -168,36 +169,20 @@
 	return out
 }
 
-// ReadService implements operator.Fleet.
-func (f *fleet) ReadService(ctx context.Context, name model.ServiceName) (operator.StoredService, error) {
-	kv, err := f.node.store.Get(ctx, config.ServicePrefix+string(name))
-	if err != nil {
-		return operator.StoredService{}, err
-	}
-	document, err := declaration.DecodeDocument(kv.Value)
-	if err != nil {
-		return operator.StoredService{}, err
-	}
-	return operator.StoredService{Document: *document, Revision: kv.Revision}, nil
-}
-
-// SwapService implements operator.Fleet.
+// SwapService implements operator.Fleet. The new document is in force on this node at once.
 func (f *fleet) SwapService(ctx context.Context, expect int64, document *declaration.Document) (int64, error) {
-	value, err := declaration.EncodeDocument(document)
+	started := f.node.clock.now()
+	revision, err := f.Documents.SwapService(ctx, expect, document)
 	if err != nil {
 		return 0, err
 	}
-	kv, err := f.node.store.CompareAndSwap(ctx, config.ServicePrefix+string(document.Name), expect, value, 0)
+	value, err := declaration.EncodeDocument(document)
 	if err != nil {
 		return 0, err
 	}
-	f.node.distributor.Learn(config.Document{Key: kv.Key, Value: kv.Value, Revision: kv.Revision})
-	return kv.Revision, nil
-}
-
-// RemoveService implements operator.Fleet.
-func (f *fleet) RemoveService(ctx context.Context, name model.ServiceName, expect int64) error {
-	return f.node.store.CompareAndDelete(ctx, config.ServicePrefix+string(name), expect)
+	key := config.ServicePrefix + string(document.Name)
+	f.node.distributor.Learn(config.Document{Key: key, Value: value, Revision: revision}, started)
+	return revision, nil
 }
 
 // DrainFigures implements operator.Fleet.
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -12,8 +12,9 @@
 
 // operatorHandler serves the operators' API and the metrics.
 func (n *Node) operatorHandler() http.Handler {
-	server := operator.NewServer(&fleet{node: n}, operator.Options{
+	server := operator.NewServer(&fleet{Documents: operator.Documents{Store: n.store}, node: n}, operator.Options{
 		Node: n.self.ID, Incarnation: n.self.Incarnation, Token: n.settings.Operators.Token,
+		Events: n.log,
 	})
 	mux := http.NewServeMux()
 	path, handler := server.Handler()
--- a/internal/node/view_publisher.go
+++ b/internal/node/view_publisher.go
@@ -64,6 +64,9 @@
 		Loads:       n.loads.of,
 	})
 	n.acceptor.view.Store(view)
+	if snapshot.Members != nil {
+		n.acceptor.budgets.setNodes(snapshot.Members.Live(), n.clock.now())
+	}
 	if ready {
 		n.ready.Store(true)
 	}
