Count the bytes between regions apart

Cause: the link between regions is billed by volume, and its bytes were counted together with those within a region. Change: forwarded requests and the exchange between regions have counters of their own.

--- a/internal/metrics/link.go
+++ b/internal/metrics/link.go
@@ -17,8 +17,10 @@
 	PurposeHello Purpose = "hello"
 	// PurposeLookup is questions about attempts and operations.
 	PurposeLookup Purpose = "lookup"
-	// PurposeExchange is node records, configuration and permits.
+	// PurposeExchange is node records, configuration and permits between nodes of one region, with heartbeats.
 	PurposeExchange Purpose = "exchange"
+	// PurposeExchangeRegion is the same between regions.
+	PurposeExchangeRegion Purpose = "exchange_region"
 	// PurposeStore is calls of the platform store.
 	PurposeStore Purpose = "store"
 	// PurposeOperator is the operators' API.
@@ -29,7 +31,7 @@
 func Purposes() []Purpose {
 	return []Purpose{
 		PurposeCaller, PurposeUpstream, PurposeForward, PurposeForwardRegion, PurposeHello, PurposeLookup,
-		PurposeExchange, PurposeStore, PurposeOperator,
+		PurposeExchange, PurposeExchangeRegion, PurposeStore, PurposeOperator,
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/sardinereach/sardinereach/internal/admission"
 	"github.com/sardinereach/sardinereach/internal/distribution"
 	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/membership"
 	"github.com/sardinereach/sardinereach/internal/metrics"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/once"
@@ -47,6 +48,8 @@
 	crashes     *crashes
 	heartbeats  *heartbeats
 
+	// remote holds the peer addresses of the nodes in other regions.
+	remote atomic.Pointer[map[string]bool]
 	// ready is set once a view with the complete configuration is in force.
 	ready    atomic.Bool
 	stopOnce sync.Once
@@ -261,14 +264,39 @@
 }
 
 // countPeerBytes counts the bytes on connections to other nodes.
-func (n *Node) countPeerBytes(_, purpose string, sent bool, bytes int) {
+func (n *Node) countPeerBytes(address, purpose string, sent bool, bytes int) {
 	direction := metrics.Received
 	if sent {
 		direction = metrics.Sent
 	}
-	what := metrics.PurposeExchange
-	if purpose == peer.PurposeTraffic {
-		what = metrics.PurposeForward
+	n.metrics.LinkBytes(purposeOf(purpose, n.isRemote(address)), direction, int64(bytes))
+}
+
+func purposeOf(purpose string, remote bool) metrics.Purpose {
+	switch {
+	case purpose == peer.PurposeTraffic && remote:
+		return metrics.PurposeForwardRegion
+	case purpose == peer.PurposeTraffic:
+		return metrics.PurposeForward
+	case remote:
+		return metrics.PurposeExchangeRegion
+	}
+	return metrics.PurposeExchange
+}
+
+// isRemote reports whether the address is that of a node in another region.
+func (n *Node) isRemote(address string) bool {
+	remote := n.remote.Load()
+	return remote != nil && (*remote)[address]
+}
+
+// noteRemote keeps the addresses of the nodes in other regions.
+func (n *Node) noteRemote(members *membership.Snapshot) {
+	remote := make(map[string]bool)
+	for _, member := range members.Members {
+		if member.Record.Region != n.self.Region {
+			remote[member.Record.PeerAddress] = true
+		}
 	}
-	n.metrics.LinkBytes(what, direction, int64(bytes))
+	n.remote.Store(&remote)
 }
--- a/internal/node/view_publisher.go
+++ b/internal/node/view_publisher.go
@@ -65,6 +65,7 @@
 	})
 	n.acceptor.view.Store(view)
 	if snapshot.Members != nil {
+		n.noteRemote(snapshot.Members)
 		n.acceptor.budgets.setNodes(snapshot.Members.Live(), n.clock.now())
 	}
 	if ready {
