--- a/internal/node/budgets.go
+++ b/internal/node/budgets.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,11 +22,6 @@
 	minimum  float64
 }
 
-type lockedBudget struct {
-	mu     sync.Mutex
-	budget *retry.Budget
-}
-
 func newBudgets() *budgets {
 	return &budgets{services: make(map[model.ServiceName]*lockedBudget), minimum: nodeMinimum}
 }
@@ -57,21 +51,3 @@
 	}
 	return l
 }
-
-func (l *lockedBudget) setMinimum(now time.Duration, minimum float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.budget.SetMinimum(now, minimum)
-}
-
-func (l *lockedBudget) request(now time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.budget.Request(now)
-}
-
-func (l *lockedBudget) decide(in retry.Input, now time.Duration, rng *rand.Rand) retry.Decision {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return retry.Decide(in, l.budget, now, rng)
-}
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
-	"strconv"
 	"sync"
-	"syscall"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -21,16 +17,6 @@
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
-const (
-	// crashDialTimeout bounds the look whether an upstream that broke a connection still listens.
-	crashDialTimeout = 500 * time.Millisecond
-	// crashLooks and crashLookPause are how often and how far apart the upstream is looked at after a connection broke.
-	crashLooks     = 3
-	crashLookPause = 20 * time.Millisecond
-	// quarantineWriteTimeout bounds the write of an entry to the store.
-	quarantineWriteTimeout = 2 * time.Second
-)
-
 // crashes finds requests that crash their upstreams. It is the shell around the package quarantine.
 type crashes struct {
 	clock clock
@@ -110,34 +96,6 @@
 	return 0
 }
 
-// isBreak reports whether the connection broke in a way that a crash of the upstream would explain.
-func isBreak(result upstream.Result) bool {
-	return result.Outcome == upstream.Lost || result.Outcome == upstream.Incomplete
-}
-
-// listens reports whether the upstream still accepts connections. Only a refused connection says that it does not: a
-// slow or silent upstream has not crashed. The listener of a process that exits may outlive its connections for a moment,
-// so that a first success is checked again.
-func listens(address string) bool {
-	for range crashLooks {
-		if refuses(address) {
-			return false
-		}
-		time.Sleep(crashLookPause)
-	}
-	return !refuses(address)
-}
-
-func refuses(address string) bool {
-	c, err := net.DialTimeout("tcp", address, crashDialTimeout)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	// Nothing was written, so that the error of closing tells nothing.
-	_ = c.Close()
-	return false
-}
-
 // lost notes the loss of an upstream and attributes it to the fingerprints in flight there. The first of the requests
 // that broke reports the loss; for the others nothing runs at the target any more.
 func (c *crashes) lost(target model.TargetID) uint64 {
@@ -196,75 +154,6 @@
 	c.warn(target, value)
 }
 
-// publish hands an entry to the writer. It never blocks.
-func (c *crashes) publish(entry quarantine.Entry) {
-	select {
-	case c.writes <- entry:
-	default:
-	}
-}
-
-// run writes entries to the store, from which all nodes learn them, until ctx ends.
-func (c *crashes) run(ctx context.Context) {
-	for {
-		select {
-		case entry := <-c.writes:
-			c.write(ctx, entry)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func quarantineKey(fingerprint quarantine.Fingerprint) string {
-	return distribution.QuarantinePrefix + fingerprint.String()
-}
-
-// write merges the entry with the one in the store. A conflict is settled by reading again.
-func (c *crashes) write(ctx context.Context, entry quarantine.Entry) {
-	ctx, cancel := context.WithTimeout(ctx, quarantineWriteTimeout)
-	defer cancel()
-	key := quarantineKey(entry.Fingerprint)
-	for {
-		current, err := c.store.Get(ctx, key)
-		if err != nil && !errors.Is(err, store.ErrNotFound) {
-			return
-		}
-		if err == nil {
-			c.merge(current.Value)
-		}
-		value, err := json.Marshal(c.entry(entry))
-		if err != nil {
-			return
-		}
-		_, err = c.store.CompareAndSwap(ctx, key, current.Revision, value, 0)
-		var conflict *store.ConflictError
-		if !errors.As(err, &conflict) {
-			return
-		}
-	}
-}
-
-// entry returns the present entry of the fingerprint, or the given one if there is none any more.
-func (c *crashes) entry(fallback quarantine.Entry) quarantine.Entry {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if e, ok := c.find(fallback.Fingerprint); ok {
-		return e
-	}
-	return fallback
-}
-
-func (c *crashes) merge(value []byte) {
-	var entry quarantine.Entry
-	if json.Unmarshal(value, &entry) != nil {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.table.Merge(c.clock.now(), entry)
-}
-
 // learn merges the entries that the fleet has.
 func (c *crashes) learn(snapshot *distribution.Snapshot) {
 	for key, document := range snapshot.Quarantine {
@@ -287,68 +176,3 @@
 	defer c.mu.Unlock()
 	return c.table.Entries(c.clock.now())
 }
-
-// forbid quarantines a fingerprint at an operator's word.
-func (c *crashes) forbid(ctx context.Context, fingerprint quarantine.Fingerprint) error {
-	losses := make([]quarantine.Loss, quarantine.LossLimit)
-	c.mu.Lock()
-	for i := range losses {
-		c.serial++
-		losses[i] = quarantine.Loss{Target: operatorLoss, Serial: c.serial}
-	}
-	entry := quarantine.Entry{Fingerprint: fingerprint, Losses: losses}
-	if known, ok := c.find(fingerprint); ok {
-		entry.Epoch = known.Epoch
-	}
-	c.table.Merge(c.clock.now(), entry)
-	c.mu.Unlock()
-	return c.put(ctx, fingerprint)
-}
-
-// operatorLoss stands in the place of a target in the losses that an operator's word counts for.
-const operatorLoss = "operator"
-
-// releaseFingerprint ends a quarantine at an operator's word.
-func (c *crashes) releaseFingerprint(ctx context.Context, fingerprint quarantine.Fingerprint) error {
-	c.mu.Lock()
-	_, ok := c.table.Release(c.clock.now(), fingerprint)
-	c.mu.Unlock()
-	if !ok {
-		return store.ErrNotFound
-	}
-	return c.put(ctx, fingerprint)
-}
-
-// find returns the entry of the fingerprint. c.mu is held.
-func (c *crashes) find(fingerprint quarantine.Fingerprint) (quarantine.Entry, bool) {
-	for _, e := range c.table.Entries(c.clock.now()) {
-		if e.Fingerprint == fingerprint {
-			return e, true
-		}
-	}
-	return quarantine.Entry{}, false
-}
-
-// put writes the entry of the fingerprint to the store.
-func (c *crashes) put(ctx context.Context, fingerprint quarantine.Fingerprint) error {
-	c.mu.Lock()
-	entry, _ := c.find(fingerprint)
-	c.mu.Unlock()
-	value, err := json.Marshal(entry)
-	if err != nil {
-		return errors.Wrap(err, "quarantine entry")
-	}
-	key := quarantineKey(fingerprint)
-	current, err := c.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return err
-	}
-	_, err = c.store.CompareAndSwap(ctx, key, current.Revision, value, 0)
-	return err
-}
-
-// parseFingerprint returns the fingerprint with the given String form.
-func parseFingerprint(s string) (quarantine.Fingerprint, error) {
-	value, err := strconv.ParseUint(s, 16, 64)
-	return quarantine.Fingerprint(value), errors.Wrapf(err, "fingerprint %q: use 16 hexadecimal digits", s)
-}
--- a/internal/node/judge.go
+++ b/internal/node/judge.go
@@ -33,14 +33,6 @@
 	asked map[model.ServiceName]time.Duration
 }
 
-// detector is the detector of one target with what the node tells the fleet about it.
-type detector struct {
-	*detect.Detector
-	service   model.ServiceName
-	phase     detect.Phase
-	firstByte time.Duration
-}
-
 func newJudge(n *Node) *judge {
 	return &judge{
 		node:      n,
@@ -293,15 +285,6 @@
 	return service != nil && slices.Contains(service.Selection.Restored, target)
 }
 
-// trialRuling says whether an attempt may run at a target that is on trial.
-type trialRuling uint8
-
-const (
-	notOnTrial trialRuling = iota
-	trialGranted
-	trialRefused
-)
-
 // mayTry rules on an attempt. A target on trial gets a few idempotent requests, one at a time.
 func (j *judge) mayTry(target model.TargetID, idempotent bool) trialRuling {
 	j.mu.Lock()
--- /dev/null
+++ b/internal/node/locked_budget.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/retry"
+)
+
+// lockedBudget is the retry budget of one service.
+type lockedBudget struct {
+	mu     sync.Mutex
+	budget *retry.Budget
+}
+
+func (l *lockedBudget) setMinimum(now time.Duration, minimum float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.SetMinimum(now, minimum)
+}
+
+func (l *lockedBudget) request(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.Request(now)
+}
+
+func (l *lockedBudget) decide(in retry.Input, now time.Duration, rng *rand.Rand) retry.Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return retry.Decide(in, l.budget, now, rng)
+}
--- /dev/null
+++ b/internal/node/quarantine_commands.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/quarantine"
+	"github.com/sardinereach/sardinereach/internal/store"
+)
+
+// forbid quarantines a fingerprint at an operator's word.
+func (c *crashes) forbid(ctx context.Context, fingerprint quarantine.Fingerprint) error {
+	losses := make([]quarantine.Loss, quarantine.LossLimit)
+	c.mu.Lock()
+	for i := range losses {
+		c.serial++
+		losses[i] = quarantine.Loss{Target: operatorLoss, Serial: c.serial}
+	}
+	entry := quarantine.Entry{Fingerprint: fingerprint, Losses: losses}
+	if known, ok := c.find(fingerprint); ok {
+		entry.Epoch = known.Epoch
+	}
+	c.table.Merge(c.clock.now(), entry)
+	c.mu.Unlock()
+	return c.put(ctx, fingerprint)
+}
+
+// operatorLoss stands in the place of a target in the losses that an operator's word counts for.
+const operatorLoss = "operator"
+
+// releaseFingerprint ends a quarantine at an operator's word.
+func (c *crashes) releaseFingerprint(ctx context.Context, fingerprint quarantine.Fingerprint) error {
+	c.mu.Lock()
+	_, ok := c.table.Release(c.clock.now(), fingerprint)
+	c.mu.Unlock()
+	if !ok {
+		return store.ErrNotFound
+	}
+	return c.put(ctx, fingerprint)
+}
+
+// find returns the entry of the fingerprint. c.mu is held.
+func (c *crashes) find(fingerprint quarantine.Fingerprint) (quarantine.Entry, bool) {
+	for _, e := range c.table.Entries(c.clock.now()) {
+		if e.Fingerprint == fingerprint {
+			return e, true
+		}
+	}
+	return quarantine.Entry{}, false
+}
+
+// put writes the entry of the fingerprint to the store.
+func (c *crashes) put(ctx context.Context, fingerprint quarantine.Fingerprint) error {
+	c.mu.Lock()
+	entry, _ := c.find(fingerprint)
+	c.mu.Unlock()
+	value, err := json.Marshal(entry)
+	if err != nil {
+		return errors.Wrap(err, "quarantine entry")
+	}
+	key := quarantineKey(fingerprint)
+	current, err := c.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	_, err = c.store.CompareAndSwap(ctx, key, current.Revision, value, 0)
+	return err
+}
+
+// parseFingerprint returns the fingerprint with the given String form.
+func parseFingerprint(s string) (quarantine.Fingerprint, error) {
+	value, err := strconv.ParseUint(s, 16, 64)
+	return quarantine.Fingerprint(value), errors.Wrapf(err, "fingerprint %q: use 16 hexadecimal digits", s)
+}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -52,26 +52,6 @@
 	_ = c.rpc.Close()
 }
 
-// countingConn tells the bytes that pass to the metrics.
-type countingConn struct {
-	net.Conn
-	address string
-	purpose string
-	count   func(address, purpose string, sent bool, bytes int)
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.count(c.address, c.purpose, false, n)
-	return n, err
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.count(c.address, c.purpose, true, n)
-	return n, err
-}
-
 func dial(ctx context.Context, address, purpose string, opts Options) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, opts.DialTimeout)
 	defer cancel()
