--- a/internal/fleettest/metrics.go
+++ b/internal/fleettest/metrics.go
@@ -14,6 +14,7 @@
 	Failures map[string]int64 `json:"failures"`
 	Retries  map[string]int64 `json:"retries"`
 	Links    map[string]int64 `json:"link_bytes"`
+	Store    map[string]int64 `json:"store_calls"`
 	Revision int64            `json:"config_revision"`
 	InFlight int64            `json:"requests_in_flight"`
 }
