--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -12,12 +12,18 @@
 // benchRate is the time between two attempts at one node at the target scale.
 const benchRate = 2 * time.Millisecond
 
-// BenchmarkAdmitFinish measures one attempt at a node with 30 targets, with its record and its expiry.
+// BenchmarkAdmitFinish measures one attempt with its record and its expiry, by the targets beside the node.
 func BenchmarkAdmitFinish(b *testing.B) {
+	for _, targets := range []int{3, 30, 300} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) { benchmarkAdmitFinish(b, targets) })
+	}
+}
+
+func benchmarkAdmitFinish(b *testing.B, targets int) {
 	p := NewPoint(DefaultLimits(), testIncarnation)
 	now := time.Duration(0)
 	announce := func() {
-		for i := range 30 {
+		for i := range targets {
 			_ = p.Announce(now, Announcement{
 				Service: testService, Target: model.TargetID(fmt.Sprint(i)), Address: "127.0.0.1:1", Slots: 7, Phase: model.PhaseReady,
 			})
@@ -33,7 +39,7 @@
 	for i, attempt := range attempts {
 		now += benchRate
 		r := Request{
-			Attempt: attempt, Service: testService, Target: "7", Incarnation: testIncarnation,
+			Attempt: attempt, Service: testService, Target: "1", Incarnation: testIncarnation,
 			AdmitBefore: now + time.Second, Deadline: now + time.Second,
 		}
 		if d := p.Admit(now, r); d.Kind != Admitted {
--- /dev/null
+++ b/internal/distribution/benchmark_documents_test.go
@@ -0,0 +1,65 @@
+package distribution
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/config"
+	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// documentRoutes is the number of routes of a service at the target scale.
+const documentRoutes = 32
+
+func benchDocument(b *testing.B, index int, revision int64) config.Document {
+	service := declaration.Service{Name: model.ServiceName(fmt.Sprintf("service-%04d", index)), FloorSlots: 20}
+	for route := range documentRoutes {
+		service.Routes = append(service.Routes, declaration.Route{
+			Methods: []string{"GET"}, Path: fmt.Sprintf("/service-%04d/v1/resource-%02d", index, route), TimeoutMS: 2000,
+		})
+	}
+	value, err := service.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	return config.Document{Key: config.ServicePrefix + string(service.Name), Value: value, Revision: revision}
+}
+
+// BenchmarkPullDocuments reports time and bytes of a whole Pull by the number of changed configuration documents. The
+// answer is built, encoded, decoded and merged into an empty table.
+func BenchmarkPullDocuments(b *testing.B) {
+	for _, changed := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("changed=%d", changed), func(b *testing.B) {
+			network := directPuller{}
+			answering := newDistributor(b, "answering", 1, network)
+			for i := range changed {
+				answering.Learn(benchDocument(b, i, int64(i+1)))
+			}
+			request := &peerv1.PullRequest{Node: "caller", Cursor: documentsOnly}
+			size := 0
+			for b.Loop() {
+				b.StopTimer()
+				caller := newDistributor(b, "caller", 2, network)
+				b.StartTimer()
+				data, err := proto.Marshal(answering.HandlePull(request))
+				if err != nil {
+					b.Fatal(err)
+				}
+				var response peerv1.PullResponse
+				if err := proto.Unmarshal(data, &response); err != nil {
+					b.Fatal(err)
+				}
+				caller.mu.Lock()
+				caller.applyConfig(&response)
+				caller.mu.Unlock()
+				caller.publish()
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "B/answer")
+		})
+	}
+}
