Measure the list of members and the facts behind operators' answers

Cause: each start lists all members, and each answer to an operator copies the member records; neither had a benchmark.

Ruled out: a benchmark through the operators' listener, which the time of the HTTP connection would dominate at small sizes.

--- a/internal/distribution/benchmark_documents_test.go
+++ b/internal/distribution/benchmark_documents_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 
@@ -63,3 +64,31 @@
 		})
 	}
 }
+
+// BenchmarkListMembers reports time and bytes of the list of members that each start takes from the store, decoded and
+// merged, by the number of members.
+func BenchmarkListMembers(b *testing.B) {
+	for _, members := range []int{500, 1500, 5300} {
+		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
+			d := newDistributor(b, "node-000000", 1, directPuller{})
+			size := 0
+			for i := range members {
+				node := benchUpdate(i, 1, false).Record.Node
+				value, err := json.Marshal(node)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if err := d.swap(b.Context(), MemberKey(node), 0, value); err != nil {
+					b.Fatal(err)
+				}
+				size += len(MemberKey(node)) + len(value)
+			}
+			for b.Loop() {
+				if err := d.listMembers(b.Context()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "B/list")
+		})
+	}
+}
--- a/internal/node/benchmark_test.go
+++ b/internal/node/benchmark_test.go
@@ -107,3 +107,17 @@
 		})
 	}
 }
+
+// BenchmarkOperatorSnapshot reports the time of the facts behind an operator's answer, by the targets of the fleet. An
+// apply that waits takes them ten times a second.
+func BenchmarkOperatorSnapshot(b *testing.B) {
+	for _, targets := range []int{2_400, 24_000, 160_000} {
+		b.Run(fmt.Sprintf("fleet=%d", targets), func(b *testing.B) {
+			operators := fleet{node: benchNode(b, targets)}
+			b.ReportAllocs()
+			for b.Loop() {
+				operators.Snapshot()
+			}
+		})
+	}
+}
