--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -23,6 +23,7 @@
 	random *rand.Rand
 	tables tables
 	peers  map[string]*peerState
+	ages   permitAges
 	self   ownRecord
 	round  uint64
 	// view is valid for viewGeneration of the member table.
@@ -48,7 +49,9 @@
 	membersTried chan struct{}
 	// urgent has a message while the own record has a change that peers must learn at once.
 	urgent chan struct{}
-	pulls  sync.WaitGroup
+	// unpublished has a message while changes of members wait for memberPause.
+	unpublished chan struct{}
+	pulls       sync.WaitGroup
 }
 
 // never stands for an answer that did not come yet.
@@ -71,6 +74,7 @@
 			quarantine: newAuxiliary(QuarantinePrefix, options.MaxAuxiliaryTombstones),
 		},
 		peers:      map[string]*peerState{},
+		ages:       permitAges{},
 		self:       own,
 		storeHeard: never,
 		peerHeard:  never,
@@ -78,6 +82,7 @@
 
 		membersTried: make(chan struct{}),
 		urgent:       make(chan struct{}, 1),
+		unpublished:  make(chan struct{}, 1),
 	}
 	d.publish()
 	return d, nil
@@ -134,18 +139,23 @@
 }
 
 // hurry makes the next round begin soon, because the pulls of a round carry the own record.
-func (d *Distributor) hurry() {
+func (d *Distributor) hurry() { signal(d.urgent) }
+
+// signal leaves a message in the channel unless it has one.
+func signal(channel chan struct{}) {
 	select {
-	case d.urgent <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
 
-// Learn merges a document that this node itself read from the store or wrote to it, so that it is in force here before
-// the watchers report it. Documents outside the distributed prefixes are ignored.
-func (d *Distributor) Learn(document config.Document) {
+// Learn merges a document that this node itself read from the store or wrote to it, by a call that started at the given
+// time, so that it is in force here before the watchers report it. Documents outside the distributed prefixes are
+// ignored.
+func (d *Distributor) Learn(document config.Document, started time.Duration) {
 	d.mu.Lock()
 	d.applyDocuments([]config.Document{document})
+	d.ages.note(document, started)
 	d.mu.Unlock()
 	d.publish()
 }
--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -26,11 +26,29 @@
 
 // runPublish publishes what had to wait for memberPause.
 func (d *Distributor) runPublish(ctx context.Context) {
-	for sleep(ctx, memberPause) {
+	for {
+		select {
+		case <-d.unpublished:
+		case <-ctx.Done():
+			return
+		}
+		if !sleep(ctx, memberPause) {
+			return
+		}
 		d.publish()
 	}
 }
 
+// publishNow makes a new snapshot of everything without waiting for the pauses.
+func (d *Distributor) publishNow() {
+	d.mu.Lock()
+	d.publisher.documents = true
+	d.publisher.members = true
+	d.publisher.at = -heartbeatPause
+	d.mu.Unlock()
+	d.publish()
+}
+
 // publish makes a new snapshot if something changed.
 func (d *Distributor) publish() {
 	d.publishing.Lock()
@@ -79,9 +97,13 @@
 	if d.snapshot.Load() == nil {
 		return true
 	}
-	pause := heartbeatPause
-	if d.publisher.members || d.publisher.generation != d.tables.members.Generation() {
-		pause = memberPause
+	elapsed := d.options.Now() - d.publisher.at
+	if !d.publisher.members && d.publisher.generation == d.tables.members.Generation() {
+		return elapsed >= heartbeatPause
+	}
+	if elapsed < memberPause {
+		signal(d.unpublished)
+		return false
 	}
-	return d.options.Now()-d.publisher.at >= pause
+	return true
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -25,6 +26,9 @@
 	copyBufferBytes    = 32 << 10
 )
 
+// copyBuffers are reused, because a buffer for each answer was a third of the bytes that a request allocated.
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
+
 // Client runs requests at upstreams over HTTP/1.1.
 type Client struct {
 	reusing *http.Transport
@@ -40,7 +44,6 @@
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
-		ReadBufferSize:         copyBufferBytes,
 	}
 	fresh := reusing.Clone()
 	// A non-idempotent request gets a connection of its own: on a reused one, an idle connection that the upstream
@@ -165,7 +168,9 @@
 		result.Outcome, result.Err = SinkFailed, err
 		return
 	}
-	buf := make([]byte, copyBufferBytes)
+	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
+	defer copyBuffers.Put(buffer)
+	buf := buffer[:]
 	for {
 		stall.start()
 		n, err := res.Body.Read(buf)
