--- a/internal/distribution/benchmark_documents_test.go
+++ b/internal/distribution/benchmark_documents_test.go
@@ -38,7 +38,7 @@
 			network := directPuller{}
 			answering := newDistributor(b, "answering", 1, network)
 			for i := range changed {
-				answering.Learn(benchDocument(b, i, int64(i+1)))
+				answering.Learn(benchDocument(b, i, int64(i+1)), 0)
 			}
 			request := &peerv1.PullRequest{Node: "caller", Cursor: documentsOnly}
 			size := 0
@@ -55,7 +55,7 @@
 					b.Fatal(err)
 				}
 				caller.mu.Lock()
-				caller.applyConfig(&response)
+				caller.applyConfig(&response, 0)
 				caller.mu.Unlock()
 				caller.publish()
 				size = len(data)
