Keep forks out while the harness looks for a free address

Cause: TestOneWayCut failed once with 'bind: address already in use' at a relay's listener. Tests run in parallel; a child that is forked while the harness holds a listener open to find a free port keeps the listener until its exec.

Ruled out: two fleets with the same address (each VM has its own, and the process remembers what it gave out).

Change: the look for a free address holds syscall.ForkLock for reading.

--- a/internal/fleettest/address.go
+++ b/internal/fleettest/address.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/pkg/errors"
 )
@@ -41,7 +42,11 @@
 	}
 }
 
+// offeredAddress returns an address that the kernel offers. A child that is forked while the listener is open holds it
+// until its exec, which makes the next listener at the address fail; the lock keeps forks out.
 func offeredAddress(vm string) (string, error) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	listener, err := net.Listen("tcp", net.JoinHostPort(vm, "0"))
 	if err != nil {
 		return "", errors.Wrap(err, "free port")
