Bound how long slow callers hold a request, and start measuring the link between regions

Cause: a caller that stopped sending its body, or stopped reading its answer, held a request and a slot without limit; a service removed while a request was retried would have crashed the request (found by reading). Change: read and write deadlines follow the request's deadline; refusals wait 1 s for the rest of a body.

--- /dev/null
+++ b/cmd/linkbench/fleet.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/fleettest"
+)
+
+const (
+	// linkBytesPerSecond is the capacity of the link between the regions, each way.
+	linkBytesPerSecond = 30e6 / 8
+	// requestPause is the time between two requests through one node.
+	requestPause = 200 * time.Millisecond
+)
+
+// fleet is one layout with the request that is sent through every node.
+type fleet struct {
+	name   string
+	layout fleettest.Layout
+	path   string
+	bytes  int64
+}
+
+// crossed counts the bytes that passed between regions.
+type crossed struct {
+	control int64
+	traffic int64
+}
+
+func (f fleet) measure(ctx context.Context, binaries *fleettest.Binaries, settle, window time.Duration) error {
+	dir, err := os.MkdirTemp("", "linkbench-")
+	if err != nil {
+		return errors.Wrap(err, "measure")
+	}
+	defer os.RemoveAll(dir)
+	running, err := fleettest.Start(fleettest.Options{Layout: f.layout, Binaries: binaries, Dir: dir})
+	if err != nil {
+		return err
+	}
+	defer running.Close()
+	if err := f.prepare(ctx, running, settle); err != nil {
+		return err
+	}
+	for _, phase := range []string{"idle", "traffic"} {
+		before, err := count(ctx, running)
+		if err != nil {
+			return err
+		}
+		sent, whole, err := f.pass(ctx, running, window, phase == "traffic")
+		if err != nil {
+			return err
+		}
+		after, err := count(ctx, running)
+		if err != nil {
+			return err
+		}
+		f.report(phase, window, before, after, sent, whole)
+	}
+	return nil
+}
+
+func (f fleet) prepare(ctx context.Context, running *fleettest.Fleet, settle time.Duration) error {
+	if err := running.WaitReady(ctx); err != nil {
+		return err
+	}
+	if err := running.Apply(ctx, running.Nodes[0]); err != nil {
+		return err
+	}
+	if err := running.WaitRoutes(ctx); err != nil {
+		return err
+	}
+	return pause(ctx, settle)
+}
+
+// pass waits for the window, with requests through every node if there is to be traffic.
+func (f fleet) pass(ctx context.Context, running *fleettest.Fleet, window time.Duration, traffic bool) (sent, whole int64, err error) {
+	if !traffic {
+		return 0, 0, pause(ctx, window)
+	}
+	limited, cancel := context.WithTimeout(ctx, window)
+	defer cancel()
+	client := fleettest.NewClient()
+	defer client.Close()
+	var total, good atomic.Int64
+	var wg sync.WaitGroup
+	for _, node := range running.Nodes {
+		wg.Go(func() {
+			for i := 0; pause(limited, requestPause) == nil; i++ {
+				total.Add(1)
+				request := fleettest.Request{Path: f.path, Token: fmt.Sprintf("%s-%d", node.ID, i), Size: f.bytes}
+				if client.Fetch(ctx, node.Callers, request).Whole {
+					good.Add(1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return total.Load(), good.Load(), nil
+}
+
+func (f fleet) report(phase string, window time.Duration, before, after crossed, sent, whole int64) {
+	control := float64(after.control-before.control) / window.Seconds()
+	traffic := float64(after.traffic-before.traffic) / window.Seconds()
+	fmt.Printf("%-6s %-8s %11.0f  %17.3f%%  %11.0f  %8d  %5d\n",
+		f.name, phase, control, 100*control/linkBytesPerSecond, traffic, sent, whole)
+}
+
+// count adds up what all daemons have sent to and received from the other region. Each connection is counted by the side
+// that opened it.
+func count(ctx context.Context, running *fleettest.Fleet) (crossed, error) {
+	var sum crossed
+	for _, node := range running.Nodes {
+		m, err := node.Metrics(ctx)
+		if err != nil {
+			return sum, err
+		}
+		for _, direction := range []string{"sent", "received"} {
+			sum.control += m.Links["exchange_region_"+direction]
+			sum.traffic += m.Links["forward_region_"+direction]
+		}
+	}
+	return sum, nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "pause")
+	}
+}
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -25,6 +25,12 @@
 	healthPath = ownPrefix + "health"
 )
 
+// drainTime is how long a refusal waits for the rest of the request's body.
+const drainTime = time.Second
+
+// writeGrace is the time after the deadline in which the answer, or the failure, may still be written.
+const writeGrace = time.Second
+
 // acceptor takes callers' requests and is responsible for their outcomes. It is the only layer that retries.
 type acceptor struct {
 	self     model.Node
@@ -66,11 +72,16 @@
 		return
 	}
 	started := time.Now()
+	control := http.NewResponseController(w)
+	// The deadline of an earlier request on the connection must not end this one.
+	_ = control.SetWriteDeadline(time.Time{})
 	rq, err := a.read(w, r)
 	if err != nil {
 		a.refuse(w, nil, err)
 		return
 	}
+	// A caller that stops reading holds a slot of the upstream no longer than the request may last.
+	_ = control.SetWriteDeadline(rq.deadline.Add(writeGrace))
 	a.serve(w, r, rq)
 	a.metrics.Latency(rq.match.Service.Name, time.Since(started))
 }
@@ -141,6 +152,8 @@
 // refuse tells the caller that there is no answer.
 func (a *acceptor) refuse(w http.ResponseWriter, rq *request, err *verdict.Error) {
 	a.count(rq, err)
+	// The server reads the rest of the body before it answers.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTime))
 	writeError(w, err)
 }
 
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -83,7 +83,9 @@
 		return nil
 	}
 	tried.Clear()
-	if target != nil && a.view.Load().Service(rq.match.Service.Name).Pool.Len() > 1 {
+	// The service may have been removed while the request was running.
+	service := a.view.Load().Service(rq.match.Service.Name)
+	if target != nil && service != nil && service.Pool.Len() > 1 {
 		tried.Add(target.Target.ID)
 	}
 	return sleep(ctx, decision.After)
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sardinereach/sardinereach/internal/model"
@@ -16,6 +17,9 @@
 
 // paths keeps the nodes to which this node has no working path. Others may reach them: a partition can be one-way.
 type paths struct {
+	// count is the number of avoided nodes. It keeps the lock off the path of a request while there is none.
+	count atomic.Int32
+
 	mu    sync.Mutex
 	nodes map[model.NodeID]*pathState
 }
@@ -35,6 +39,7 @@
 	s := p.nodes[node.ID]
 	if s == nil {
 		p.nodes[node.ID] = &pathState{address: node.PeerAddress, avoid: pathAvoidMin, until: now + pathAvoidMin}
+		p.count.Store(int32(len(p.nodes)))
 		return true
 	}
 	if now >= s.until {
@@ -47,12 +52,16 @@
 
 // worked notes that a call to the node succeeded and reports whether the node was avoided until now.
 func (p *paths) worked(node model.NodeID) (changed bool) {
+	if p.count.Load() == 0 {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, ok := p.nodes[node]; !ok {
 		return false
 	}
 	delete(p.nodes, node)
+	p.count.Store(int32(len(p.nodes)))
 	return true
 }
 
@@ -89,4 +98,5 @@
 			delete(p.nodes, id)
 		}
 	}
+	p.count.Store(int32(len(p.nodes)))
 }
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -51,7 +51,7 @@
 		return nil, err
 	}
 	deadline := time.Now().Add(timeout)
-	body, err := readBody(w, r, maxBody)
+	body, err := readBody(w, r, maxBody, deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -98,13 +98,17 @@
 	return min(timeout, time.Duration(ms)*time.Millisecond), nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, maxBody int64) ([]byte, *verdict.Error) {
+// readBody reads the whole body. A caller that sends it too slowly loses its connection at the deadline.
+func readBody(w http.ResponseWriter, r *http.Request, maxBody int64, deadline time.Time) ([]byte, *verdict.Error) {
 	if r.ContentLength > maxBody {
 		return nil, verdict.Refused(verdict.BodyTooLarge, nil)
 	}
 	if r.ContentLength == 0 || r.Body == nil {
 		return nil, nil
 	}
+	control := http.NewResponseController(w)
+	// Connections without deadlines exist in tests only, where a slow caller is no concern.
+	_ = control.SetReadDeadline(deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -113,6 +117,7 @@
 	if err != nil {
 		return nil, verdict.Refused(verdict.BodyIncomplete, err)
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
