Add the operations page with a session of real processes for each situation

Cause: nothing told the person on call what to type when the store is gone, a region is cut off, ejections meet the floor, a request crashes upstreams, a rack is drained, all VMs are replaced or an apply is rejected. Ruled out: sessions against the fleet in memory for these sections, since it has no detection, no crashes and no logs; it backs only two rows on exit codes, which the page names. Not covered: a cut link with both regions running, the shutdown grace passing, and withdraw ejection.

--- /dev/null
+++ b/internal/fleettest/sessions/faults_test.go
@@ -0,0 +1,64 @@
+package sessions
+
+import (
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/sardinereach/sardinereach/internal/fakestore"
+	"github.com/sardinereach/sardinereach/internal/fakeupstream"
+)
+
+// changeStore runs "store down" or "store up".
+func changeStore(ts *testscript.TestScript, _ bool, arguments []string) {
+	s := sceneOf(ts)
+	ts.Check(s.Store.SetFaults(s.ctx, fakestore.Faults{Down: arguments[0] == "down"}))
+}
+
+// changeNode runs "node ACTION NODE...".
+func changeNode(ts *testscript.TestScript, _ bool, arguments []string) {
+	s := sceneOf(ts)
+	for _, id := range arguments[1:] {
+		node := s.Node(id)
+		switch arguments[0] {
+		case "pause":
+			ts.Check(node.Pause())
+		case "resume":
+			ts.Check(node.Resume())
+		case "replace":
+			s.replace(ts, id)
+		default:
+			ts.Fatalf("unknown action %q", arguments[0])
+		}
+	}
+}
+
+// replace stops the processes of a node's VM gracefully and starts them anew.
+func (s *scene) replace(ts *testscript.TestScript, id string) {
+	node := s.Node(id)
+	ts.Check(node.Terminate())
+	code, err := node.Wait(s.ctx)
+	ts.Check(err)
+	if code != 0 {
+		ts.Fatalf("%s exited with %d", id, code)
+	}
+	for _, upstream := range s.Upstreams {
+		if upstream.Node == node {
+			upstream.Kill()
+			ts.Check(node.Start())
+			ts.Check(upstream.Start())
+			ts.Check(upstream.WaitAccepted(s.ctx, "ready"))
+		}
+	}
+	ts.Check(node.WaitReady(s.ctx))
+}
+
+// failTarget runs "fail TARGET": its work fails while its probes succeed.
+func failTarget(ts *testscript.TestScript, _ bool, arguments []string) {
+	s := sceneOf(ts)
+	for _, upstream := range s.Upstreams {
+		if strings.HasSuffix(upstream.Node.ID, arguments[0]) {
+			ts.Check(upstream.SetFaults(s.ctx, fakeupstream.Faults{FailWork: true}))
+		}
+	}
+}
