--- a/cmd/linkbench/fleet.go
+++ b/cmd/linkbench/fleet.go
@@ -122,8 +122,8 @@
 			return sum, err
 		}
 		for _, direction := range []string{"sent", "received"} {
-			sum.control += m.Links["exchange_region_"+direction]
-			sum.traffic += m.Links["forward_region_"+direction]
+			sum.control += m.Links["exchange_region."+direction]
+			sum.traffic += m.Links["forward_region."+direction]
 		}
 	}
 	return sum, nil
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -68,8 +69,13 @@
 		if id == n.self.ID {
 			record.ConfigRevision = n.distributor.Status().Complete
 		}
-		out = append(out, operator.NodeFacts{Record: record, Age: n.heartbeats.age(n.clock.now(), id), Silent: member.State != membership.Alive})
+		facts := operator.NodeFacts{Record: record, Silent: member.State != membership.Alive}
+		if id != n.self.ID {
+			facts.Age = n.heartbeats.age(n.clock.now(), id)
+		}
+		out = append(out, facts)
 	}
+	slices.SortFunc(out, func(a, b operator.NodeFacts) int { return strings.Compare(string(a.Record.ID), string(b.Record.ID)) })
 	return out
 }
 
--- a/internal/node/judge.go
+++ b/internal/node/judge.go
@@ -179,11 +179,12 @@
 
 // updatePeers takes over what the other nodes report about the targets of the services beside this node. j.mu is held.
 func (j *judge) updatePeers(now time.Duration, own []model.Target) {
-	j.book.take(j.node.distributor.Snapshot().Members, j.node.self.ID)
 	services := make(map[model.ServiceName]bool)
 	for _, t := range own {
 		services[t.Service] = true
 	}
+	j.book.follow(services)
+	j.book.take(j.node.distributor.Snapshot().Members, j.node.self.ID)
 	for name := range services {
 		j.updateService(now-reportDelay, name)
 	}
--- a/internal/node/quarantine_commands.go
+++ b/internal/node/quarantine_commands.go
@@ -70,8 +70,14 @@
 	return err
 }
 
+// fingerprintDigits is the length of the String form of a fingerprint.
+const fingerprintDigits = 16
+
 // parseFingerprint returns the fingerprint with the given String form.
 func parseFingerprint(s string) (quarantine.Fingerprint, error) {
 	value, err := strconv.ParseUint(s, 16, 64)
-	return quarantine.Fingerprint(value), errors.Wrapf(err, "fingerprint %q: use 16 hexadecimal digits", s)
+	if err != nil || len(s) != fingerprintDigits {
+		return 0, errors.Errorf("fingerprint %q: use %d hexadecimal digits", s, fingerprintDigits)
+	}
+	return quarantine.Fingerprint(value), nil
 }
--- a/internal/node/report_book.go
+++ b/internal/node/report_book.go
@@ -8,27 +8,47 @@
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
-// reportBook keeps the newest report about each target beside another node. Reports arrive by the exchange and by asking,
-// so that an older one may come later.
+// reportBook keeps the newest report about each target of the services beside this node. Reports arrive by the exchange
+// and by asking, so that an older one may come later.
 type reportBook struct {
-	entries map[model.TargetID]*bookEntry
+	services map[model.ServiceName]map[model.TargetID]*bookEntry
+	// taken is the snapshot that was read last.
+	taken *membership.Snapshot
 }
 
 type bookEntry struct {
-	service     model.ServiceName
 	incarnation model.Incarnation
 	// raw is the report of the record that was decoded last.
 	raw    string
 	report detect.Report
 }
 
-func newReportBook() *reportBook { return &reportBook{entries: make(map[model.TargetID]*bookEntry)} }
+func newReportBook() *reportBook {
+	return &reportBook{services: make(map[model.ServiceName]map[model.TargetID]*bookEntry)}
+}
+
+// follow sets the services to keep reports about.
+func (b *reportBook) follow(services map[model.ServiceName]bool) {
+	for name := range services {
+		if b.services[name] == nil {
+			b.services[name] = make(map[model.TargetID]*bookEntry)
+			b.taken = nil
+		}
+	}
+	for name := range b.services {
+		if !services[name] {
+			delete(b.services, name)
+		}
+	}
+}
 
-// take reads the reports of all members but the node itself, and forgets targets that no member has.
+// take reads the reports of all members but the node itself, and forgets targets that no member has. A snapshot that was
+// read before costs nothing.
 func (b *reportBook) take(members *membership.Snapshot, self model.NodeID) {
-	if members == nil {
+	if members == nil || members == b.taken {
 		return
 	}
+	b.taken = members
 	seen := make(map[model.TargetID]bool)
 	for id, member := range members.Members {
 		if id == self {
@@ -36,22 +56,26 @@
 		}
 		for i := range member.Record.Targets {
 			t := &member.Record.Targets[i]
-			seen[t.ID] = true
-			b.takeTarget(member.Record.Incarnation, t)
+			if b.services[t.Service] != nil {
+				seen[t.ID] = true
+				b.takeTarget(member.Record.Incarnation, t)
+			}
 		}
 	}
-	for id := range b.entries {
-		if !seen[id] {
-			delete(b.entries, id)
+	for _, entries := range b.services {
+		for id := range entries {
+			if !seen[id] {
+				delete(entries, id)
+			}
 		}
 	}
 }
 
 func (b *reportBook) takeTarget(incarnation model.Incarnation, t *model.Target) {
-	e := b.entries[t.ID]
-	if e == nil || e.service != t.Service || e.incarnation < incarnation {
-		e = &bookEntry{service: t.Service, incarnation: incarnation, report: detect.ReportOf(*t)}
-		b.entries[t.ID] = e
+	e := b.services[t.Service][t.ID]
+	if e == nil || e.incarnation < incarnation {
+		e = &bookEntry{incarnation: incarnation, report: detect.ReportOf(*t)}
+		b.services[t.Service][t.ID] = e
 	}
 	if e.raw == t.Report || t.Report == "" {
 		return
@@ -74,18 +98,16 @@
 
 // add takes a report that a node was asked for.
 func (b *reportBook) add(service model.ServiceName, report detect.Report) {
-	if e := b.entries[report.Target]; e != nil && e.service == service {
+	if e := b.services[service][report.Target]; e != nil {
 		e.offer(report)
 	}
 }
 
 // of returns the reports of a service.
 func (b *reportBook) of(service model.ServiceName) []detect.Report {
-	var reports []detect.Report
-	for _, e := range b.entries {
-		if e.service == service {
-			reports = append(reports, e.report)
-		}
+	reports := make([]detect.Report, 0, len(b.services[service])+1)
+	for _, e := range b.services[service] {
+		reports = append(reports, e.report)
 	}
 	return reports
 }
