Keep a late goroutine of WaitReady off a restarted daemon

Cause: the goroutine that watches for a daemon's end read the process after WaitReady had returned, while a test started the daemon again.

Ruled out: a fault of the daemon; both sides are in the harness.

Change: the channel is read before the goroutine begins.

Conclusion: fixed in the harness; no test changed.

--- a/internal/fleettest/node.go
+++ b/internal/fleettest/node.go
@@ -90,9 +90,11 @@
 func (n *Node) WaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	// The goroutine may begin after the return, when the daemon may be started again.
+	done := n.Done()
 	go func() {
 		select {
-		case <-n.Done():
+		case <-done:
 			cancel()
 		case <-ctx.Done():
 		}
