Write every event of the catalogue, or take it out

Cause: 17 events of the catalogue had no code that wrote them, so that an operator would wait for them in vain; SR0304 node_heard never appeared, because the exchange reports a return before the state is checked. A test keeps the catalogue and the code together.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -2,14 +2,12 @@
 
 // Events about the life of a daemon.
 var (
-	NodeStarted     = &Event{101, "node_started", Info, "the daemon has started", []Key{Node, Incarnation, Region, Domain}}
-	NodeReady       = &Event{102, "node_ready", Info, "the node has a complete configuration and accepts callers", []Key{Node, Revision, Duration}}
-	NodeStopping    = &Event{103, "node_stopping", Info, "the node is shutting down and finishes the requests in flight", []Key{Node, Count}}
-	NodeStopped     = &Event{104, "node_stopped", Info, "the node has shut down", []Key{Node, Duration}}
-	GraceExceeded   = &Event{105, "grace_exceeded", Error, "the shutdown grace has passed with requests in flight", []Key{Node, Count, Duration}}
-	SettingsInvalid = &Event{106, "settings_invalid", Error, "the settings are not valid", []Key{Cause}}
-	ListenerFailed  = &Event{107, "listener_failed", Error, "a listener could not be opened or has failed", []Key{Address, Operation, Cause}}
-	PanicRecovered  = &Event{108, "panic_recovered", Error, "a panic was recovered; the affected request failed", []Key{Operation, Cause}}
+	NodeStarted    = &Event{101, "node_started", Info, "the daemon has started", []Key{Node, Incarnation, Region, Domain}}
+	NodeReady      = &Event{102, "node_ready", Info, "the node has a complete configuration and accepts callers", []Key{Node, Revision, Duration}}
+	NodeStopping   = &Event{103, "node_stopping", Info, "the node is shutting down and finishes the requests in flight", []Key{Node, Count}}
+	NodeStopped    = &Event{104, "node_stopped", Info, "the node has shut down", []Key{Node, Duration}}
+	GraceExceeded  = &Event{105, "grace_exceeded", Error, "the shutdown grace has passed with requests in flight", []Key{Node, Count, Duration}}
+	ListenerFailed = &Event{107, "listener_failed", Error, "a listener could not be opened or has failed", []Key{Address, Operation, Cause}}
 )
 
 // Events about store and configuration.
@@ -19,7 +17,6 @@
 	StoreOutcomeUnknown = &Event{203, "store_outcome_unknown", Warning, "the answer to a write was lost; its outcome is settled by reading back", []Key{Operation, Service}}
 	ConfigApplied       = &Event{204, "config_applied", Info, "a configuration is in force on this node", []Key{Service, Revision}}
 	ConfigInvalid       = &Event{205, "config_invalid", Error, "a document in the store is not valid; the last valid one stays in force", []Key{Service, Revision, Cause}}
-	ConfigRegression    = &Event{206, "config_regression", Error, "an older revision than the one in force was offered and ignored", []Key{Service, Revision, Node}}
 	ConfigStale         = &Event{207, "config_stale", Warning, "neither the store nor a peer confirms the configuration in force", []Key{Revision, Duration}}
 	WatcherStarted      = &Event{208, "watcher_started", Info, "this node watches the store for its failure domain", []Key{Domain}}
 	WatcherStopped      = &Event{209, "watcher_stopped", Info, "another node watches the store for the failure domain", []Key{Domain}}
@@ -27,17 +24,16 @@
 
 // Events about members and connections.
 var (
-	NodeJoined         = &Event{301, "node_joined", Info, "a node or a new incarnation of it has joined", []Key{Node, Incarnation, Domain}}
-	NodeLeft           = &Event{302, "node_left", Info, "a node has stopped gracefully", []Key{Node, Incarnation}}
-	NodeSilent         = &Event{303, "node_silent", Warning, "a node does not answer", []Key{Node, Duration}}
-	NodeHeard          = &Event{304, "node_heard", Info, "a silent node answers again", []Key{Node, Duration}}
-	PathAvoided        = &Event{305, "path_avoided", Warning, "the path to a node is avoided", []Key{Node, Cause}}
-	PathRestored       = &Event{306, "path_restored", Info, "the path to a node is used again", []Key{Node}}
-	ConnectionSilent   = &Event{307, "connection_silent", Warning, "an open connection gives no frames; a new one is tried", []Key{Node, Address, Duration}}
-	RegionUnreachable  = &Event{308, "region_unreachable", Error, "no node of a region answers", []Key{Region, Duration}}
-	RegionReachable    = &Event{309, "region_reachable", Info, "a region answers again", []Key{Region, Duration}}
-	LinkBudgetSpent    = &Event{310, "link_budget_spent", Warning, "the byte budget to other regions is spent", []Key{Region, Bytes}}
-	LinkBudgetRestored = &Event{311, "link_budget_restored", Info, "the byte budget to other regions allows requests again", []Key{Region}}
+	NodeJoined        = &Event{301, "node_joined", Info, "a node or a new incarnation of it has joined", []Key{Node, Incarnation, Domain}}
+	NodeLeft          = &Event{302, "node_left", Info, "a node has stopped gracefully", []Key{Node, Incarnation}}
+	NodeSilent        = &Event{303, "node_silent", Warning, "a node does not answer", []Key{Node, Duration}}
+	NodeHeard         = &Event{304, "node_heard", Info, "a silent node answers again", []Key{Node, Duration}}
+	PathAvoided       = &Event{305, "path_avoided", Warning, "the path to a node is avoided", []Key{Node, Cause}}
+	PathRestored      = &Event{306, "path_restored", Info, "the path to a node is used again", []Key{Node}}
+	ConnectionSilent  = &Event{307, "connection_silent", Warning, "an open connection gives no frames; a new one is tried", []Key{Node, Address, Duration}}
+	RegionUnreachable = &Event{308, "region_unreachable", Error, "no node of a region answers", []Key{Region, Duration}}
+	RegionReachable   = &Event{309, "region_reachable", Info, "a region answers again", []Key{Region, Duration}}
+	LinkBudgetSpent   = &Event{310, "link_budget_spent", Warning, "the byte budget to other regions is spent", []Key{Region, Bytes}}
 )
 
 // Events about targets.
@@ -78,7 +74,6 @@
 
 // Events about claims and operations.
 var (
-	ClaimSettled          = &Event{701, "claim_settled", Info, "the lost answer to a claim was settled by reading back", []Key{Service, Outcome}}
 	ClaimOutcomeUnwritten = &Event{702, "claim_outcome_unwritten", Warning, "the outcome of a claimed request could not be recorded", []Key{Service, Attempt, Cause}}
 	ClaimsCollected       = &Event{703, "claims_collected", Info, "old claims were deleted", []Key{Count}}
 	AnswersDropped        = &Event{704, "answers_dropped", Warning, "held answers were dropped before they were collected", []Key{Count, Bytes}}
@@ -87,15 +82,15 @@
 // fixed lists the events that belong to no reason, in the order of their numbers.
 var fixed = []*Event{
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, GraceExceeded,
-	SettingsInvalid, ListenerFailed, PanicRecovered, StoreUnavailable, StoreRecovered,
-	StoreOutcomeUnknown, ConfigApplied, ConfigInvalid, ConfigRegression, ConfigStale,
+	ListenerFailed, StoreUnavailable, StoreRecovered,
+	StoreOutcomeUnknown, ConfigApplied, ConfigInvalid, ConfigStale,
 	WatcherStarted, WatcherStopped, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
-	RegionReachable, LinkBudgetSpent, LinkBudgetRestored, TargetAnnounced, TargetPhaseChanged,
+	RegionReachable, LinkBudgetSpent, TargetAnnounced, TargetPhaseChanged,
 	TargetMissing, TargetSuspected, TargetEjected, TargetAvoided, TargetReturned,
 	TargetHeldDown, EjectionAtFloor, EjectionWithdrawn, DrainStarted, DrainForced,
 	DrainRefused, DrainEnded, AnnounceRefused, CrashAttributed, FingerprintQuarantined,
 	FingerprintReleased, ApplyAccepted, ApplyConflict, ApplyInForce, ApplyBehind,
-	OperatorDenied, OperatorCommand, ClaimSettled, ClaimOutcomeUnwritten, ClaimsCollected,
+	OperatorDenied, OperatorCommand, ClaimOutcomeUnwritten, ClaimsCollected,
 	AnswersDropped,
 }
--- /dev/null
+++ b/internal/events/used_test.go
@@ -0,0 +1,44 @@
+package events
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// Guards against events in the catalogue that nothing writes: an operator would wait for them in vain.
+func TestEveryEventIsWritten(t *testing.T) {
+	catalogue, err := os.ReadFile("catalogue.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	used := readSources(t, "../..")
+	for _, match := range regexp.MustCompile(`(?m)^\t([A-Z]\w+) += &Event`).FindAllStringSubmatch(string(catalogue), -1) {
+		if !regexp.MustCompile(`events\.` + match[1] + `\b`).MatchString(used) {
+			t.Errorf("no code writes the event %s", match[1])
+		}
+	}
+}
+
+// readSources returns the Go code below the folder, tests and this package excepted.
+func readSources(t *testing.T, root string) string {
+	t.Helper()
+	var all strings.Builder
+	err := filepath.WalkDir(root, func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		if strings.Contains(filepath.ToSlash(path), "internal/events/") {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		all.Write(data)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all.String()
+}
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -28,6 +28,8 @@
 	// mayTry rules on attempts at targets on trial.
 	mayTry  func(target model.TargetID, idempotent bool) trialRuling
 	crashes *crashes
+	// dropped is told the attempts whose answer was dropped before it was collected.
+	dropped func(model.AttemptID)
 
 	mu      sync.Mutex
 	point   *admission.Point
@@ -43,6 +45,7 @@
 		crashes:     crashes,
 		observe:     func(observation) {},
 		mayTry:      func(model.TargetID, bool) trialRuling { return notOnTrial },
+		dropped:     func(model.AttemptID) {},
 		point:       admission.NewPoint(limits, incarnation),
 		waiting:     make(map[model.AttemptID]chan slotOrRefusal),
 		running:     make(map[model.AttemptID]*progress),
@@ -134,6 +137,8 @@
 			a.wake(e.Attempt, slotOrRefusal{err: e.Err})
 		case admission.EventMissing:
 			missing = append(missing, e.Target)
+		case admission.EventAnswerDropped:
+			a.dropped(e.Attempt)
 		}
 	}
 	return missing
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -123,6 +123,7 @@
 		return nil, verdict.Refused(verdict.NoTarget, errors.New("every target was tried"))
 	}
 	if target.Distance == routing.OtherRegion && !a.link.allows(rq.head.Bulk) {
+		a.log.Emit(events.LinkBudgetSpent, events.RegionField(target.Node.Region))
 		return nil, verdict.Refused(verdict.LinkBudget, nil)
 	}
 	return target, nil
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -92,15 +92,36 @@
 	}
 	targets := c.judge.step(n.admitter.targets())
 	c.mu.Lock()
-	changed := targetsDiffer(c.own, targets)
+	last := c.own
+	changed := targetsDiffer(last, targets)
 	c.own = targets
 	c.mu.Unlock()
+	c.logTargets(last, targets)
 	n.distributor.SetTargets(targets)
 	if changed {
 		n.views.invalidate()
 	}
 }
 
+// logTargets logs targets that are new and those that have changed their phase.
+func (c *control) logTargets(last, present []model.Target) {
+	known := make(map[model.TargetID]model.Target, len(last))
+	for _, t := range last {
+		known[t.ID] = t
+	}
+	for _, t := range present {
+		before, ok := known[t.ID]
+		switch {
+		case !ok:
+			c.node.log.Emit(events.TargetAnnounced, events.TargetField(t.ID), events.ServiceField(t.Service),
+				events.AddressField(t.Address), events.SlotsField(t.Slots))
+		case before.Phase != t.Phase:
+			c.node.log.Emit(events.TargetPhaseChanged, events.TargetField(t.ID), events.ServiceField(t.Service),
+				events.PhaseField(t.Phase))
+		}
+	}
+}
+
 // targetsDiffer reports whether the routing of requests may change, which load figures alone do not do.
 func targetsDiffer(a, b []model.Target) bool {
 	if len(a) != len(b) {
@@ -136,6 +157,7 @@
 		c.tryPaths(ctx, now)
 		n.peers.ExpireIdle(idleConnections)
 		c.forgetGone()
+		c.noteStore()
 		// Writes that an outage of the store has left are made up for. Without any the call costs nothing.
 		_, _ = n.once.claims.Collect(ctx, nil, settleCalls)
 		if now-rotated >= latencyWindow {
@@ -149,6 +171,15 @@
 	}
 }
 
+// noteStore logs that the store answers again after a failure.
+func (c *control) noteStore() {
+	status := c.node.distributor.Status()
+	if status.StoreAge < 0 || status.StoreAge > time.Second || !c.node.storeFailing.CompareAndSwap(true, false) {
+		return
+	}
+	c.node.log.Emit(events.StoreRecovered)
+}
+
 // tryPaths asks the nodes that are avoided whether the path works again.
 func (c *control) tryPaths(ctx context.Context, now time.Duration) {
 	var wg sync.WaitGroup
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/eject"
+	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/membership"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/operator"
@@ -236,9 +237,13 @@
 		err := f.node.control.ejector.change(ctx, service, func(doc eject.Document) (eject.Document, error) {
 			return eject.Withdraw(doc, target)
 		})
-		if !errors.Is(err, eject.ErrNoEntry) {
-			return err
+		if errors.Is(err, eject.ErrNoEntry) {
+			continue
+		}
+		if err == nil {
+			f.node.log.Emit(events.EjectionWithdrawn, events.TargetField(target), events.ServiceField(service))
 		}
+		return err
 	}
 	return store.ErrNotFound
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,8 @@
 	crashes     *crashes
 	heartbeats  *heartbeats
 
+	// storeFailing is set from a failed call of the store until the next answer.
+	storeFailing atomic.Bool
 	// remote holds the peer addresses of the nodes in other regions.
 	remote atomic.Pointer[map[string]bool]
 	// ready is set once a view with the complete configuration is in force.
@@ -78,13 +80,14 @@
 	n.admitter = newAdmitter(n.clock, incarnation, n.admissionLimits(), n.upstreams, n.crashes)
 	n.buildAcceptor(binary.LittleEndian.Uint64(secret))
 	n.buildOnce(secret)
-	n.views = &viewPublisher{node: n, dirty: make(chan struct{}, 1)}
+	n.views = &viewPublisher{node: n, dirty: make(chan struct{}, 1), members: newMemberWatch(n.self, log)}
 	if err := n.buildDistributor(binary.LittleEndian.Uint64(secret[8:])); err != nil {
 		return nil, err
 	}
 	n.control = newControl(n)
 	n.admitter.observe = n.control.judge.observe
 	n.admitter.mayTry = n.control.judge.mayTry
+	n.admitter.dropped = func(id model.AttemptID) { log.Emit(events.AnswersDropped, events.CountField(1)) }
 	n.acceptor.pathChanged = n.views.invalidate
 	n.views.publish()
 	return n, nil
--- a/internal/node/quarantine_commands.go
+++ b/internal/node/quarantine_commands.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/quarantine"
 	"github.com/sardinereach/sardinereach/internal/store"
 )
@@ -39,6 +40,7 @@
 	if !ok {
 		return store.ErrNotFound
 	}
+	c.log.Emit(events.FingerprintReleased, events.FingerprintField(fingerprint.String()))
 	return c.put(ctx, fingerprint)
 }
 
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -6,7 +6,6 @@
 	"github.com/sardinereach/sardinereach/internal/config"
 	"github.com/sardinereach/sardinereach/internal/distribution"
 	"github.com/sardinereach/sardinereach/internal/events"
-	"github.com/sardinereach/sardinereach/internal/membership"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
@@ -15,6 +14,7 @@
 	service := model.ServiceName(strings.TrimPrefix(e.Key, config.ServicePrefix))
 	switch e.Kind {
 	case distribution.StoreFailed:
+		n.storeFailing.Store(true)
 		n.log.Emit(events.StoreUnavailable, events.OperationField(e.Key), events.CauseField(e.Err))
 	case distribution.DocumentApplied:
 		if strings.HasPrefix(e.Key, config.ServicePrefix) {
@@ -22,8 +22,6 @@
 		}
 	case distribution.DocumentRejected:
 		n.log.Emit(events.ConfigInvalid, events.ServiceField(service), events.RevisionField(e.Revision), events.CauseField(e.Err))
-	case distribution.MemberChanged:
-		n.reportMember(e)
 	case distribution.WatchStarted:
 		n.log.Emit(events.WatcherStarted, events.DomainField(n.self.Domain))
 	case distribution.WatchStopped:
@@ -35,12 +33,3 @@
 		n.log.Emit(events.ConfigStale, events.RevisionField(e.Revision))
 	}
 }
-
-func (n *Node) reportMember(e distribution.Event) {
-	switch {
-	case e.To == membership.Alive:
-		n.log.Emit(events.NodeHeard, events.NodeField(e.Node))
-	case e.From == membership.Alive:
-		n.log.Emit(events.NodeSilent, events.NodeField(e.Node))
-	}
-}
--- a/internal/node/view_publisher.go
+++ b/internal/node/view_publisher.go
@@ -18,9 +18,10 @@
 
 // viewPublisher builds a new view when something changes and publishes it to the request path.
 type viewPublisher struct {
-	node  *Node
-	dirty chan struct{}
-	built int64
+	node    *Node
+	dirty   chan struct{}
+	members *memberWatch
+	built   int64
 }
 
 // invalidate asks for a new view. It never blocks.
@@ -66,6 +67,7 @@
 	n.acceptor.view.Store(view)
 	if snapshot.Members != nil {
 		n.noteRemote(snapshot.Members)
+		p.members.note(n.clock.now(), snapshot.Members)
 		n.acceptor.budgets.setNodes(snapshot.Members.Live(), n.clock.now())
 	}
 	if ready {
