Count answers that are not sent yet in the graceful shutdown

Cause: an admitted attempt counted as ended before its last frame was sent, so that the connections between nodes could be closed in between (found by reading; not seen). Change: the peer server counts calls until their answer is sent, and the shutdown waits for them and 100 ms longer.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 
 	store       store.Store
 	peers       *peer.Client
+	peerServer  *peer.Server
 	upstreams   *upstream.Client
 	admitter    *admitter
 	acceptor    *acceptor
@@ -229,8 +230,8 @@
 	})
 	group.Go(func() error { return serveHTTP(s.operators, l.operators) })
 	group.Go(func() error { return serveHTTP(s.upstreams, l.upstreams) })
-	server := peer.NewServer(&handler{node: n}, int(n.settings.Limits.MaxBodyBytes), peer.Options{})
-	group.Go(func() error { return server.Serve(ctx, l.peers) })
+	n.peerServer = peer.NewServer(&handler{node: n}, int(n.settings.Limits.MaxBodyBytes), peer.Options{})
+	group.Go(func() error { return n.peerServer.Serve(ctx, l.peers) })
 	return s
 }
 
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -11,6 +11,9 @@
 // waits in the system's backlog when the listener closes would be reset.
 const lameDuckTime = 500 * time.Millisecond
 
+// lingerTime lets the last frames of the last answers leave before the connections to other nodes are closed.
+const lingerTime = 100 * time.Millisecond
+
 // shutdownPoll is the time between two looks at the requests in flight.
 const shutdownPoll = 20 * time.Millisecond
 
@@ -31,6 +34,7 @@
 	callers := make(chan error, 1)
 	go func() { callers <- s.callers.Shutdown(ctx) }()
 	n.awaitIdle(ctx, callers)
+	_ = sleep(ctx, lingerTime)
 	if left := n.busy(); left > 0 {
 		n.log.Emit(events.GraceExceeded, events.NodeField(n.self.ID), events.CountField(left), events.DurationField(n.settings.Shutdown.Grace))
 	}
@@ -43,7 +47,7 @@
 
 // busy returns the number of requests in flight in both roles and of answers that are not collected yet.
 func (n *Node) busy() int {
-	return int(n.acceptor.inFlight.Load()) + n.admitter.inFlight() + n.admitter.held()
+	return int(n.acceptor.inFlight.Load()) + n.admitter.inFlight() + n.admitter.held() + n.peerServer.Calls()
 }
 
 // awaitIdle waits until the callers' server has shut down and nothing is in flight.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcmux"
@@ -16,8 +17,12 @@
 	handler Handler
 	opts    Options
 	maxBody int
+	calls   atomic.Int64
 }
 
+// Calls returns the number of Forward and Redeem calls whose answer is not sent yet.
+func (s *Server) Calls() int { return int(s.calls.Load()) }
+
 // NewServer returns a server that refuses request bodies over maxBody bytes.
 func NewServer(handler Handler, maxBody int, opts Options) *Server {
 	return &Server{handler: handler, opts: opts.withDefaults(), maxBody: maxBody}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -67,6 +67,8 @@
 }
 
 func (s *service) serve(stream serverStream, run runFunc) error {
+	s.calls.Add(1)
+	defer s.calls.Add(-1)
 	head, body, err := s.receive(stream)
 	if errors.Is(err, errBodyTooLarge) {
 		return stream.Send(&peerv1.AnswerFrame{Trailer: &peerv1.AnswerTrailer{
