Hold the archives of the shutdown test until the listener is closed

Cause: TestTerminatedDaemonsFinishLongArchives passed with a daemon that does not wait for requests in flight, because the archives ended within the 500 ms in which a stopping daemon still accepts connections. Change: the archives go on only after the listener refuses connections; the assertions are the same.

--- a/internal/fleettest/leaving_test.go
+++ b/internal/fleettest/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -90,11 +91,14 @@
 	begun.Wait()
 	s.must(accepting.Terminate())
 	s.must(admitting.Terminate())
-	s.await("the accepting node to take no callers", func() error {
-		if accepting.health(s.ctx) == nil {
-			return errors.New("it is ready")
+	// The archives go on only after the listener is closed, when a daemon that does not wait for them would be gone.
+	s.await("the accepting node to close its listener", func() error {
+		c, err := net.Dial("tcp", accepting.Callers)
+		if err != nil {
+			return nil
 		}
-		return nil
+		_ = c.Close()
+		return errors.New("it takes connections")
 	})
 	close(release)
 	wait.Wait()
