Leave time for another target when one hangs

Cause: an idempotent request with a timeout below the route's time to the first byte spent all of it on a frozen target (seen with callers' timeouts of 4 s against a limit of 5 s). Ruled out: always half of the remaining time, which would give up work that usually takes long. Change: half of the remaining time, if that is ten times what the target usually takes.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -177,6 +177,9 @@
 	head.Target = string(c.Target.ID)
 	head.AcceptingNode = string(a.self.ID)
 	head.TimeoutMs = rq.remaining().Milliseconds()
+	if rq.idempotent() {
+		head.ProgressTimeoutMs = progressTimeout(rq.head.FirstByteMs, head.TimeoutMs, c.Target.FirstByte).Milliseconds()
+	}
 	out.restart(head.Attempt, a.crossBytes(c))
 	if head.TimeoutMs <= 0 || ctx.Err() != nil || !g.open() {
 		return endedOrLate(ctx)
@@ -194,6 +197,22 @@
 	return err
 }
 
+// slowFactor is how many times its usual time to the first byte a target may take before half of the remaining time is
+// given to another target.
+const slowFactor = 10
+
+// progressTimeout returns the time without progress after which an idempotent attempt is given up. It is the route's
+// time to the first byte. Where that would leave no time for another attempt, it is half of the remaining time, if that
+// is still many times what the target usually takes.
+func progressTimeout(firstByteMS, remainingMS int64, usual time.Duration) time.Duration {
+	limit := time.Duration(firstByteMS) * time.Millisecond
+	half := time.Duration(remainingMS) * time.Millisecond / 2
+	if half >= limit || usual <= 0 || half < slowFactor*usual {
+		return limit
+	}
+	return half
+}
+
 func endedOrLate(ctx context.Context) *verdict.Error {
 	if ctx.Err() != nil {
 		return endedBeforeDispatch(ctx)
--- a/internal/node/attempts_test.go
+++ b/internal/node/attempts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
@@ -24,3 +25,21 @@
 		}
 	}
 }
+
+// Guards against an idempotent request that spends its whole time on a target that hangs, and against a target being
+// given up for work that it usually takes long for.
+func TestProgressTimeoutLeavesTimeForAnotherTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		firstByteMS, remainingMS int64
+		usual, want              time.Duration
+	}{
+		"plenty of time":       {5000, 30000, 20 * time.Millisecond, 5 * time.Second},
+		"short, quick target":  {5000, 4000, 20 * time.Millisecond, 2 * time.Second},
+		"short, slow target":   {5000, 4000, 500 * time.Millisecond, 5 * time.Second},
+		"short, unknown usual": {5000, 4000, 0, 5 * time.Second},
+	} {
+		if got := progressTimeout(c.firstByteMS, c.remainingMS, c.usual); got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -71,9 +71,6 @@
 		Bulk:          match.Route.Priority == declaration.Bulk,
 	}
 	rq.head.FirstByteMs = orDefault(match.Route.FirstByteMS, declaration.DefaultFirstByteMS)
-	if rq.idempotent() {
-		rq.head.ProgressTimeoutMs = rq.head.FirstByteMs
-	}
 	return rq, nil
 }
 
