--- a/internal/node/acceptor_test.go
+++ b/internal/node/acceptor_test.go
@@ -17,6 +17,7 @@
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/metrics"
 	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/once"
 	"github.com/sardinereach/sardinereach/internal/settings"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
@@ -26,14 +27,14 @@
 func (discardLog) Write(events.Severity, string) {}
 
 // startAcceptor serves an acceptor that knows one service without targets.
-func startAcceptor(t *testing.T) (*acceptor, string) {
+func startAcceptor(t testing.TB) (*acceptor, string) {
 	t.Helper()
 	service := &declaration.Service{Name: "s", Routes: []declaration.Route{{Path: "/s"}}}
 	a := &acceptor{
 		limits: settings.Limits{MaxBodyBytes: 100, MaxRequests: 10}, ready: func() bool { return true },
 		budgets: newBudgets(), metrics: metrics.New(), log: events.New(discardLog{}, time.Now), clock: newClock(),
 	}
-	a.once = &onceRunner{acceptor: a}
+	a.once = &onceRunner{acceptor: a, nodeOf: func(model.NodeID) (model.Node, bool) { return model.Node{}, false }}
 	a.view.Store(core.BuildView(core.Inputs{Config: &config.Snapshot{
 		Services: map[model.ServiceName]*declaration.Service{"s": service},
 	}}))
@@ -42,6 +43,11 @@
 	return a, strings.TrimPrefix(server.URL, "http://")
 }
 
+// testTickets returns the tickets of a node n1.
+func testTickets() *once.Tickets {
+	return once.NewTickets("n1", 1, []byte("secret"), once.TicketLimits{})
+}
+
 // exchange writes the raw request and returns the answer, or the error of the connection.
 func exchange(t *testing.T, address, request string) (*http.Response, error) {
 	t.Helper()
--- /dev/null
+++ b/internal/node/fuzz_test.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/sardinereach/sardinereach/internal/verdict"
+)
+
+// Guards against a panic on callers' malformed keys, tickets, timeouts and bodies, and against a refusal without a
+// reason. The service has no target, so that nothing may be answered.
+func FuzzCallerRequest(f *testing.F) {
+	f.Add("GET", "/s", "", "", "", "")
+	f.Add("POST", "/s/x?y", "key", "", "100", "body")
+	f.Add("POST", "/s", "", "n1.1.1.1.x", "", "body")
+	f.Add("POST", "/s", "\x01", "....", "-1", strings.Repeat("b", 200))
+	f.Fuzz(func(t *testing.T, method, path, key, ticket, timeout, body string) {
+		a, _ := startAcceptor(t)
+		a.once.tickets = testTickets()
+		request, err := http.NewRequest(method, "http://h", strings.NewReader(body))
+		if err != nil || key != "" && validKey(key) {
+			// A valid key needs the store, which this test has not.
+			return
+		}
+		request.URL.Path = path
+		request.Header.Set(headerKey, key)
+		request.Header.Set(headerTicket, ticket)
+		request.Header.Set(headerTimeout, timeout)
+		recorder := httptest.NewRecorder()
+		a.ServeHTTP(recorder, request)
+		if strings.HasPrefix(path, ownPrefix) {
+			return
+		}
+		if _, ok := verdict.Parse(recorder.Header().Get(headerVerdict)); !ok || recorder.Header().Get(headerReason) == "" {
+			t.Errorf("status %d without verdict and reason", recorder.Code)
+		}
+	})
+}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -32,6 +32,10 @@
 			t.Errorf("%s %s %s: got %s, want %s", c.host, c.method, c.path, got, c.want)
 		}
 	}
+	// A path that is none, as in "OPTIONS *", once made the match panic.
+	if m := table.Match("x", "OPTIONS", "*"); m != nil {
+		t.Errorf("the path * matched %v", m)
+	}
 	if m := NewTable(nil).Match("x", "GET", "/"); m != nil {
 		t.Errorf("an empty table matched %v", m)
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -52,6 +52,10 @@
 // before one for every host, a longer path before a shorter one, and a named method before any method. host has no
 // port, path is the decoded path of the URL.
 func (t *Table) Match(host, method, path string) *Match {
+	if path != "" && path[0] != '/' {
+		// "OPTIONS *" names no path.
+		return nil
+	}
 	if t.hosts[host] {
 		if m := t.matchHost(host, method, path); m != nil {
 			return m
