Contain a panic in the handling of another node's request

Cause: a panic in a call between nodes would end the daemon and all its requests; only callers' requests are recovered by the HTTP server (found while reading, after the panic of the route match, which a redeemed ticket could have reached). Change: the call ends as may-have-run with event SR0108.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -8,6 +8,7 @@
 	NodeStopped    = &Event{104, "node_stopped", Info, "the node has shut down", []Key{Node, Duration}}
 	GraceExceeded  = &Event{105, "grace_exceeded", Error, "the shutdown grace has passed with requests in flight", []Key{Node, Count, Duration}}
 	ListenerFailed = &Event{107, "listener_failed", Error, "a listener could not be opened or has failed", []Key{Address, Operation, Cause}}
+	PanicRecovered = &Event{108, "panic_recovered", Error, "a panic was recovered; the affected request failed", []Key{Operation, Cause}}
 )
 
 // Events about store and configuration.
@@ -82,7 +83,7 @@
 // fixed lists the events that belong to no reason, in the order of their numbers.
 var fixed = []*Event{
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, GraceExceeded,
-	ListenerFailed, StoreUnavailable, StoreRecovered,
+	ListenerFailed, PanicRecovered, StoreUnavailable, StoreRecovered,
 	StoreOutcomeUnknown, ConfigApplied, ConfigInvalid, ConfigStale,
 	WatcherStarted, WatcherStopped, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"runtime/debug"
+
+	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/peer"
+	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
 // handler answers the calls of other nodes.
@@ -23,15 +28,29 @@
 }
 
 // Forward implements peer.Handler.
-func (h *handler) Forward(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink peer.Sink) *peerv1.AnswerTrailer {
+func (h *handler) Forward(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink peer.Sink) (trailer *peerv1.AnswerTrailer) {
+	defer h.recoverPanic("forward", &trailer)
 	return h.node.admitter.run(ctx, head, body, sink)
 }
 
 // Redeem implements peer.Handler.
-func (h *handler) Redeem(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink peer.Sink) *peerv1.AnswerTrailer {
+func (h *handler) Redeem(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink peer.Sink) (trailer *peerv1.AnswerTrailer) {
+	defer h.recoverPanic("redeem", &trailer)
 	return h.node.once.redeemForPeer(ctx, head, body, sink)
 }
 
+// recoverPanic keeps a fault in the handling of one request from ending the daemon, as the HTTP server does for callers.
+// The request may have run.
+func (h *handler) recoverPanic(operation string, trailer **peerv1.AnswerTrailer) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	h.node.log.Emit(events.PanicRecovered, events.OperationField(operation),
+		events.CauseField(errors.Errorf("%v\n%s", cause, debug.Stack())))
+	*trailer = &peerv1.AnswerTrailer{Verdict: int32(verdict.MayHaveRun), Reason: string(verdict.NodeLost)}
+}
+
 // Collected implements peer.Handler.
 func (h *handler) Collected(attempt string) { h.node.admitter.collected(attempt) }
 
