Never answer not-run after an answer that was retried

Cause: an idempotent request whose first attempt was answered with a retry status, and whose next attempt was refused, was answered not-run although it had run (found by reading; TestRefusalAfterARetriedAnswer: 503 not-run upstream_unreachable). Ruled out: passing the first answer on, which was given up when the retry began. Change: such a request ends as may-have-run upstream_status. Measured: the test fails before and passes after.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -25,7 +25,7 @@
 	budget := a.budgets.of(rq.match.Service.Name, a.clock.now())
 	budget.request(a.clock.now())
 	var tried routing.Tried
-	// uncertain is the last outcome of an attempt that may have run. A refusal of a later attempt does not undo it.
+	// uncertain is the last outcome of an attempt that ran or may have run. A refusal of a later attempt does not undo it.
 	var uncertain *verdict.Error
 	in := retry.Input{Class: rq.class, RetryStatuses: rq.match.Route.RetryStatuses, Attempt: 1, Hops: 1}
 	for {
@@ -48,6 +48,9 @@
 		if !decision.Retry {
 			return overall(a.giveUp(err, decision), uncertain)
 		}
+		if err == nil {
+			uncertain = verdict.Uncertain(verdict.UpstreamStatus, nil)
+		}
 		if err := a.prepareRetry(ctx, rq, target, &tried, decision); err != nil {
 			return overall(err, uncertain)
 		}
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -94,7 +94,8 @@
 const (
 	// RetryBudget means that the retry budget of the service is spent.
 	RetryBudget Reason = "retry_budget"
-	// UpstreamStatus means that the upstream answered with one of the route's retry statuses.
+	// UpstreamStatus means that the upstream answered with one of the route's retry statuses. A request whose later
+	// attempts gave no answer ends as may-have-run with this reason.
 	UpstreamStatus Reason = "upstream_status"
 	// RetryAttempts means that the request reached its maximum number of attempts.
 	RetryAttempts Reason = "retry_attempts"
