Test the routing view

Cause: core.BuildView had benchmarks and no test of its own; its rules were covered by process tests alone. Change: tests of the reasons for leaving targets out, the floor, trials and the order of regions.

--- /dev/null
+++ b/internal/core/view_test.go
@@ -0,0 +1,105 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/sardinereach/sardinereach/internal/capacity"
+	"github.com/sardinereach/sardinereach/internal/config"
+	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/membership"
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/routing"
+)
+
+// inputs returns a service with one target of 4 slots beside each of six nodes; n4 and n5 are in another region.
+func inputs(service *declaration.Service, change func(i int, record *model.NodeRecord)) Inputs {
+	members := make(map[model.NodeID]membership.Member)
+	for i := range 6 {
+		id := model.NodeID(fmt.Sprintf("n%d", i))
+		region := model.Region("near")
+		if i >= 4 {
+			region = "far"
+		}
+		record := &model.NodeRecord{
+			Node: model.Node{ID: id, Region: region, Domain: model.FailureDomain(fmt.Sprint(region, i%2))},
+			Targets: []model.Target{{
+				ID: model.TargetID(fmt.Sprintf("t%d", i)), Service: "s", Slots: 4, RampSlots: 4, Phase: model.PhaseReady,
+			}},
+		}
+		change(i, record)
+		members[id] = membership.Member{Record: record}
+	}
+	return Inputs{
+		Self:    model.Node{ID: "n0", Region: "near", Domain: "near0"},
+		Config:  &config.Snapshot{Services: map[model.ServiceName]*declaration.Service{"s": service}},
+		Members: &membership.Snapshot{Members: members},
+		Loads:   func(model.TargetID) *routing.Load { return new(routing.Load) },
+	}
+}
+
+func pool(view *View) []model.TargetID {
+	var ids []model.TargetID
+	for c := range view.Service("s").Pool.All {
+		ids = append(ids, c.Target.ID)
+	}
+	return ids
+}
+
+// Guards against targets that are used although they must not be, or that are left out without a reason.
+func TestViewLeavesOutTargetsForTheirReasons(t *testing.T) {
+	service := &declaration.Service{Name: "s", Draining: []model.TargetID{"t0"}}
+	in := inputs(service, func(i int, record *model.NodeRecord) {
+		record.Stopping = i == 1
+		record.Targets[0].Suspect = i == 2
+		record.Targets[0].Trial = i == 2
+	})
+	in.Ejected = map[model.TargetID]bool{"t3": true}
+	in.Unreachable = map[model.NodeID]bool{"n4": true}
+	view := BuildView(in)
+	if got := pool(view); !slices.Equal(got, []model.TargetID{"t5"}) {
+		t.Errorf("the view uses %v, want t5 alone", got)
+	}
+	want := []capacity.Reasons{
+		capacity.Draining, capacity.Draining, capacity.Suspected, capacity.Ejected, capacity.Unreachable, 0,
+	}
+	for i, target := range view.Service("s").Targets {
+		if target.Reasons != want[i] {
+			t.Errorf("%s: %s, want %s", target.Target.ID, target.Reasons, want[i])
+		}
+	}
+	if trials := view.Service("s").Trials; len(trials) != 1 || trials[0].Target.ID != "t2" {
+		t.Errorf("trials %v, want t2", trials)
+	}
+}
+
+// Guards against exclusions that take a service below its floor in a node's view, and against a drained target being
+// brought back for the floor.
+func TestViewKeepsTheFloor(t *testing.T) {
+	service := &declaration.Service{Name: "s", FloorSlots: 12, Draining: []model.TargetID{"t0"}}
+	in := inputs(service, func(i int, record *model.NodeRecord) { record.Targets[0].Suspect = i > 0 })
+	view := BuildView(in)
+	selection := view.Service("s").Selection
+	if !selection.Met() || selection.Slots != 12 || slices.Contains(selection.Use, "t0") {
+		t.Errorf("selection %+v, want 12 slots without t0", selection)
+	}
+	for c := range view.Service("s").Pool.All {
+		if !c.LastResort {
+			t.Errorf("%s is suspected and not marked as a last resort", c.Target.ID)
+		}
+	}
+}
+
+// Guards against requests that cross regions against the operator's order.
+func TestViewFollowsTheOrderOfRegions(t *testing.T) {
+	none := func(int, *model.NodeRecord) {}
+	near := pool(BuildView(inputs(&declaration.Service{Name: "s"}, none)))
+	if !slices.Equal(near[4:], []model.TargetID{"t4", "t5"}) {
+		t.Errorf("without an order the view prefers %v, want the own region first", near)
+	}
+	far := pool(BuildView(inputs(&declaration.Service{Name: "s", Prefer: []model.Region{"far"}}, none)))
+	if !slices.Equal(far[:2], []model.TargetID{"t4", "t5"}) {
+		t.Errorf("with far preferred the view prefers %v", far)
+	}
+}
--- a/internal/node/once_runner.go
+++ b/internal/node/once_runner.go
@@ -30,7 +30,7 @@
 type onceRunner struct {
 	acceptor *acceptor
 	claims   *once.Claims
-	// addressOf returns a node's record, false if it is not known.
+	// nodeOf returns a node as the fleet knows it, false if it is not known.
 	nodeOf func(model.NodeID) (model.Node, bool)
 
 	mu      sync.Mutex
