Let one piece of code serve where two did the same

Cause: found on reading the whole change. The timer that ends a silent call between nodes and the one that ends a stalled answer were the same code; a quarantine entry was read, changed and written by two functions, of which only one merged and tried again on a conflict; upstream_status was defined twice; the nodes beside a service were found by searching all services for one of its targets, although the caller knows the service; the head of a kept answer was built twice. Change: internal/watchdog; one save of quarantine entries, which gives operators' commands the merge and the second try as well; the reason of the package verdict; the service is passed on; answerHead. A field that nothing read is gone. No assertion is changed.

--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -22,8 +22,8 @@
 	clock clock
 	store store.Store
 	log   *events.Log
-	// warn tells the admitting nodes of the target's service and returns when they know, or after a short time.
-	warn func(target model.TargetID, entry []byte)
+	// warn tells the admitting nodes of the service and returns when they know, or after a short time.
+	warn func(service model.ServiceName, entry []byte)
 
 	mu     sync.Mutex
 	table  *quarantine.Table
@@ -39,7 +39,7 @@
 func newCrashes(c clock, self model.Node, s store.Store, log *events.Log) *crashes {
 	return &crashes{
 		clock: c, store: s, log: log, table: quarantine.New(),
-		warn: func(model.TargetID, []byte) {},
+		warn: func(model.ServiceName, []byte) {},
 		// Serials of different incarnations differ, so that a loss after a restart is not taken for an earlier one.
 		serial: uint64(self.Incarnation),
 		merged: make(map[string]int64), writes: make(chan quarantine.Entry, pendingEntries),
@@ -90,7 +90,7 @@
 // serial of the loss, 0 otherwise.
 func (c *crashes) ended(address string, head *peerv1.ForwardHead, result upstream.Result) uint64 {
 	if isBreak(result) && !listens(address) {
-		return c.lost(model.TargetID(head.Target))
+		return c.lost(head)
 	}
 	c.finish(head, result.Outcome == upstream.Answered)
 	return 0
@@ -98,7 +98,8 @@
 
 // lost notes the loss of an upstream and attributes it to the fingerprints in flight there. The first of the requests
 // that broke reports the loss; for the others nothing runs at the target any more.
-func (c *crashes) lost(target model.TargetID) uint64 {
+func (c *crashes) lost(head *peerv1.ForwardHead) uint64 {
+	target := model.TargetID(head.Target)
 	c.mu.Lock()
 	if c.table.Running(target) == 0 {
 		serial := c.serial
@@ -109,7 +110,7 @@
 	serial := c.serial
 	entries := c.table.Lose(c.clock.now(), quarantine.Loss{Target: target, Serial: serial})
 	c.mu.Unlock()
-	c.report(target, entries)
+	c.report(head, entries)
 	return serial
 }
 
@@ -131,27 +132,27 @@
 	}
 }
 
-func (c *crashes) report(target model.TargetID, entries []quarantine.Entry) {
+func (c *crashes) report(head *peerv1.ForwardHead, entries []quarantine.Entry) {
 	for _, entry := range entries {
 		event := events.CrashAttributed
 		if entry.Quarantined() {
 			event = events.FingerprintQuarantined
 		}
-		c.log.Emit(event, events.TargetField(target), events.FingerprintField(entry.Fingerprint.String()),
+		c.log.Emit(event, events.ServiceField(model.ServiceName(head.Service)), events.TargetField(model.TargetID(head.Target)), events.FingerprintField(entry.Fingerprint.String()),
 			events.CountField(len(entry.Losses)))
-		c.warnOf(target, entry)
+		c.warnOf(model.ServiceName(head.Service), entry)
 		c.publish(entry)
 	}
 }
 
 // warnOf tells the other admitting nodes of the service before the accepting node learns of the loss, so that a resend
 // through any node meets an admission point that knows.
-func (c *crashes) warnOf(target model.TargetID, entry quarantine.Entry) {
+func (c *crashes) warnOf(service model.ServiceName, entry quarantine.Entry) {
 	value, err := json.Marshal(entry)
 	if err != nil {
 		return
 	}
-	c.warn(target, value)
+	c.warn(service, value)
 }
 
 // learn merges the entries that the fleet has.
--- a/internal/node/delivery.go
+++ b/internal/node/delivery.go
@@ -159,12 +159,17 @@
 
 // replay passes on an answer that was kept.
 func replay(next peer.Sink, answer *admission.Answer, extra ...*peerv1.Header) error {
-	head := &peerv1.AnswerHead{
-		Status: int32(answer.Status), ContentLength: int64(len(answer.Body)),
-		Headers: append(fromHeaders(answer.Headers), extra...),
-	}
+	head := answerHead(answer)
+	head.Headers = append(head.Headers, extra...)
 	if err := next.Head(head); err != nil {
 		return err
 	}
 	return next.Body(answer.Body)
 }
+
+// answerHead returns the head of an answer that was kept.
+func answerHead(answer *admission.Answer) *peerv1.AnswerHead {
+	return &peerv1.AnswerHead{
+		Status: int32(answer.Status), Headers: fromHeaders(answer.Headers), ContentLength: int64(len(answer.Body)),
+	}
+}
--- a/internal/node/detection.go
+++ b/internal/node/detection.go
@@ -136,7 +136,7 @@
 	now := dt.node.clock.now()
 	dt.updatePeers(now, targets)
 	present := make(map[model.TargetID]bool, len(targets))
-	waiting := make(map[model.ServiceName]model.TargetID)
+	waiting := make(map[model.ServiceName]bool)
 	for i := range targets {
 		t := &targets[i]
 		present[t.ID] = true
@@ -147,7 +147,7 @@
 		state := d.State(now)
 		dt.note(d, t, state)
 		if state.Waiting {
-			waiting[t.Service] = t.ID
+			waiting[t.Service] = true
 		}
 	}
 	dt.askForReports(now, waiting)
@@ -206,18 +206,18 @@
 
 // askForReports asks the other admitting nodes of the services whose evidence waits for what their targets saw. It
 // returns at once; the answers count in the next step.
-func (dt *detection) askForReports(now time.Duration, waiting map[model.ServiceName]model.TargetID) {
-	for name, target := range waiting {
+func (dt *detection) askForReports(now time.Duration, waiting map[model.ServiceName]bool) {
+	for name := range waiting {
 		if last, ok := dt.asked[name]; ok && now-last < detect.AskEvery {
 			continue
 		}
 		dt.asked[name] = now
-		go dt.ask(now, name, target)
+		go dt.ask(now, name)
 	}
 }
 
-func (dt *detection) ask(asOf time.Duration, name model.ServiceName, target model.TargetID) {
-	answers := dt.node.askReports(name, target)
+func (dt *detection) ask(asOf time.Duration, name model.ServiceName) {
+	answers := dt.node.askReports(name)
 	dt.mu.Lock()
 	defer dt.mu.Unlock()
 	for _, report := range answers {
--- a/internal/node/operation.go
+++ b/internal/node/operation.go
@@ -12,9 +12,7 @@
 	op := o.claims.Operation(once.ClaimID(req.Claim))
 	res := &peerv1.OperationResponse{State: operationStates[op.State], Reason: string(op.Reason)}
 	if op.Answer != nil {
-		res.Head = &peerv1.AnswerHead{
-			Status: int32(op.Answer.Status), Headers: fromHeaders(op.Answer.Headers), ContentLength: int64(len(op.Answer.Body)),
-		}
+		res.Head = answerHead(op.Answer)
 		res.Body = op.Answer.Body
 	}
 	return res
--- a/internal/node/quarantine_commands.go
+++ b/internal/node/quarantine_commands.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -26,7 +25,7 @@
 	}
 	c.table.Merge(c.clock.now(), entry)
 	c.mu.Unlock()
-	return c.put(ctx, fingerprint)
+	return c.save(ctx, entry)
 }
 
 // operatorLoss stands in the place of a target in the losses that an operator's word counts for.
@@ -35,13 +34,13 @@
 // releaseFingerprint ends a quarantine at an operator's word.
 func (c *crashes) releaseFingerprint(ctx context.Context, fingerprint quarantine.Fingerprint) error {
 	c.mu.Lock()
-	_, ok := c.table.Release(c.clock.now(), fingerprint)
+	entry, ok := c.table.Release(c.clock.now(), fingerprint)
 	c.mu.Unlock()
 	if !ok {
 		return store.ErrNotFound
 	}
 	c.log.Emit(events.FingerprintReleased, events.FingerprintField(fingerprint.String()))
-	return c.put(ctx, fingerprint)
+	return c.save(ctx, entry)
 }
 
 // find returns the entry of the fingerprint. c.mu is held.
@@ -54,24 +53,6 @@
 	return quarantine.Entry{}, false
 }
 
-// put writes the entry of the fingerprint to the store.
-func (c *crashes) put(ctx context.Context, fingerprint quarantine.Fingerprint) error {
-	c.mu.Lock()
-	entry, _ := c.find(fingerprint)
-	c.mu.Unlock()
-	value, err := json.Marshal(entry)
-	if err != nil {
-		return errors.Wrap(err, "quarantine entry")
-	}
-	key := quarantineKey(fingerprint)
-	current, err := c.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return err
-	}
-	_, err = c.store.CompareAndSwap(ctx, key, current.Revision, value, 0)
-	return err
-}
-
 // fingerprintDigits is the length of the String form of a fingerprint.
 const fingerprintDigits = 16
 
--- a/internal/node/quarantine_writes.go
+++ b/internal/node/quarantine_writes.go
@@ -39,27 +39,32 @@
 	return distribution.QuarantinePrefix + fingerprint.String()
 }
 
-// write merges the entry with the one in the store. A conflict is settled by reading again.
+// write saves the entry. A failure needs no handling: each node that has met the losses has its own entry.
 func (c *crashes) write(ctx context.Context, entry quarantine.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, quarantineWriteTimeout)
 	defer cancel()
+	_ = c.save(ctx, entry)
+}
+
+// save merges the entry with the one in the store and writes the result. A conflict is settled by reading again.
+func (c *crashes) save(ctx context.Context, entry quarantine.Entry) error {
 	key := quarantineKey(entry.Fingerprint)
 	for {
 		current, err := c.store.Get(ctx, key)
 		if err != nil && !errors.Is(err, store.ErrNotFound) {
-			return
+			return err
 		}
 		if err == nil {
 			c.merge(current.Value)
 		}
 		value, err := json.Marshal(c.entry(entry))
 		if err != nil {
-			return
+			return errors.Wrap(err, "quarantine entry")
 		}
 		_, err = c.store.CompareAndSwap(ctx, key, current.Revision, value, 0)
 		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) {
-			return
+			return err
 		}
 	}
 }
--- a/internal/node/warn.go
+++ b/internal/node/warn.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
-	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/detect"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
@@ -21,13 +20,13 @@
 	maxWarned = 128
 )
 
-// warnService tells the admitting nodes of the target's service of a request that has crashed the target. Every dispatch
+// warnService tells the admitting nodes of the service of a request that has crashed one of its targets. Every dispatch
 // passes one of them, so that a resend is stopped before the store has spread the news.
-func (n *Node) warnService(target model.TargetID, entry []byte) {
+func (n *Node) warnService(name model.ServiceName, entry []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), warnTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, address := range n.admittingNodes(target) {
+	for _, address := range n.admittingNodes(name) {
 		wg.Go(func() {
 			// A node that cannot be told learns through the store.
 			_ = n.peers.Warn(ctx, address, &peerv1.WarnRequest{Entry: entry})
@@ -36,17 +35,17 @@
 	wg.Wait()
 }
 
-// askReports asks the other admitting nodes of the target's service for the evidence about their targets. Nodes that do
+// askReports asks the other admitting nodes of the service for the evidence about their targets. Nodes that do
 // not answer in time are left out.
-func (n *Node) askReports(service model.ServiceName, target model.TargetID) []detect.Report {
+func (n *Node) askReports(name model.ServiceName) []detect.Report {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var all []detect.Report
-	for _, address := range n.admittingNodes(target) {
+	for _, address := range n.admittingNodes(name) {
 		wg.Go(func() {
-			res, err := n.peers.Reports(ctx, address, &peerv1.ReportsRequest{Service: string(service)})
+			res, err := n.peers.Reports(ctx, address, &peerv1.ReportsRequest{Service: string(name)})
 			if err != nil {
 				return
 			}
@@ -63,9 +62,9 @@
 	return all
 }
 
-// admittingNodes returns the peer addresses of the other nodes that stand beside targets of the target's service.
-func (n *Node) admittingNodes(target model.TargetID) []string {
-	service := serviceOf(n.acceptor.view.Load(), target)
+// admittingNodes returns the peer addresses of the other nodes that stand beside targets of the service.
+func (n *Node) admittingNodes(name model.ServiceName) []string {
+	service := n.acceptor.view.Load().Service(name)
 	if service == nil {
 		return nil
 	}
@@ -80,14 +79,3 @@
 	}
 	return addresses
 }
-
-func serviceOf(view *core.View, target model.TargetID) *core.ServiceView {
-	for _, service := range view.Services() {
-		for _, t := range service.Targets {
-			if t.Target.ID == target {
-				return service
-			}
-		}
-	}
-	return nil
-}
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -1,12 +1,15 @@
 package peer
 
-import "github.com/sardinereach/sardinereach/api/peerv1"
+import (
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/watchdog"
+)
 
 // exchange is one request and its answer on a stream.
 type exchange struct {
 	stream   frameStream
 	sink     Sink
-	watchdog *watchdog
+	watchdog *watchdog.Timer
 	headSeen bool
 }
 
@@ -22,9 +25,9 @@
 		}
 	}
 	for {
-		x.watchdog.start()
+		x.watchdog.Start()
 		frame, err := x.stream.Recv()
-		x.watchdog.stop()
+		x.watchdog.Stop()
 		if err != nil {
 			return nil, err
 		}
@@ -43,9 +46,9 @@
 		n := min(len(body), bodyChunkBytes)
 		frame.Body, body = body[:n], body[n:]
 		frame.End = len(body) == 0
-		x.watchdog.start()
+		x.watchdog.Start()
 		err := x.stream.Send(frame)
-		x.watchdog.stop()
+		x.watchdog.Stop()
 		if err != nil || frame.End {
 			return err
 		}
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -9,8 +9,12 @@
 	"storj.io/drpc"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/watchdog"
 )
 
+// errSilent ends a call whose connection delivers no frame in time.
+var errSilent = errors.New("peer: no frame in time")
+
 // frameStream is what Forward and Redeem have in common on the client's side.
 type frameStream interface {
 	drpc.Stream
@@ -53,7 +57,7 @@
 		k.close()
 		return nil, &ForwardError{Cause: err}
 	}
-	x := &exchange{stream: stream, sink: sink, watchdog: newWatchdog(c.opts.Silence, cancel)}
+	x := &exchange{stream: stream, sink: sink, watchdog: watchdog.New(c.opts.Silence, func() { cancel(errSilent) })}
 	trailer, err := x.run(head, body)
 	if err != nil {
 		silent := context.Cause(ctx) == errSilent
@@ -61,8 +65,7 @@
 		k.close()
 		return nil, &ForwardError{
 			Sent: true, HeadSeen: x.headSeen, Silent: silent,
-			Incarnation: session.Incarnation, AdmitBefore: time.Duration(head.AdmitBeforeMs) * time.Millisecond,
-			Cause: err,
+			Incarnation: session.Incarnation, Cause: err,
 		}
 	}
 	if head.Idempotent {
@@ -72,8 +75,8 @@
 	}
 	go func() {
 		defer cancel(nil)
-		x.watchdog.start()
-		defer x.watchdog.stop()
+		x.watchdog.Start()
+		defer x.watchdog.Stop()
 		c.confirm(key, k, stream)
 	}()
 	return trailer, nil
--- a/internal/peer/forward_error.go
+++ b/internal/peer/forward_error.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/sardinereach/sardinereach/internal/model"
 )
@@ -17,8 +16,6 @@
 	HeadSeen bool
 	// Incarnation is the incarnation of the admitting node that the request was sent to.
 	Incarnation model.Incarnation
-	// AdmitBefore is the latest admission time of the attempt, on the clock of the admitting node.
-	AdmitBefore time.Duration
 	Cause       error
 }
 
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -59,7 +59,7 @@
 		return in.Err.Reason
 	}
 	if slices.Contains(in.RetryStatuses, in.Status) {
-		return ReasonStatus
+		return verdict.UpstreamStatus
 	}
 	return ""
 }
--- a/internal/retry/decision.go
+++ b/internal/retry/decision.go
@@ -6,9 +6,6 @@
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
-// ReasonStatus is the reason of a retry after an answer with one of the route's retry statuses.
-const ReasonStatus verdict.Reason = "upstream_status"
-
 // Decision says whether to make another attempt.
 type Decision struct {
 	Retry bool
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/peer"
+	"github.com/sardinereach/sardinereach/internal/watchdog"
 )
 
 const (
@@ -26,6 +27,10 @@
 	copyBufferBytes    = 32 << 10
 )
 
+// errStalled ends an attempt whose upstream makes no progress in time. Time in which the answer waits for its receiver
+// does not count.
+var errStalled = errors.New("upstream: no progress in time")
+
 // copyBuffers are reused, because a buffer for each answer was a third of the bytes that a request allocated.
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
@@ -62,15 +67,15 @@
 	state := new(connState)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := newStallTimer(time.Duration(head.ProgressTimeoutMs)*time.Millisecond, cancel)
-	defer stall.stop()
+	stall := watchdog.New(time.Duration(head.ProgressTimeoutMs)*time.Millisecond, func() { cancel(errStalled) })
+	defer stall.Stop()
 	req, err := newRequest(ctx, state, address, head, body)
 	if err != nil {
 		return Result{Outcome: Unreachable, Err: err}
 	}
-	stall.start()
+	stall.Start()
 	res, err := c.transport(head).RoundTrip(req)
-	stall.stop()
+	stall.Stop()
 	if err != nil {
 		return c.failed(ctx, state, err)
 	}
@@ -155,7 +160,7 @@
 }
 
 // pass copies the answer to the sink.
-func (c *Client) pass(ctx context.Context, res *http.Response, sink peer.Sink, stall *stallTimer, result *Result) {
+func (c *Client) pass(ctx context.Context, res *http.Response, sink peer.Sink, stall *watchdog.Timer, result *Result) {
 	if !hasKnownEnd(res) {
 		result.Outcome = Incomplete
 		result.Err = errors.New("upstream: the answer has neither a length nor chunks, so its end cannot be told")
@@ -172,9 +177,9 @@
 	defer copyBuffers.Put(buffer)
 	buf := buffer[:]
 	for {
-		stall.start()
+		stall.Start()
 		n, err := res.Body.Read(buf)
-		stall.stop()
+		stall.Stop()
 		if n > 0 {
 			result.Bytes += int64(n)
 			if err := sink.Body(buf[:n]); err != nil {
