--- a/cmd/sardinereachd/main.go
+++ b/cmd/sardinereachd/main.go
@@ -23,6 +23,7 @@
 	"github.com/sardinereach/sardinereach/internal/metrics"
 	"github.com/sardinereach/sardinereach/internal/node"
 	"github.com/sardinereach/sardinereach/internal/settings"
+	"github.com/sardinereach/sardinereach/platform"
 )
 
 // gcPercent trades memory for time: the live heap of a daemon is small, and at the default a busy one spent a tenth of
@@ -37,7 +38,7 @@
 
 func main() {
 	klog.InitFlags(nil)
-	config := flag.String("config", "/etc/sardinereach/sardinereachd.ini", "settings `file`")
+	config := flag.String("config", defaultConfig(), "settings `file`")
 	check := flag.Bool("check", false, "check the settings and exit")
 	flag.Parse()
 	code := run(*config, *check)
@@ -45,6 +46,14 @@
 	os.Exit(code)
 }
 
+// defaultConfig returns the settings file that is read unless the command line names one.
+func defaultConfig() string {
+	if path := platform.SettingsPath(); path != "" {
+		return path
+	}
+	return "/etc/sardinereach/sardinereachd.ini"
+}
+
 func run(config string, check bool) int {
 	s, err := settings.Load(config)
 	if err != nil {
@@ -62,7 +71,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	n, err := node.New(s, m, log)
+	n, err := node.New(s, m, log, ports(s, m, log))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/internal/admission/announce.go
+++ b/internal/admission/announce.go
@@ -19,7 +19,14 @@
 		return err
 	}
 	a.Load = clampLoad(a.Load)
+	if p.isReplaced(&a) {
+		return nil
+	}
+	p.forgetReplaced(&a)
 	t := p.targets[a.Target]
+	if t != nil && a.isLate(&t.Announcement) {
+		return nil
+	}
 	if t == nil {
 		t = &target{Announcement: a, rampFrom: p.active()}
 		p.targets[a.Target] = t
@@ -30,6 +37,7 @@
 	if isCold(t, &a) {
 		t.rampFrom = p.active()
 	}
+	t.coldUntil = p.active() + a.ColdLeft
 	t.Announcement = a
 	t.seen = p.active()
 	t.missing = false
@@ -38,9 +46,43 @@
 	return nil
 }
 
+// isReplaced reports whether another target that started later has announced itself at the same address.
+func (p *Point) isReplaced(a *Announcement) bool {
+	for _, t := range p.targets {
+		if t.Target != a.Target && t.Address == a.Address && t.Born > a.Born {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetReplaced forgets the targets that had the address before.
+func (p *Point) forgetReplaced(a *Announcement) {
+	if a.Born == 0 {
+		return
+	}
+	for _, t := range p.sorted() {
+		if t.Target != a.Target && t.Address == a.Address && t.Born < a.Born {
+			p.Forget(p.now, t.Target)
+		}
+	}
+}
+
+// Leave takes in that a target leaves without a further announcement. born is the time of its start, 0 if it is not
+// told. A target that has started again since stays.
+func (p *Point) Leave(now time.Duration, id model.TargetID, born int64) {
+	p.advance(now)
+	t := p.targets[id]
+	if t == nil || born != 0 && born < t.Born {
+		return
+	}
+	t.Phase = model.PhaseLeaving
+	p.settle(t)
+}
+
 // isCold reports whether the announcement comes from a process that has not served yet.
 func isCold(t *target, a *Announcement) bool {
-	if t.forgotten || t.Address != a.Address {
+	if t.forgotten || t.Address != a.Address || t.Born != a.Born {
 		return true
 	}
 	if t.Phase == model.PhaseDraining {
@@ -108,6 +150,7 @@
 		Address:   t.Address,
 		Slots:     t.Slots,
 		RampSlots: t.rampSlots(p.active(), p.limits.RampFor),
+		Cold:      t.coldUntil > p.active(),
 		InFlight:  len(t.running),
 		Queued:    len(t.queue),
 		Phase:     p.phase(t),
--- a/internal/admission/announcement.go
+++ b/internal/admission/announcement.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/internal/model"
@@ -17,6 +19,20 @@
 	Phase model.Phase
 	// Load is the upstream's own view of its load, 0 to 1. It is only reported on.
 	Load float64
+	// ColdLeft is how much longer the target is slow after its start.
+	ColdLeft time.Duration
+	// Sequence grows with each announcement of one start of the target; 0 means that it is not told.
+	Sequence uint64
+	// Born is the time of the target's start, in milliseconds since 1970; 0 means that it is not told.
+	Born int64
+}
+
+// isLate reports whether the announcement was sent before one that has arrived.
+func (a *Announcement) isLate(known *Announcement) bool {
+	if a.Born != known.Born {
+		return a.Born < known.Born
+	}
+	return a.Sequence != 0 && a.Sequence < known.Sequence
 }
 
 func (a *Announcement) validate() error {
--- a/internal/admission/expire.go
+++ b/internal/admission/expire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
@@ -35,6 +36,10 @@
 	if t.missing || t.forgotten || p.active()-t.seen <= p.limits.MissingAfter {
 		return
 	}
+	if t.Phase == model.PhaseLeaving {
+		p.Forget(now, t.Target)
+		return
+	}
 	t.missing = true
 	p.pending = append(p.pending, Event{Kind: EventMissing, Target: t.Target})
 }
--- a/internal/admission/target.go
+++ b/internal/admission/target.go
@@ -21,7 +21,9 @@
 	// seen and rampFrom are active times.
 	seen     time.Duration
 	rampFrom time.Duration
-	missing  bool
+	// coldUntil is the active time until which the target is slow after its start.
+	coldUntil time.Duration
+	missing   bool
 	// forgotten targets stay until their work in flight has ended.
 	forgotten bool
 	running   []*work
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -25,6 +25,8 @@
 	Unreachable map[model.NodeID]bool
 	// Scores is the evidence against targets beside this node, for the choice of the least bad.
 	Scores map[model.TargetID]float64
+	// FloorShare is the share of a service's slots that stays in use, where its floor is not greater.
+	FloorShare float64
 	// Loads returns the load counters of a target, which outlive views.
 	Loads func(model.TargetID) *routing.Load
 }
@@ -166,7 +168,8 @@
 // selectTargets applies the floor and builds the pool.
 func (s *ServiceView) selectTargets(in *Inputs) {
 	sort.Slice(s.Targets, func(i, j int) bool { return s.Targets[i].Target.ID < s.Targets[j].Target.ID })
-	s.Selection = capacity.Usable(s.CapacityTargets(), s.Service.FloorSlots)
+	targets := s.CapacityTargets()
+	s.Selection = capacity.Usable(targets, max(s.Service.FloorSlots, capacity.Share(targets, in.FloorShare)))
 	byID := make(map[model.TargetID]*TargetView, len(s.Targets))
 	for i := range s.Targets {
 		byID[s.Targets[i].Target.ID] = &s.Targets[i]
--- a/internal/declaration/route.go
+++ b/internal/declaration/route.go
@@ -41,6 +41,16 @@
 	FailStatuses []int `json:"fail_statuses,omitempty"`
 	// Priority is empty for interactive.
 	Priority Priority `json:"priority,omitempty"`
+	// BelowOnly means that Path with its trailing slash begins each matching path.
+	BelowOnly bool `json:"below_only,omitempty"`
+	// ObjectiveMS is the time within which an answer is fully useful, in milliseconds; 0 means the whole timeout.
+	ObjectiveMS int64 `json:"objective_ms,omitempty"`
+	// Rank orders routes by urgency, 0 the most urgent.
+	Rank int `json:"rank,omitempty"`
+	// MaxAttempts bounds the targets to which one request is sent; 0 means the default of the retry policy.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// Split divides the requests among services by weight; empty means that all go to the declaring service.
+	Split []Share `json:"split,omitempty"`
 }
 
 const (
--- a/internal/declaration/service.go
+++ b/internal/declaration/service.go
@@ -7,6 +7,8 @@
 // Service is the declaration of one service.
 type Service struct {
 	Name model.ServiceName `json:"name"`
+	// Version is the operator's name of the configuration that the declaration is part of. It is only reported.
+	Version string `json:"version,omitempty"`
 	// FloorSlots is the healthy capacity, in slots, below which no ejection or drain may go. 0 means no floor.
 	FloorSlots int `json:"floor_slots,omitempty"`
 	// Prefer orders regions; an empty list means the region of the accepting node first, then all others.
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -68,9 +68,17 @@
 	default:
 		return errors.Errorf("priority %q: use %q or %q", r.Priority, Interactive, Bulk)
 	}
-	if r.TimeoutMS < 0 || r.FirstByteMS < 0 {
+	if r.TimeoutMS < 0 || r.FirstByteMS < 0 || r.ObjectiveMS < 0 {
 		return errors.New("timeouts: use 0 or more milliseconds")
 	}
+	if r.Rank < 0 || r.MaxAttempts < 0 {
+		return errors.New("rank and attempts: use 0 or more")
+	}
+	for _, share := range r.Split {
+		if share.Weight < 0 || share.Service == "" {
+			return errors.Errorf("split: service %q with weight %g: use a name and a weight of 0 or more", share.Service, share.Weight)
+		}
+	}
 	for _, method := range r.Methods {
 		if method == "" || strings.ToUpper(method) != method {
 			return errors.Errorf("method %q: use upper-case letters", method)
--- a/internal/distribution/wire.go
+++ b/internal/distribution/wire.go
@@ -50,6 +50,7 @@
 		Successes:   t.Successes,
 		Failures:    t.Failures,
 		Report:      t.Report,
+		Cold:        t.Cold,
 		FirstByteUs: t.FirstByte.Microseconds(),
 	}
 }
@@ -93,6 +94,7 @@
 		Successes: t.GetSuccesses(),
 		Failures:  t.GetFailures(),
 		Report:    t.GetReport(),
+		Cold:      t.GetCold(),
 		FirstByte: time.Duration(t.GetFirstByteUs()) * time.Microsecond,
 	}
 }
--- a/internal/fleettest/relayeddaemon/main.go
+++ b/internal/fleettest/relayeddaemon/main.go
@@ -42,7 +42,7 @@
 	if err := metrics.Publish("sardinereach", m); err != nil {
 		return err
 	}
-	n, err := node.New(s, m, events.New(events.Klog{}, time.Now))
+	n, err := node.New(s, m, events.New(events.Klog{}, time.Now), node.OwnPorts(s, m))
 	if err != nil {
 		return err
 	}
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -12,9 +12,11 @@
 	Slots int
 	// RampSlots is the number of slots that the cold-start ramp gives at present, at most Slots.
 	RampSlots int
-	InFlight  int
-	Queued    int
-	Phase     Phase
+	// Cold means that the target has just started and is slow.
+	Cold     bool
+	InFlight int
+	Queued   int
+	Phase    Phase
 	// Suspect means that the detector of the admitting node holds the target to be failing.
 	Suspect bool
 	// Trial means that the suspected target may get a few idempotent requests as trials.
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -10,6 +10,7 @@
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/core"
+	"github.com/sardinereach/sardinereach/internal/dialect"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/metrics"
 	"github.com/sardinereach/sardinereach/internal/model"
@@ -33,12 +34,17 @@
 
 // acceptor takes callers' requests and is responsible for their outcomes. It is the only layer that retries.
 type acceptor struct {
-	self     model.Node
-	clock    clock
-	limits   settings.Limits
-	view     atomic.Pointer[core.View]
-	ready    func() bool
-	stopping atomic.Bool
+	self    model.Node
+	clock   clock
+	limits  settings.Limits
+	dialect dialect.Caller
+	// callerService is told upstreams as the origin of the requests that this node accepts.
+	callerService model.ServiceName
+	// retryStatuses are retried on idempotent routes that name none.
+	retryStatuses []int
+	view          atomic.Pointer[core.View]
+	ready         func() bool
+	stopping      atomic.Bool
 	// lameDuck means that the node still serves but callers' load balancers should leave it.
 	lameDuck atomic.Bool
 
@@ -83,7 +89,7 @@
 	// A caller that stops reading holds a slot of the upstream no longer than the request may last.
 	_ = control.SetWriteDeadline(rq.deadline.Add(writeGrace))
 	a.serve(w, r, rq)
-	a.metrics.Latency(rq.match.Service.Name, time.Since(started))
+	a.metrics.Latency(rq.service, time.Since(started))
 }
 
 // read checks whether the node may take the request, finds its route and reads it.
@@ -99,7 +105,7 @@
 	if match == nil {
 		return nil, verdict.Refused(verdict.NoRoute, nil)
 	}
-	return readRequest(w, r, match, a.limits.MaxBodyBytes, a.seed^a.serial.Add(1))
+	return a.readRequest(w, r, match, a.seed^a.serial.Add(1))
 }
 
 func hostOf(hostport string) string {
@@ -117,10 +123,11 @@
 	var out *delivery
 	if rq.idempotent() {
 		out = newDelivery(sink, idempotentHoldBytes)
-		err = a.serveIdempotent(r.Context(), rq, out)
+		out.asIs = !a.dialect.OwnHeaders
+		err = a.serveOnce(r.Context(), rq, out)
 	} else {
 		out = newDelivery(sink, onceHoldBytes)
-		err = a.once.serve(r, rq, out)
+		err = a.serveNonIdempotent(r, rq, out)
 	}
 	if err == nil {
 		return
@@ -132,7 +139,18 @@
 	a.refuse(w, rq, err)
 }
 
-func (a *acceptor) serveIdempotent(ctx context.Context, rq *request, out *delivery) *verdict.Error {
+// serveNonIdempotent runs the request at most once. A caller that names each request anew needs no key for that: an
+// attempt is repeated only if it did not run.
+func (a *acceptor) serveNonIdempotent(r *http.Request, rq *request, out *delivery) *verdict.Error {
+	if !a.dialect.Operations {
+		return a.once.serve(r, rq, out)
+	}
+	out.asIs = !a.dialect.OwnHeaders
+	return a.serveOnce(r.Context(), rq, out)
+}
+
+// serveOnce serves a request for as long as its caller waits.
+func (a *acceptor) serveOnce(ctx context.Context, rq *request, out *delivery) *verdict.Error {
 	ctx, cancel := context.WithDeadline(ctx, rq.deadline)
 	defer cancel()
 	if err := a.attempts(ctx, rq, openGate{}, out); err != nil {
@@ -154,7 +172,7 @@
 	a.count(rq, err)
 	// The server reads the rest of the body before it answers.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(drainTime))
-	writeError(w, err)
+	a.writeError(w, err)
 }
 
 func (a *acceptor) count(rq *request, err *verdict.Error) {
@@ -167,7 +185,7 @@
 	}
 	fields := []events.Field{events.OutcomeField(handling)}
 	if rq != nil {
-		fields = append(fields, events.ServiceField(rq.match.Service.Name))
+		fields = append(fields, events.ServiceField(rq.service))
 	}
 	if err.Cause != nil {
 		fields = append(fields, events.CauseField(err.Cause))
@@ -187,6 +205,9 @@
 	}
 }
 
+// serveHealthOnly answers on the listener for the health answer, whatever the path.
+func (a *acceptor) serveHealthOnly(w http.ResponseWriter, _ *http.Request) { a.serveHealth(w) }
+
 func (a *acceptor) serveHealth(w http.ResponseWriter) {
 	switch {
 	case a.lameDuck.Load() || a.stopping.Load():
--- a/internal/node/acceptor_test.go
+++ b/internal/node/acceptor_test.go
@@ -14,6 +14,7 @@
 	"github.com/sardinereach/sardinereach/internal/config"
 	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/dialect"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/metrics"
 	"github.com/sardinereach/sardinereach/internal/model"
@@ -32,7 +33,7 @@
 	service := &declaration.Service{Name: "s", Routes: []declaration.Route{{Path: "/s"}}}
 	a := &acceptor{
 		limits: settings.Limits{MaxBodyBytes: 100, MaxRequests: 10}, ready: func() bool { return true },
-		budgets: newBudgets(), metrics: metrics.New(), log: events.New(discardLog{}, time.Now), clock: newClock(),
+		dialect: dialect.OwnCaller(), budgets: newBudgets(testRetries()), metrics: metrics.New(), log: events.New(discardLog{}, time.Now), clock: newClock(),
 	}
 	a.once = &onceRunner{acceptor: a, nodeOf: func(model.NodeID) (model.Node, bool) { return model.Node{}, false }}
 	a.view.Store(core.BuildView(core.Inputs{Config: &config.Snapshot{
@@ -43,6 +44,11 @@
 	return a, strings.TrimPrefix(server.URL, "http://")
 }
 
+// testRetries are the defaults of the settings.
+func testRetries() settings.Retries {
+	return settings.Retries{Share: 0.1, FleetPerSecond: 30, Burst: 30}
+}
+
 // testTickets returns the tickets of a node n1.
 func testTickets() *once.Tickets {
 	return once.NewTickets("n1", 1, []byte("secret"), once.TicketLimits{})
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -64,6 +64,15 @@
 	return nil
 }
 
+// leave takes in that an upstream leaves without a further announcement.
+func (a *admitter) leave(target model.TargetID, born int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.now()
+	a.point.Leave(now, target, born)
+	a.handleEvents(a.point.Expire(now))
+}
+
 // expire applies the passing of time and returns the targets that have gone missing.
 func (a *admitter) expire() []model.TargetID {
 	a.mu.Lock()
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -10,6 +10,7 @@
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/core"
+	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/peer"
@@ -22,14 +23,17 @@
 // attempts tries the request at one target after the other until it is answered or the retry decision says stop. The
 // answer is left in out, whole but perhaps not passed on yet.
 func (a *acceptor) attempts(ctx context.Context, rq *request, g gate, out *delivery) *verdict.Error {
-	budget := a.budgets.of(rq.match.Service.Name, a.clock.now())
+	budget := a.budgets.of(rq.service, a.clock.now())
 	budget.request(a.clock.now())
 	var tried routing.Tried
 	// uncertain is the last outcome of an attempt that ran or may have run. A refusal of a later attempt does not undo it.
 	var uncertain *verdict.Error
-	in := retry.Input{Class: rq.class, RetryStatuses: rq.match.Route.RetryStatuses, Attempt: 1, Hops: 1}
+	in := retry.Input{
+		Class: rq.class, RetryStatuses: a.retryStatusesOf(rq.match.Route), MaxAttempts: rq.match.Route.MaxAttempts,
+		Attempt: 1, Hops: 1,
+	}
 	for {
-		service := a.view.Load().Service(rq.match.Service.Name)
+		service := a.view.Load().Service(rq.service)
 		target, err := a.pick(rq, service, &tried)
 		if err == nil {
 			tried.Add(target.Target.ID)
@@ -58,6 +62,14 @@
 	}
 }
 
+// retryStatusesOf returns the statuses of the route's answers that are retried.
+func (a *acceptor) retryStatusesOf(route *declaration.Route) []int {
+	if len(route.RetryStatuses) > 0 {
+		return route.RetryStatuses
+	}
+	return a.retryStatuses
+}
+
 // overall returns the outcome of the whole request: it may have run if any of its attempts may have run.
 func overall(last, uncertain *verdict.Error) *verdict.Error {
 	if last == nil || last.Verdict != verdict.NotRun || uncertain == nil {
@@ -78,7 +90,7 @@
 // prepareRetry counts the retry and waits for its time.
 func (a *acceptor) prepareRetry(ctx context.Context, rq *request, target *routing.Candidate, tried *routing.Tried, decision retry.Decision) *verdict.Error {
 	a.metrics.Retried(decision.Reason)
-	a.log.Emit(events.ForReason(decision.Reason), events.OutcomeField(events.Retried), events.ServiceField(rq.match.Service.Name))
+	a.log.Emit(events.ForReason(decision.Reason), events.OutcomeField(events.Retried), events.ServiceField(rq.service))
 	if decision.SameTarget && target != nil {
 		tried.Remove(target.Target.ID)
 	}
@@ -87,7 +99,7 @@
 	}
 	tried.Clear()
 	// The service may have been removed while the request was running.
-	service := a.view.Load().Service(rq.match.Service.Name)
+	service := a.view.Load().Service(rq.service)
 	if target != nil && service != nil && service.Pool.Len() > 1 {
 		tried.Add(target.Target.ID)
 	}
@@ -180,6 +192,7 @@
 	head.Target = string(c.Target.ID)
 	head.AcceptingNode = string(a.self.ID)
 	head.TimeoutMs = rq.remaining().Milliseconds()
+	head.ObjectiveMs = (rq.objective() - time.Since(rq.started)).Milliseconds()
 	if rq.idempotent() {
 		head.ProgressTimeoutMs = progressTimeout(rq.head.FirstByteMs, head.TimeoutMs, c.Target.FirstByte).Milliseconds()
 	}
--- a/internal/node/benchmark_test.go
+++ b/internal/node/benchmark_test.go
@@ -43,7 +43,8 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	n, err := New(s, metrics.New(), events.New(dropSink{}, time.Now))
+	m := metrics.New()
+	n, err := New(s, m, events.New(dropSink{}, time.Now), OwnPorts(s, m))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/node/budgets.go
+++ b/internal/node/budgets.go
@@ -6,31 +6,33 @@
 
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/retry"
+	"github.com/sardinereach/sardinereach/internal/settings"
 )
 
-const (
-	// nodeMinimum is the most retries a second and service that a node makes without real requests.
-	nodeMinimum = 3.0
-	// fleetMinimum is the same for all nodes together, so that a large fleet does not multiply it.
-	fleetMinimum = 30.0
-)
+// nodeMinimum is the most retries a second and service that a node makes without real requests.
+const nodeMinimum = 3.0
 
 // budgets holds the retry budget of each service.
 type budgets struct {
+	limits settings.Retries
+
 	mu       sync.Mutex
 	services map[model.ServiceName]*lockedBudget
 	minimum  float64
 }
 
-func newBudgets() *budgets {
-	return &budgets{services: make(map[model.ServiceName]*lockedBudget), minimum: nodeMinimum}
+func newBudgets(limits settings.Retries) *budgets {
+	return &budgets{
+		limits: limits, services: make(map[model.ServiceName]*lockedBudget),
+		minimum: min(nodeMinimum, limits.FleetPerSecond),
+	}
 }
 
 // setNodes divides the fleet's minimum among its nodes.
 func (b *budgets) setNodes(nodes int, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	minimum := min(nodeMinimum, fleetMinimum/float64(max(nodes, 1)))
+	minimum := min(nodeMinimum, b.limits.FleetPerSecond/float64(max(nodes, 1)))
 	if minimum == b.minimum {
 		return
 	}
@@ -45,7 +47,8 @@
 	defer b.mu.Unlock()
 	l := b.services[service]
 	if l == nil {
-		l = &lockedBudget{budget: retry.NewBudget(retry.DefaultBudgetLimits(), now)}
+		limits := retry.BudgetLimits{Share: b.limits.Share, MinPerSecond: nodeMinimum, Burst: b.limits.Burst}
+		l = &lockedBudget{budget: retry.NewBudget(limits, now)}
 		l.setMinimum(now, b.minimum)
 		b.services[service] = l
 	}
--- a/internal/node/ejector.go
+++ b/internal/node/ejector.go
@@ -54,6 +54,9 @@
 }
 
 func (e *ejector) run(ctx context.Context) {
+	if !e.node.settings.Ejection.Permits {
+		return
+	}
 	ticker := time.NewTicker(ejectInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/node/fuzz_test.go
+++ b/internal/node/fuzz_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/sardinereach/sardinereach/internal/dialect"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
@@ -27,7 +28,7 @@
 		request.URL.Path = path
 		request.Header.Set(headerKey, key)
 		request.Header.Set(headerTicket, ticket)
-		request.Header.Set(headerTimeout, timeout)
+		request.Header.Set(dialect.OwnCaller().TimeoutHeader, timeout)
 		recorder := httptest.NewRecorder()
 		a.ServeHTTP(recorder, request)
 		if strings.HasPrefix(path, ownPrefix) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"expvar"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +31,7 @@
 // Node is one daemon.
 type Node struct {
 	settings *settings.Settings
+	ports    Ports
 	self     model.Node
 	clock    clock
 	metrics  *metrics.Metrics
@@ -62,20 +65,20 @@
 // secretBytes is the length of the key that signs operation tickets.
 const secretBytes = 32
 
-// New returns a node that is not started. The store is that of the settings unless the test gives another one.
-func New(s *settings.Settings, m *metrics.Metrics, log *events.Log) (*Node, error) {
+// New returns a node that is not started.
+func New(s *settings.Settings, m *metrics.Metrics, log *events.Log, ports Ports) (*Node, error) {
 	incarnation := model.Incarnation(time.Now().UnixMicro())
 	secret := make([]byte, secretBytes)
 	if _, err := rand.Read(secret); err != nil {
 		return nil, errors.Wrap(err, "node: random secret")
 	}
 	n := &Node{
-		settings: s, self: s.Identity(incarnation), clock: newClock(), metrics: m, log: log,
+		settings: s, ports: ports, self: s.Identity(incarnation), clock: newClock(), metrics: m, log: log,
 		paths: newPaths(), loads: newLoads(), heartbeats: newHeartbeats(), stop: make(chan struct{}),
 	}
-	n.store = store.Dial(s.Store.Address.String(), func(kind string) { m.StoreCall(metrics.StoreCall(kind)) })
+	n.store = ports.Store
 	n.peers = peer.NewClient(n.self.ID, peer.Options{Count: n.countPeerBytes})
-	n.upstreams = upstream.NewClient(s.Limits.MaxHeaderBytes)
+	n.upstreams = upstream.NewClient(s.Limits.MaxHeaderBytes, ports.Upstreams)
 	n.crashes = newCrashes(n.clock, n.self, n.store, log)
 	n.crashes.warn = n.warnService
 	n.admitter = newAdmitter(n.clock, incarnation, n.admissionLimits(), n.upstreams, n.crashes)
@@ -104,9 +107,10 @@
 func (n *Node) buildAcceptor(seed uint64) {
 	n.acceptor = &acceptor{
 		self: n.self, clock: n.clock, limits: n.settings.Limits,
+		dialect: n.ports.Callers, callerService: n.settings.Upstream.Service, retryStatuses: n.settings.Retries.Statuses,
 		ready: n.ready.Load,
 		peers: n.peers, admitter: n.admitter, paths: n.paths, link: newLinkBudget(n.settings.Limits.LinkBytesPerSecond),
-		budgets: newBudgets(), metrics: n.metrics, log: n.log, seed: seed,
+		budgets: newBudgets(n.settings.Retries), metrics: n.metrics, log: n.log, seed: seed,
 	}
 }
 
@@ -191,6 +195,8 @@
 // listeners are the node's open listeners.
 type listeners struct {
 	callers, peers, operators, upstreams net.Listener
+	// health and metrics are nil without an address of their own.
+	health, metrics net.Listener
 }
 
 func (n *Node) listen() (l listeners, err error) {
@@ -203,7 +209,12 @@
 		{"peers", n.settings.Listen.Peers.String(), &l.peers},
 		{"operators", n.settings.Listen.Operators.String(), &l.operators},
 		{"upstreams", n.settings.Listen.Upstreams.String(), &l.upstreams},
+		{"health", optionalAddress(n.settings.Listen.Health), &l.health},
+		{"metrics", optionalAddress(n.settings.Listen.Metrics), &l.metrics},
 	} {
+		if open.address == "" {
+			continue
+		}
 		*open.into, err = net.Listen("tcp", open.address)
 		if err != nil {
 			n.log.Emit(events.ListenerFailed, events.AddressField(open.address), events.OperationField(open.name), events.CauseField(err))
@@ -213,16 +224,26 @@
 	return l, nil
 }
 
+// optionalAddress returns "" for an address that the settings leave out.
+func optionalAddress(address netip.AddrPort) string {
+	if !address.IsValid() {
+		return ""
+	}
+	return address.String()
+}
+
 // servers are the HTTP servers that shut down gracefully.
 type servers struct {
 	callers, operators, upstreams *http.Server
+	// plain are the servers of the health answer and the metrics, which end with the process.
+	plain []*http.Server
 }
 
 func (n *Node) serve(ctx context.Context, group *errgroup.Group, l listeners) servers {
 	s := servers{
 		callers:   n.httpServer(n.acceptor),
 		operators: n.httpServer(n.operatorHandler()),
-		upstreams: n.httpServer(upstream.AnnounceHandler(n.announced)),
+		upstreams: n.httpServer(n.ports.Announcements(n.announced, n.left)),
 	}
 	// The address is known only now if the settings leave the port to the system.
 	group.Go(func() error {
@@ -230,6 +251,16 @@
 	})
 	group.Go(func() error { return serveHTTP(s.operators, l.operators) })
 	group.Go(func() error { return serveHTTP(s.upstreams, l.upstreams) })
+	if l.health != nil {
+		server := n.httpServer(http.HandlerFunc(n.acceptor.serveHealthOnly))
+		s.plain = append(s.plain, server)
+		group.Go(func() error { return serveHTTP(server, l.health) })
+	}
+	if l.metrics != nil {
+		server := n.httpServer(expvar.Handler())
+		s.plain = append(s.plain, server)
+		group.Go(func() error { return serveHTTP(server, l.metrics) })
+	}
 	n.peerServer = peer.NewServer(&handler{node: n}, int(n.settings.Limits.MaxBodyBytes), peer.Options{})
 	group.Go(func() error { return n.peerServer.Serve(ctx, l.peers) })
 	return s
@@ -257,6 +288,7 @@
 	phase, _ := model.ParsePhase(a.Phase)
 	err := n.admitter.announce(admission.Announcement{
 		Service: a.Service, Target: a.Target, Address: a.Address, Slots: a.Slots, Phase: phase, Load: a.Load,
+		ColdLeft: a.ColdLeft, Sequence: a.Sequence, Born: a.Born,
 	})
 	if err != nil {
 		n.log.Emit(events.AnnounceRefused, events.AddressField(a.Address), events.CauseField(err))
@@ -267,6 +299,12 @@
 	return nil
 }
 
+// left takes in that an upstream leaves.
+func (n *Node) left(target model.TargetID, born int64) {
+	n.admitter.leave(target, born)
+	n.control.wake()
+}
+
 // countPeerBytes counts the bytes on connections to other nodes.
 func (n *Node) countPeerBytes(address, purpose string, sent bool, bytes int) {
 	direction := metrics.Received
--- a/internal/node/once_runner.go
+++ b/internal/node/once_runner.go
@@ -59,7 +59,7 @@
 
 // serveWithKey runs the request under a claim.
 func (o *onceRunner) serveWithKey(ctx context.Context, rq *request, key string, out *delivery) *verdict.Error {
-	result, err := o.claims.Begin(ctx, rq.match.Service.Name, key, rq.fingerprint)
+	result, err := o.claims.Begin(ctx, rq.service, key, rq.fingerprint)
 	for {
 		switch {
 		case err != nil:
@@ -92,7 +92,7 @@
 		recordErr = grant.Uncertain(record, err.Reason)
 	}
 	if recordErr != nil {
-		o.acceptor.log.Emit(events.ClaimOutcomeUnwritten, events.ServiceField(rq.match.Service.Name), events.CauseField(recordErr))
+		o.acceptor.log.Emit(events.ClaimOutcomeUnwritten, events.ServiceField(rq.service), events.CauseField(recordErr))
 	}
 	if err != nil {
 		return err
--- a/internal/node/redeem.go
+++ b/internal/node/redeem.go
@@ -39,6 +39,8 @@
 	}
 	rq := &request{
 		match:       match,
+		service:     match.Service.Name,
+		started:     time.Now(),
 		class:       match.Route.ClassOf(head.Method),
 		head:        head,
 		body:        body,
--- a/internal/node/refusal.go
+++ b/internal/node/refusal.go
@@ -36,21 +36,31 @@
 const defaultRetryAfter = time.Second
 
 // writeError tells the caller that there is no answer, and why.
-func writeError(w http.ResponseWriter, e *verdict.Error) {
+func (a *acceptor) writeError(w http.ResponseWriter, e *verdict.Error) {
 	header := w.Header()
-	header.Set(headerVerdict, e.Verdict.String())
-	header.Set(headerReason, string(e.Reason))
+	if a.dialect.OwnHeaders {
+		header.Set(headerVerdict, e.Verdict.String())
+		header.Set(headerReason, string(e.Reason))
+	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	status := statusOf(e)
 	if status == http.StatusServiceUnavailable {
-		wait := max(e.RetryAfter, defaultRetryAfter)
-		header.Set("Retry-After", strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10))
+		header.Set("Retry-After", a.retryAfterText(e.RetryAfter))
 	}
 	w.WriteHeader(status)
 	// The caller may be gone; there is no one else to tell.
 	_, _ = fmt.Fprintf(w, "%s: %s\n", e.Verdict, explain(e))
 }
 
+// retryAfterText returns the value of Retry-After in the dialect of the callers.
+func (a *acceptor) retryAfterText(wait time.Duration) string {
+	wait = max(wait, defaultRetryAfter)
+	if a.dialect.FractionalRetryAfter {
+		return strconv.FormatFloat(wait.Seconds(), 'f', 2, 64)
+	}
+	return strconv.FormatInt(int64((wait+time.Second-1)/time.Second), 10)
+}
+
 // explain returns a sentence for the caller. The cause stays in the logs, because it names internal addresses.
 func explain(e *verdict.Error) string {
 	if e.Reason == verdict.StoreUnavailable {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -14,6 +14,7 @@
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/routing"
 	"github.com/sardinereach/sardinereach/internal/upstream"
 	"github.com/sardinereach/sardinereach/internal/verdict"
@@ -21,9 +22,8 @@
 
 // Headers of callers' requests.
 const (
-	headerKey     = "Idempotency-Key"
-	headerTicket  = "Sardinereach-Ticket"
-	headerTimeout = "Sardinereach-Timeout-Ms"
+	headerKey    = "Idempotency-Key"
+	headerTicket = "Sardinereach-Ticket"
 
 	maxKeyBytes = 200
 )
@@ -31,10 +31,14 @@
 // request is a request that was accepted and read.
 type request struct {
 	match *routing.Match
-	class declaration.Class
+	// service runs the request: that of the route, or the one that its split has chosen.
+	service model.ServiceName
+	class   declaration.Class
 	// head is the template of the heads of its attempts.
-	head        *peerv1.ForwardHead
-	body        []byte
+	head *peerv1.ForwardHead
+	body []byte
+	// started is when the request had arrived.
+	started     time.Time
 	deadline    time.Time
 	fingerprint uint64
 	rng         *rand.Rand
@@ -45,26 +49,35 @@
 func (rq *request) remaining() time.Duration { return time.Until(rq.deadline) }
 
 // readRequest reads the whole request.
-func readRequest(w http.ResponseWriter, r *http.Request, match *routing.Match, maxBody int64, seed uint64) (*request, *verdict.Error) {
-	timeout, err := timeoutOf(r, match.Route)
+func (a *acceptor) readRequest(w http.ResponseWriter, r *http.Request, match *routing.Match, seed uint64) (*request, *verdict.Error) {
+	timeout, err := a.timeoutOf(r, match.Route)
 	if err != nil {
 		return nil, err
 	}
-	deadline := time.Now().Add(timeout)
-	body, err := readBody(w, r, maxBody, deadline)
+	started := time.Now()
+	deadline := started.Add(timeout)
+	body, err := readBody(w, r, a.limits.MaxBodyBytes, deadline)
 	if err != nil {
 		return nil, err
 	}
-	class := match.Route.ClassOf(r.Method)
-	rq := &request{match: match, class: class, body: body, deadline: deadline, rng: rand.New(rand.NewPCG(seed, 0))}
-	rq.fingerprint = fingerprintOf(r.Method, r.URL.RequestURI(), body)
+	rq := &request{
+		match: match, service: match.Service.Name, class: match.Route.ClassOf(r.Method), body: body,
+		started: started, deadline: deadline, rng: rand.New(rand.NewPCG(seed, 0)),
+	}
+	if len(match.Route.Split) > 0 {
+		rq.service = declaration.Pick(match.Route.Split, rq.rng.Float64())
+	}
+	uri := requestURI(r)
+	rq.fingerprint = fingerprintOf(r.Method, uri, body)
 	rq.head = &peerv1.ForwardHead{
-		Service:       string(match.Service.Name),
+		Service:       string(rq.service),
 		Idempotent:    rq.idempotent(),
 		Method:        r.Method,
-		Uri:           r.URL.RequestURI(),
+		Uri:           uri,
 		Host:          r.Host,
-		Headers:       forwardedHeaders(r),
+		Headers:       a.forwardedHeaders(r),
+		RequestId:     a.requestID(r),
+		Rank:          int32(match.Route.Rank),
 		Fingerprint:   rq.fingerprint,
 		ContentLength: int64(len(body)),
 		Route:         match.Route.Path,
@@ -74,6 +87,30 @@
 	return rq, nil
 }
 
+// requestURI returns path and query as the caller sent them.
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// requestID returns the ID that the caller gave the request, "" if there is none.
+func (a *acceptor) requestID(r *http.Request) string {
+	if a.dialect.RequestIDHeader == "" {
+		return ""
+	}
+	return r.Header.Get(a.dialect.RequestIDHeader)
+}
+
+// objective returns the time within which an answer is fully useful, counted from the arrival of the request.
+func (rq *request) objective() time.Duration {
+	if rq.match.Route.ObjectiveMS > 0 {
+		return time.Duration(rq.match.Route.ObjectiveMS) * time.Millisecond
+	}
+	return rq.deadline.Sub(rq.started)
+}
+
 func orDefault(value, fallback int64) int64 {
 	if value == 0 {
 		return fallback
@@ -82,15 +119,15 @@
 }
 
 // timeoutOf returns the route's timeout, or the caller's if that is shorter.
-func timeoutOf(r *http.Request, route *declaration.Route) (time.Duration, *verdict.Error) {
+func (a *acceptor) timeoutOf(r *http.Request, route *declaration.Route) (time.Duration, *verdict.Error) {
 	timeout := time.Duration(orDefault(route.TimeoutMS, declaration.DefaultTimeoutMS)) * time.Millisecond
-	value := r.Header.Get(headerTimeout)
+	value := r.Header.Get(a.dialect.TimeoutHeader)
 	if value == "" {
 		return timeout, nil
 	}
 	ms, err := strconv.ParseUint(value, 10, 32)
 	if err != nil {
-		return 0, verdict.Refused(verdict.BadRequest, errors.Wrap(err, headerTimeout))
+		return 0, verdict.Refused(verdict.BadRequest, errors.Wrap(err, a.dialect.TimeoutHeader))
 	}
 	return min(timeout, time.Duration(ms)*time.Millisecond), nil
 }
@@ -131,25 +168,37 @@
 }
 
 // forwardedHeaders returns the caller's headers for the upstream.
-func forwardedHeaders(r *http.Request) []*peerv1.Header {
+func (a *acceptor) forwardedHeaders(r *http.Request) []*peerv1.Header {
 	all := upstream.EndToEnd(r.Header)
 	kept := all[:0]
 	forwardedFor := ""
 	for _, h := range all {
 		switch {
-		case h.Name == "X-Forwarded-For":
+		case h.Name == "X-Forwarded-For" && a.dialect.OwnHeaders:
 			forwardedFor = h.Value + ", "
-		case strings.HasPrefix(h.Name, headerPrefix), h.Name == "Content-Length":
+		case a.setsHeader(h.Name), h.Name == "Content-Length", h.Name == "Expect":
 		default:
 			kept = append(kept, h)
 		}
 	}
-	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+	if a.dialect.CallerServiceHeader != "" {
+		kept = append(kept, &peerv1.Header{Name: a.dialect.CallerServiceHeader, Value: string(a.callerService)})
+	}
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil && a.dialect.OwnHeaders {
 		kept = append(kept, &peerv1.Header{Name: "X-Forwarded-For", Value: forwardedFor + host})
 	}
 	return kept
 }
 
+// setsHeader reports whether the header is the fleet's to set, so that the caller's is not passed on.
+func (a *acceptor) setsHeader(name string) bool {
+	switch name {
+	case a.dialect.TimeoutHeader, a.dialect.CallerServiceHeader:
+		return true
+	}
+	return strings.HasPrefix(name, headerPrefix)
+}
+
 // validKey reports whether the value may be an idempotency key.
 func validKey(key string) bool {
 	if key == "" || len(key) > maxKeyBytes {
--- a/internal/node/retried_answer_test.go
+++ b/internal/node/retried_answer_test.go
@@ -12,6 +12,7 @@
 	"github.com/sardinereach/sardinereach/internal/config"
 	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/dialect"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/membership"
 	"github.com/sardinereach/sardinereach/internal/model"
@@ -46,7 +47,7 @@
 	a.self = model.Node{ID: "n1", Incarnation: 1, Region: "r", Domain: "d"}
 	log := events.New(discardLog{}, time.Now)
 	a.paths, a.pathChanged = newPaths(), func() {}
-	a.admitter = newAdmitter(a.clock, 1, admission.DefaultLimits(), upstream.NewClient(1<<20), newCrashes(a.clock, a.self, nil, log))
+	a.admitter = newAdmitter(a.clock, 1, admission.DefaultLimits(), upstream.NewClient(1<<20, dialect.OwnUpstream()), newCrashes(a.clock, a.self, nil, log))
 	t.Cleanup(a.admitter.upstreams.Close)
 	err := a.admitter.announce(admission.Announcement{
 		Service: service.Name, Target: "t1", Address: address, Slots: 4, Phase: model.PhaseReady,
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -7,10 +7,6 @@
 	"github.com/sardinereach/sardinereach/internal/events"
 )
 
-// lameDuckTime is how long the node goes on accepting connections after its health answer has changed. A connection that
-// waits in the system's backlog when the listener closes would be reset.
-const lameDuckTime = 500 * time.Millisecond
-
 // lingerTime lets the last frames of the last answers leave before the connections to other nodes are closed.
 const lingerTime = 100 * time.Millisecond
 
@@ -30,7 +26,8 @@
 	// Connections of callers are closed after their next answer, so that a request that is on its way is still served.
 	s.callers.SetKeepAlivesEnabled(false)
 	n.acceptor.lameDuck.Store(true)
-	_ = sleep(ctx, lameDuckTime)
+	// A connection that waits in the system's backlog when the listener closes would be reset.
+	_ = sleep(ctx, n.settings.Shutdown.LameDuck)
 	callers := make(chan error, 1)
 	go func() { callers <- s.callers.Shutdown(ctx) }()
 	n.awaitIdle(ctx, callers)
@@ -42,6 +39,9 @@
 	_ = s.operators.Shutdown(ctx)
 	_ = s.upstreams.Shutdown(ctx)
 	_ = s.callers.Close()
+	for _, server := range s.plain {
+		_ = server.Close()
+	}
 	n.log.Emit(events.NodeStopped, events.NodeField(n.self.ID), events.DurationField(time.Since(started)))
 }
 
--- a/internal/node/view_publisher.go
+++ b/internal/node/view_publisher.go
@@ -62,6 +62,7 @@
 		Ejected:     n.control.ejected(),
 		Unreachable: n.paths.avoided(),
 		Scores:      n.control.scores(),
+		FloorShare:  n.settings.Ejection.FloorShare,
 		Loads:       n.loads.of,
 	})
 	n.acceptor.view.Store(view)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -65,9 +65,11 @@
 }
 
 func (t *Table) matchHost(host, method, path string) *Match {
+	whole := path
 	path = trimSlash(path)
 	for {
-		if m := pickMethod(t.paths[pathKey{host: host, path: path}], method); m != nil {
+		m := pickMethod(t.paths[pathKey{host: host, path: path}], method)
+		if m != nil && (!m.Route.BelowOnly || len(whole) > len(path)) {
 			return m
 		}
 		if path == "" {
--- a/internal/settings/combinations.go
+++ b/internal/settings/combinations.go
@@ -23,6 +23,7 @@
 func listeners(l Listen) []listener {
 	return []listener{
 		{"callers", l.Callers}, {"peers", l.Peers}, {"operators", l.Operators}, {"upstreams", l.Upstreams},
+		{"health", l.Health}, {"metrics", l.Metrics},
 	}
 }
 
@@ -30,7 +31,7 @@
 	all := listeners(l)
 	for i, one := range all {
 		for _, earlier := range all[:i] {
-			if one.address.Port() != 0 && one.address == earlier.address {
+			if one.address.IsValid() && one.address.Port() != 0 && one.address == earlier.address {
 				c.addKey("listen", one.key, fmt.Sprintf("%s is also the address of %s", one.address, earlier.key), "another port")
 			}
 		}
--- a/internal/settings/listen.go
+++ b/internal/settings/listen.go
@@ -12,4 +12,8 @@
 	Operators netip.AddrPort
 	// Upstreams serves the announcements of the upstreams beside the node.
 	Upstreams netip.AddrPort
+	// Health serves the health answer alone; an invalid address means that only the callers' listener has it.
+	Health netip.AddrPort
+	// Metrics serves the metrics alone; an invalid address means that only the operators' listener has them.
+	Metrics netip.AddrPort
 }
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -29,7 +29,10 @@
 address = 127.0.0.1:7000
 `
 
-const complete = minimal + `timeout = 750ms
+// complete sets every key.
+var complete = strings.NewReplacer(
+	"[listen]\n", "interface = platform\n[listen]\nhealth = 127.0.0.1:7005\nmetrics = 127.0.0.1:7006\n",
+).Replace(minimal) + `timeout = 750ms
 ; a comment
 [peers]
 seeds = 127.0.0.2:7002, [::1]:7002
@@ -45,8 +48,19 @@
 held_answers = 2MB
 queue_per_target = 0
 link_bytes_per_second = 3750KB
+[upstream]
+service = proofroom
+[retries]
+share = 0.25
+fleet_per_second = 6
+burst = 2
+statuses = 500, 503
+[ejection]
+permits = no
+floor_share = 0.7
 [shutdown]
 grace = 1m30s
+lame_duck = 2s
 `
 
 // Guards against a key that is read into the wrong field or in the wrong unit.
@@ -63,8 +77,10 @@
 		return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
 	}
 	want := &settings.Settings{
-		Node:      settings.Node{ID: "n1", Region: "tas-south", FailureDomain: "hobart-a"},
-		Listen:    settings.Listen{Callers: local(7001), Peers: local(7002), Operators: local(7003), Upstreams: local(7004)},
+		Node: settings.Node{ID: "n1", Region: "tas-south", FailureDomain: "hobart-a", Interface: settings.InterfacePlatform},
+		Listen: settings.Listen{
+			Callers: local(7001), Peers: local(7002), Operators: local(7003), Upstreams: local(7004), Health: local(7005), Metrics: local(7006),
+		},
 		Store:     settings.Store{Address: local(7000), Timeout: 750 * time.Millisecond},
 		Peers:     settings.Peers{Seeds: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.2:7002"), netip.MustParseAddrPort("[::1]:7002")}},
 		Operators: settings.Operators{Token: "0123456789abcdef#;="},
@@ -72,7 +88,10 @@
 			MaxBodyBytes: 3 << 10, MaxHeaderBytes: 16 << 10, MaxConnections: 100, MaxRequests: 50, ReadHeaderTimeout: time.Second,
 			IdleTimeout: 3 * time.Minute, HeldAnswerBytes: 2 << 20, LinkBytesPerSecond: 3750 << 10,
 		},
-		Shutdown: settings.Shutdown{Grace: 90 * time.Second},
+		Upstream: settings.Upstream{Service: "proofroom"},
+		Retries:  settings.Retries{Share: 0.25, FleetPerSecond: 6, Burst: 2, Statuses: []int{500, 503}},
+		Ejection: settings.Ejection{Permits: false, FloorShare: 0.7},
+		Shutdown: settings.Shutdown{Grace: 90 * time.Second, LameDuck: 2 * time.Second},
 	}
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("got  %+v\nwant %+v", got, want)
@@ -103,8 +122,8 @@
 // Guards against a daemon that starts with wrong settings, and against a report without the line or what is valid.
 func TestFaults(t *testing.T) {
 	cases := []struct{ name, old, new, want string }{
-		{"unknown section", "[store]", "[sotre]\nx = 1\n[store]", "x.ini:10: [sotre]: unknown section; use one of limits, listen"},
-		{"unknown key", "id = n1", "id = n1\nrack = 4", "x.ini:3: [node] rack: unknown key; use one of failure_domain, id, region"},
+		{"unknown section", "[store]", "[sotre]\nx = 1\n[store]", "x.ini:10: [sotre]: unknown section; use one of ejection, limits, listen"},
+		{"unknown key", "id = n1", "id = n1\nrack = 4", "x.ini:3: [node] rack: unknown key; use one of failure_domain, id, interface, region"},
 		{"key before a section", "[node]", "id = n0\n[node]", "x.ini:1: [] id: stands before the first section"},
 		{"duplicate key", "id = n1", "id = n1\nid = n2", "x.ini:3: [node] id: was given before in line 2"},
 		{"duplicate section", "[store]", "[node]\n[store]", "x.ini:10: [node]: was given before in line 1"},
@@ -128,6 +147,12 @@
 		{"time without unit", "[store]", "[shutdown]\ngrace = 30\n[store]", `x.ini:11: [shutdown] grace: "30" is not a valid time; use a time above 0 with its unit`},
 		{"negative time", "[store]", "[shutdown]\ngrace = -1s\n[store]", `"-1s" is not a valid time`},
 		{"more requests than connections", "[store]", "[limits]\nmax_requests = 9\nmax_connections = 8\n[store]", "x.ini:11: [limits] max_requests: 9 is above max_connections 8"},
+		{"unknown interface", "[listen]", "interface = http\n[listen]", `x.ini:5: [node] interface: "http" is not an interface; use own or platform`},
+		{"share above 1", "[store]", "[retries]\nshare = 1.5\n[store]", `x.ini:11: [retries] share: "1.5" is not a valid number; use a number from 0 to 1`},
+		{"no number", "[store]", "[retries]\nburst = NaN\n[store]", `x.ini:11: [retries] burst: "NaN" is not a valid number`},
+		{"success retried", "[store]", "[retries]\nstatuses = 200\n[store]", `x.ini:11: [retries] statuses: "200" is not a valid number; use a comma-separated list of statuses`},
+		{"neither yes nor no", "[store]", "[ejection]\npermits = true\n[store]", `x.ini:11: [ejection] permits: "true" is neither yes nor no`},
+		{"health on the callers' port", "[listen]", "[listen]\nhealth = 127.0.0.1:7001", "[listen] health: 127.0.0.1:7001 is also the address of callers"},
 		{"not an INI line", "[store]", "what\n[store]", "x.ini:10: syntax: the line is not an INI line"},
 	}
 	for _, c := range cases {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -7,6 +7,8 @@
 	ID            model.NodeID
 	Region        model.Region
 	FailureDomain model.FailureDomain
+	// Interface selects how callers, upstreams and the store speak.
+	Interface Interface
 }
 
 // Identity returns the node for one incarnation, with the addresses of the settings.
--- a/internal/settings/readers.go
+++ b/internal/settings/readers.go
@@ -1,6 +1,10 @@
 package settings
 
-import "github.com/sardinereach/sardinereach/internal/model"
+import (
+	"fmt"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
 
 // The bounds keep a mistyped unit from starting a node that refuses or holds everything.
 const (
@@ -96,3 +100,60 @@
 func grace(s *Settings, text string) *problem {
 	return readDuration(text, &s.Shutdown.Grace)
 }
+
+func lameDuck(s *Settings, text string) *problem {
+	return readDuration(text, &s.Shutdown.LameDuck)
+}
+
+func nodeInterface(s *Settings, text string) *problem {
+	s.Node.Interface = Interface(text)
+	switch s.Node.Interface {
+	case InterfaceOwn, InterfacePlatform:
+		return nil
+	}
+	return &problem{fmt.Sprintf("%q is not an interface", text), "own or platform"}
+}
+
+func healthAddress(s *Settings, text string) *problem {
+	return readOptionalAddress(text, &s.Listen.Health)
+}
+
+func metricsAddress(s *Settings, text string) *problem {
+	return readOptionalAddress(text, &s.Listen.Metrics)
+}
+
+func upstreamService(s *Settings, text string) *problem {
+	s.Upstream.Service = model.ServiceName(text)
+	if text == "" {
+		return nil
+	}
+	return checkName(text)
+}
+
+func retryShare(s *Settings, text string) *problem {
+	return readNumber(text, 0, 1, &s.Retries.Share)
+}
+
+func retryFleet(s *Settings, text string) *problem {
+	return readNumber(text, 0, maxCount, &s.Retries.FleetPerSecond)
+}
+
+func retryBurst(s *Settings, text string) *problem {
+	return readNumber(text, 0, maxCount, &s.Retries.Burst)
+}
+
+func retryStatuses(s *Settings, text string) *problem {
+	return readStatuses(text, &s.Retries.Statuses)
+}
+
+func ejectionPermits(s *Settings, text string) *problem {
+	s.Ejection.Permits = text == "yes"
+	if text == "yes" || text == "no" {
+		return nil
+	}
+	return &problem{fmt.Sprintf("%q is neither yes nor no", text), "yes or no"}
+}
+
+func floorShare(s *Settings, text string) *problem {
+	return readNumber(text, 0, 1, &s.Ejection.FloorShare)
+}
--- /dev/null
+++ b/internal/settings/retries.go
@@ -0,0 +1,13 @@
+package settings
+
+// Retries bounds the retries of a service.
+type Retries struct {
+	// Share is the number of retries that each request adds, at each node.
+	Share float64
+	// FleetPerSecond is the number of retries a second that the whole fleet may make without requests to earn them.
+	FleetPerSecond float64
+	// Burst is the number of retries that a node can save up.
+	Burst float64
+	// Statuses are the statuses of answers to idempotent requests that are retried on routes that name none.
+	Statuses []int
+}
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -31,12 +31,15 @@
 		"id":             required(nodeID),
 		"region":         required(region),
 		"failure_domain": required(failureDomain),
+		"interface":      optional("own", nodeInterface),
 	},
 	"listen": {
 		"callers":   required(callersAddress),
 		"peers":     required(peersAddress),
 		"operators": required(operatorsAddress),
 		"upstreams": required(upstreamsAddress),
+		"health":    optional("", healthAddress),
+		"metrics":   optional("", metricsAddress),
 	},
 	"store": {
 		"address": required(storeAddress),
@@ -59,8 +62,22 @@
 		"queue_per_target":      optional("32", queuePerTarget),
 		"link_bytes_per_second": optional("0", linkBytes),
 	},
+	"upstream": {
+		"service": optional("", upstreamService),
+	},
+	"retries": {
+		"share":            optional("0.1", retryShare),
+		"fleet_per_second": optional("30", retryFleet),
+		"burst":            optional("30", retryBurst),
+		"statuses":         optional("", retryStatuses),
+	},
+	"ejection": {
+		"permits":     optional("yes", ejectionPermits),
+		"floor_share": optional("0", floorShare),
+	},
 	"shutdown": {
-		"grace": optional("30s", grace),
+		"grace":     optional("30s", grace),
+		"lame_duck": optional("500ms", lameDuck),
 	},
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,9 @@
 	Store     Store
 	Peers     Peers
 	Operators Operators
+	Upstream  Upstream
 	Limits    Limits
+	Retries   Retries
+	Ejection  Ejection
 	Shutdown  Shutdown
 }
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -153,3 +153,43 @@
 	n, err := strconv.ParseUint(strings.TrimSpace(digits), 10, 32)
 	return int64(n) * unit, err == nil
 }
+
+// readOptionalAddress leaves the address invalid if the text is empty.
+func readOptionalAddress(text string, to *netip.AddrPort) *problem {
+	if text == "" {
+		return nil
+	}
+	return readListenAddress(text, to)
+}
+
+func readNumber(text string, low, high float64, to *float64) *problem {
+	n, err := strconv.ParseFloat(text, 64)
+	// A NaN is in no range.
+	if err != nil || !(n >= low && n <= high) {
+		return &problem{fmt.Sprintf("%q is not a valid number", text), fmt.Sprintf("a number from %g to %g", low, high)}
+	}
+	*to = n
+	return nil
+}
+
+// Statuses that say that a request has failed.
+const (
+	firstFailure = 400
+	lastFailure  = 599
+)
+
+func readStatuses(text string, to *[]int) *problem {
+	if strings.TrimSpace(text) == "" {
+		return nil
+	}
+	var list []int
+	for _, item := range strings.Split(text, ",") {
+		var status int
+		if wrong := readCount(strings.TrimSpace(item), firstFailure, lastFailure, &status); wrong != nil {
+			return &problem{wrong.text, "a comma-separated list of statuses from 400 to 599"}
+		}
+		list = append(list, status)
+	}
+	*to = list
+	return nil
+}
--- a/internal/upstream/announcement.go
+++ b/internal/upstream/announcement.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"regexp"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -25,6 +26,12 @@
 	Load float64 `json:"load"`
 	// Crashes counts the restarts of the upstream that it knows of.
 	Crashes int `json:"crashes"`
+	// ColdLeft is how much longer the upstream is slow after its start.
+	ColdLeft time.Duration `json:"-"`
+	// Sequence grows with each announcement of one start of the upstream; 0 means that it is not told.
+	Sequence uint64 `json:"-"`
+	// Born is the time of the upstream's start, in milliseconds since 1970; 0 means that it is not told.
+	Born int64 `json:"-"`
 }
 
 // MaxSlots is the greatest number of slots that a target may announce.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/dialect"
 	"github.com/sardinereach/sardinereach/internal/peer"
 	"github.com/sardinereach/sardinereach/internal/watchdog"
 )
@@ -36,12 +37,13 @@
 
 // Client runs requests at upstreams over HTTP/1.1.
 type Client struct {
+	dialect dialect.Upstream
 	reusing *http.Transport
 	fresh   *http.Transport
 }
 
 // NewClient returns a client that accepts response heads of up to maxHeaderBytes.
-func NewClient(maxHeaderBytes int64) *Client {
+func NewClient(maxHeaderBytes int64, names dialect.Upstream) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	reusing := &http.Transport{
 		DialContext:            dialer.DialContext,
@@ -54,7 +56,7 @@
 	// A non-idempotent request gets a connection of its own: on a reused one, an idle connection that the upstream
 	// just closed could not be told from an upstream lost while it ran the request. It costs about 1 ms.
 	fresh.DisableKeepAlives = true
-	return &Client{reusing: reusing, fresh: fresh}
+	return &Client{dialect: names, reusing: reusing, fresh: fresh}
 }
 
 // Close closes idle connections.
@@ -69,7 +71,7 @@
 	defer cancel(nil)
 	stall := watchdog.New(time.Duration(head.ProgressTimeoutMs)*time.Millisecond, func() { cancel(errStalled) })
 	defer stall.Stop()
-	req, err := newRequest(ctx, state, address, head, body)
+	req, err := c.newRequest(ctx, state, address, head, body)
 	if err != nil {
 		return Result{Outcome: Unreachable, Err: err}
 	}
@@ -82,10 +84,22 @@
 	defer res.Body.Close()
 	result := Result{Status: res.StatusCode, FirstByte: time.Since(started), Reused: state.reused}
 	result.RetryAfter = ParseRetryAfter(res.Header.Get("Retry-After"), time.Now())
-	if shed(res) {
+	if c.isForeign(req, res) {
+		result.Outcome = Lost
+		result.Err = errors.New("upstream: the answer belongs to another request")
+		// The connection has an answer too many, so it is not used again.
+		cancel(nil)
+		return result
+	}
+	if c.notRun(res) {
 		result.Outcome = Shed
 		return result
 	}
+	if res.StatusCode < http.StatusMultipleChoices && c.isUnsigned(res) {
+		result.Outcome = Incomplete
+		result.Err = errors.New("upstream: the answer is not signed by the upstream")
+		return result
+	}
 	c.pass(ctx, res, sink, stall, &result)
 	return result
 }
@@ -103,7 +117,7 @@
 	reused bool
 }
 
-func newRequest(ctx context.Context, state *connState, address string, head *peerv1.ForwardHead, body []byte) (*http.Request, error) {
+func (c *Client) newRequest(ctx context.Context, state *connState, address string, head *peerv1.ForwardHead, body []byte) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			state.got = true
@@ -116,10 +130,12 @@
 	if len(body) > 0 || !head.Idempotent {
 		reader = io.NopCloser(bytes.NewReader(body))
 	}
-	req, err := http.NewRequestWithContext(ctx, head.Method, "http://"+address+head.Uri, reader)
+	req, err := http.NewRequestWithContext(ctx, head.Method, "http://"+address, reader)
 	if err != nil {
 		return nil, errors.Wrap(err, "upstream: request")
 	}
+	// An opaque URL is sent as it is, so that the upstream gets the path and query of the caller to the byte.
+	req.URL.Opaque = head.Uri
 	req.ContentLength = int64(len(body))
 	req.Host = head.Host
 	for _, h := range head.Headers {
@@ -128,13 +144,21 @@
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = nil
 	}
-	req.Header.Set(HeaderAttempt, head.Attempt)
+	setHeader(req, c.dialect.AttemptHeader, head.Attempt)
+	setHeader(req, c.dialect.InstanceHeader, head.Target)
 	if deadline, ok := ctx.Deadline(); ok {
-		req.Header.Set(HeaderTimeout, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+		setHeader(req, c.dialect.TimeoutHeader, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	}
 	return req, nil
 }
 
+// setHeader sets a header that the dialect may leave out.
+func setHeader(req *http.Request, name, value string) {
+	if name != "" {
+		req.Header.Set(name, value)
+	}
+}
+
 // failed classifies an error before the head of the answer.
 func (c *Client) failed(ctx context.Context, state *connState, err error) Result {
 	result := Result{Reused: state.reused, Err: err}
@@ -161,13 +185,13 @@
 
 // pass copies the answer to the sink.
 func (c *Client) pass(ctx context.Context, res *http.Response, sink peer.Sink, stall *watchdog.Timer, result *Result) {
-	if !hasKnownEnd(res) {
+	if !c.dialect.EndByClose && !hasKnownEnd(res) {
 		result.Outcome = Incomplete
 		result.Err = errors.New("upstream: the answer has neither a length nor chunks, so its end cannot be told")
 		return
 	}
 	head := &peerv1.AnswerHead{
-		Status: int32(res.StatusCode), Headers: EndToEnd(res.Header), ContentLength: res.ContentLength,
+		Status: int32(res.StatusCode), Headers: c.answerHeaders(res.Header), ContentLength: res.ContentLength,
 	}
 	if err := sink.Head(head); err != nil {
 		result.Outcome, result.Err = SinkFailed, err
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/dialect"
 )
 
 type discardSink struct{ bytes int }
@@ -77,7 +78,7 @@
 		}
 		return false
 	})
-	client := NewClient(1 << 20)
+	client := NewClient(1<<20, dialect.OwnUpstream())
 	defer client.Close()
 	if r := run(t, client, address, true); r.Outcome != Answered {
 		t.Fatalf("first request: %s %v", r.Outcome, r.Err)
@@ -102,7 +103,7 @@
 			c.Write([]byte(answer))
 			return false
 		})
-		client := NewClient(1 << 20)
+		client := NewClient(1<<20, dialect.OwnUpstream())
 		if r := run(t, client, address, true); r.Outcome != Incomplete {
 			t.Errorf("%s: outcome %s, want %s", name, r.Outcome, Incomplete)
 		}
@@ -117,7 +118,7 @@
 		t.Fatal(err)
 	}
 	closed.Close()
-	client := NewClient(1 << 20)
+	client := NewClient(1<<20, dialect.OwnUpstream())
 	defer client.Close()
 	if r := run(t, client, closed.Addr().String(), false); r.Outcome != Unreachable {
 		t.Errorf("refused connection: outcome %s, want %s", r.Outcome, Unreachable)
--- a/internal/upstream/headers.go
+++ b/internal/upstream/headers.go
@@ -8,16 +8,6 @@
 	"github.com/sardinereach/sardinereach/api/peerv1"
 )
 
-// Headers between nodes and upstreams.
-const (
-	// HeaderAttempt names the attempt, on requests.
-	HeaderAttempt = "Sardinereach-Attempt"
-	// HeaderTimeout is the remaining time in milliseconds, on requests.
-	HeaderTimeout = "Sardinereach-Timeout-Ms"
-	// HeaderNotRun is set to 1 on a response by which the upstream declares that it did no work on the request.
-	HeaderNotRun = "Sardinereach-Not-Run"
-)
-
 // connectionHeaders concern one connection only (RFC 9110, section 7.6.1) and are not passed on.
 var connectionHeaders = map[string]bool{
 	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -1,9 +1,6 @@
 package upstream
 
-import (
-	"net/http"
-	"time"
-)
+import "time"
 
 // Outcome says how a request at an upstream ended.
 type Outcome uint8
@@ -50,6 +47,3 @@
 	Refused bool
 	Err     error
 }
-
-// shed reports whether the upstream declared that it did not run the request.
-func shed(res *http.Response) bool { return res.Header.Get(HeaderNotRun) == "1" }
