Ask admission points for free slots and keep work from doubtful targets

Change: the admission point judges its target by its own last runs (failed, overdue) and gives a doubtful one idempotent requests alone, one at a time; an overdue idempotent run is given up and repeated elsewhere; package placement asks for free slots before it queues.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -27,6 +27,9 @@
 		return p.refuse(t, r, reason)
 	}
 	p.grantQueued(t)
+	if !r.LastResort && !t.health.admits(p.active(), r.Idempotent, len(t.running)) {
+		return p.refuse(t, r, verdict.TargetDoubtful)
+	}
 	if len(t.running) < t.rampSlots(p.active(), p.limits.RampFor) {
 		return p.admit(t, r)
 	}
@@ -51,15 +54,14 @@
 // reasonAgainstQueueing returns "" or the reason for which the request does not wait for a slot of the target.
 func (p *Point) reasonAgainstQueueing(now time.Duration, r *Request, t *target) verdict.Reason {
 	places := p.limits.QueuePerTarget
-	ahead := t.interactiveQueued()
 	if r.Bulk {
 		places -= bulkReserve
-		ahead = len(t.queue)
 	}
-	if len(t.queue) >= places {
+	if r.IdleOnly || len(t.queue) >= places {
 		return verdict.SlotsFull
 	}
-	if now+t.waitFor(ahead, t.rampSlots(p.active(), p.limits.RampFor)) >= r.Deadline {
+	wait := t.waitFor(t.ahead(r), t.rampSlots(p.active(), p.limits.RampFor))
+	if now+wait+t.runTimes.usual(r.Route) >= r.Deadline {
 		return verdict.QueueDeadline
 	}
 	return ""
--- a/internal/admission/announce.go
+++ b/internal/admission/announce.go
@@ -28,7 +28,7 @@
 		return nil
 	}
 	if t == nil {
-		t = &target{Announcement: a, rampFrom: p.active()}
+		t = &target{Announcement: a, rampFrom: p.active(), runTimes: make(runTimes)}
 		p.targets[a.Target] = t
 	}
 	if t.Service != a.Service {
@@ -37,6 +37,9 @@
 	if isCold(t, &a) {
 		t.rampFrom = p.active()
 	}
+	if t.Born != a.Born {
+		t.health = health{}
+	}
 	t.coldUntil = p.active() + a.ColdLeft
 	t.Announcement = a
 	t.seen = p.active()
@@ -155,6 +158,7 @@
 		Queued:    len(t.queue),
 		Phase:     p.phase(t),
 		Missing:   t.missing,
+		Doubtful:  t.health.doubtful,
 		Successes: t.successes,
 		Failures:  t.failures,
 	}
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"time"
+
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
@@ -26,6 +28,10 @@
 	Phase  model.Phase
 	// Reported is the upstream's own view, 0 to 1.
 	Reported float64
+	// Doubt is the number of good answers that a doubtful target still needs, 0 for a target that is not doubtful.
+	Doubt int
+	// Wait is the expected wait for a slot.
+	Wait time.Duration
 }
 
 // Decision is the answer to a request for admission.
--- a/internal/admission/expire.go
+++ b/internal/admission/expire.go
@@ -31,6 +31,7 @@
 }
 
 func (p *Point) expireTarget(now time.Duration, t *target) {
+	p.noteOverdue(t)
 	p.refuseLate(now, t)
 	p.grantQueued(t)
 	if t.missing || t.forgotten || p.active()-t.seen <= p.limits.MissingAfter {
--- a/internal/admission/finish.go
+++ b/internal/admission/finish.go
@@ -18,20 +18,80 @@
 	w := r.work
 	w.target.stop(w)
 	p.inFlight--
-	p.count(w, result.Outcome)
+	p.count(w, result)
 	p.endWith(w, r, result)
 	p.removeIfUnused(w.target)
 	return p.grants(w.target)
 }
 
-func (p *Point) count(w *work, outcome Outcome) {
-	switch outcome {
+func (p *Point) count(w *work, result Result) {
+	run := p.active() - w.started
+	switch result.Outcome {
 	case Answered:
 		w.target.successes++
-		w.target.observe(p.active() - w.started)
+		w.target.observe(run)
 	case Lost, Unreachable:
 		w.target.failures++
 	}
+	p.judge(w, result, run)
+}
+
+// judge takes the end of a run as evidence about its target.
+func (p *Point) judge(w *work, result Result, run time.Duration) {
+	t := w.target
+	switch {
+	case result.Failed, result.Outcome == Shed:
+		if !w.overdue {
+			t.health.failed(p.active())
+		}
+	case result.Outcome == Answered:
+		t.runTimes.add(w.request.Route, run)
+		if !w.overdue {
+			t.health.succeeded(p.active())
+		}
+	}
+	p.refuseDoubtful(t)
+}
+
+// OverdueAfter returns how long an admitted attempt may run before it is overdue, 0 if that cannot be told.
+func (p *Point) OverdueAfter(attempt model.AttemptID) time.Duration {
+	r := p.records[attempt]
+	if r == nil || r.work == nil {
+		return 0
+	}
+	return p.overdueAfter(r.work)
+}
+
+func (p *Point) overdueAfter(w *work) time.Duration {
+	cold := w.target.coldUntil > w.started
+	return w.target.runTimes.overdueAfter(w.request.Route, w.request.Objective, cold)
+}
+
+// noteOverdue counts the runs that have become overdue against their target.
+func (p *Point) noteOverdue(t *target) {
+	for _, w := range t.running {
+		limit := p.overdueAfter(w)
+		if w.overdue || limit == 0 || p.active()-w.started < limit {
+			continue
+		}
+		w.overdue = true
+		t.health.failed(p.active())
+	}
+	p.refuseDoubtful(t)
+}
+
+// refuseDoubtful refuses what waits at a doubtful target, so that it goes to another one in time.
+func (p *Point) refuseDoubtful(t *target) {
+	if !t.health.doubtful {
+		return
+	}
+	for i := 0; i < len(t.queue); {
+		if t.queue[i].request.LastResort {
+			i++
+			continue
+		}
+		p.refuseQueued(t.queue[i], verdict.TargetDoubtful)
+	}
 }
 
 func (p *Point) endWith(w *work, r *record, result Result) {
--- /dev/null
+++ b/internal/admission/health.go
@@ -0,0 +1,77 @@
+package admission
+
+import "time"
+
+const (
+	// probePause is the time after a failed probe until the next one. It doubles with each further failure.
+	probePause = 200 * time.Millisecond
+	// maxProbePause bounds the pause, and so the time for which a target that has recovered stays out.
+	maxProbePause = 1600 * time.Millisecond
+	// maxProofs bounds the good answers in a row by which a doubtful target returns.
+	maxProofs = 4
+	// relapseTime is the time after a return in which another failure asks for one more proof than the last time.
+	relapseTime = 4 * time.Second
+)
+
+// health is what the last runs at a target say about it. A target with a failed or an overdue run is doubtful until a few
+// runs in a row have gone well. A doubtful target gets idempotent requests alone, one at a time, because those can be
+// repeated elsewhere: the load that this answers is a target that hangs or fails most of its work for seconds while its
+// health check is good.
+type health struct {
+	doubtful bool
+	// proofs is the number of good answers in a row that are still needed.
+	proofs int
+	// asked is the number that was needed at the last doubt.
+	asked int
+	pause time.Duration
+	// probeAt is the active time from which the next probe may start.
+	probeAt time.Duration
+	// returned is the active time of the last return.
+	returned time.Duration
+}
+
+// failed takes in a failed or overdue run.
+func (h *health) failed(now time.Duration) {
+	if !h.doubtful {
+		h.doubt(now)
+		return
+	}
+	h.asked = min(h.asked+1, maxProofs)
+	h.proofs = h.asked
+	h.probeAt = now + h.pause
+	h.pause = min(2*h.pause, maxProbePause)
+}
+
+func (h *health) doubt(now time.Duration) {
+	h.doubtful = true
+	if h.asked > 0 && now-h.returned < relapseTime {
+		h.asked = min(h.asked+1, maxProofs)
+	} else {
+		h.asked = 1
+	}
+	h.proofs = h.asked
+	h.pause = probePause
+	h.probeAt = now
+}
+
+// succeeded takes in a good answer that came in time.
+func (h *health) succeeded(now time.Duration) {
+	if !h.doubtful {
+		return
+	}
+	h.proofs--
+	if h.proofs > 0 {
+		h.probeAt = now
+		return
+	}
+	h.doubtful = false
+	h.returned = now
+}
+
+// admits reports whether a request may start; running is the number of requests that run at the target.
+func (h *health) admits(now time.Duration, idempotent bool, running int) bool {
+	if !h.doubtful {
+		return true
+	}
+	return idempotent && running == 0 && now >= h.probeAt
+}
--- a/internal/admission/outcome.go
+++ b/internal/admission/outcome.go
@@ -19,6 +19,8 @@
 // Result is the end of an admitted attempt.
 type Result struct {
 	Outcome Outcome
+	// Failed means that the end counts against the target, by its status or otherwise.
+	Failed bool
 	// Answer is held for collection if the outcome is Answered; nil holds nothing.
 	Answer *Answer
 }
--- a/internal/admission/point.go
+++ b/internal/admission/point.go
@@ -110,6 +110,8 @@
 		Queued:   len(t.queue),
 		Phase:    p.phase(t),
 		Reported: t.Load,
+		Doubt:    t.doubt(),
+		Wait:     t.waitFor(len(t.queue), max(1, t.rampSlots(p.active(), p.limits.RampFor))),
 	}
 }
 
--- a/internal/admission/record.go
+++ b/internal/admission/record.go
@@ -14,6 +14,8 @@
 	// started is the active time of admission.
 	started time.Duration
 	queued  bool
+	// overdue means that the run was counted against the target because it takes too long.
+	overdue bool
 }
 
 // record is what the point knows of one attempt. An attempt with a record is never admitted again.
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -20,9 +20,27 @@
 	Deadline time.Duration
 	// Bulk requests queue behind interactive ones and leave them the last place.
 	Bulk bool
+	// Route names the route, whose run times are compared.
+	Route string
+	// Objective is the route's latency objective, 0 for none.
+	Objective time.Duration
+	// Rank orders requests that wait, 0 before all others.
+	Rank int
+	// IdleOnly means that the request does not wait for a slot.
+	IdleOnly bool
+	// LastResort means that no other target would take the request, so that a doubtful one does.
+	LastResort bool
 	// Fingerprint is the hash of method, URI and body.
 	Fingerprint uint64
 }
 
+// isBefore reports whether the request goes before another one that waits already.
+func (r *Request) isBefore(other *Request) bool {
+	if r.Bulk != other.Bulk {
+		return other.Bulk
+	}
+	return r.Rank < other.Rank
+}
+
 // latest returns the time from which the attempt is not admitted any more.
 func (r *Request) latest() time.Duration { return min(r.AdmitBefore, r.Deadline) }
--- a/internal/admission/target.go
+++ b/internal/admission/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/sardinereach/sardinereach/internal/model"
@@ -27,12 +28,14 @@
 	// forgotten targets stay until their work in flight has ended.
 	forgotten bool
 	running   []*work
-	// queue holds interactive work before bulk work, each in order of arrival.
+	// queue holds interactive work before bulk work and urgent ranks before others, each in order of arrival.
 	queue []*work
 	// runTime is the smoothed active time from admission to the answer, 0 without a sample.
 	runTime   time.Duration
 	successes uint64
 	failures  uint64
+	health    health
+	runTimes  runTimes
 }
 
 // rampSlots returns the slots that the cold-start ramp gives at the active time.
@@ -65,21 +68,21 @@
 
 func (t *target) enqueue(w *work) {
 	w.queued = true
-	at := len(t.queue)
-	if !w.request.Bulk {
-		at = t.interactiveQueued()
-	}
+	at := t.ahead(&w.request)
 	t.queue = slices.Insert(t.queue, at, w)
 }
 
-func (t *target) interactiveQueued() int {
-	count := 0
-	for _, w := range t.queue {
-		if !w.request.Bulk {
-			count++
-		}
+// ahead returns the number of queued attempts that get a slot before the request: all that are as urgent.
+func (t *target) ahead(r *Request) int {
+	return sort.Search(len(t.queue), func(i int) bool { return r.isBefore(&t.queue[i].request) })
+}
+
+// doubt returns the number of good answers that the target needs, 0 if it is not doubtful.
+func (t *target) doubt() int {
+	if !t.health.doubtful {
+		return 0
 	}
-	return count
+	return t.health.proofs
 }
 
 func (t *target) dequeue(w *work) {
--- a/internal/distribution/wire.go
+++ b/internal/distribution/wire.go
@@ -51,6 +51,7 @@
 		Failures:    t.Failures,
 		Report:      t.Report,
 		Cold:        t.Cold,
+		Doubtful:    t.Doubtful,
 		FirstByteUs: t.FirstByte.Microseconds(),
 	}
 }
@@ -95,6 +96,7 @@
 		Failures:  t.GetFailures(),
 		Report:    t.GetReport(),
 		Cold:      t.GetCold(),
+		Doubtful:  t.GetDoubtful(),
 		FirstByte: time.Duration(t.GetFirstByteUs()) * time.Microsecond,
 	}
 }
--- a/internal/events/reason_numbers.go
+++ b/internal/events/reason_numbers.go
@@ -34,6 +34,7 @@
 	verdict.CallerGone:          1027,
 	verdict.BadRequest:          1028,
 	verdict.TargetOnTrial:       1029,
+	verdict.TargetDoubtful:      1030,
 	verdict.UpstreamLost:        1101,
 	verdict.UpstreamTimeout:     1102,
 	verdict.NodeLost:            1103,
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -19,6 +19,8 @@
 	Phase    Phase
 	// Suspect means that the detector of the admitting node holds the target to be failing.
 	Suspect bool
+	// Doubtful means that the last runs at the target failed or took too long.
+	Doubtful bool
 	// Trial means that the suspected target may get a few idempotent requests as trials.
 	Trial bool
 	// Missing means that the upstream has not announced itself in time.
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -25,6 +25,8 @@
 	upstreams   *upstream.Client
 	// observe is told the end of each attempt that was admitted.
 	observe func(observation)
+	// countsAgainst reports whether the end of an attempt counts against its target.
+	countsAgainst func(observation) bool
 	// mayTry rules on attempts at targets on trial.
 	mayTry  func(target model.TargetID, idempotent bool) trialRuling
 	crashes *crashes
@@ -44,11 +46,14 @@
 		upstreams:   upstreams,
 		crashes:     crashes,
 		observe:     func(observation) {},
-		mayTry:      func(model.TargetID, bool) trialRuling { return notOnTrial },
-		dropped:     func(model.AttemptID) {},
-		point:       admission.NewPoint(limits, incarnation),
-		waiting:     make(map[model.AttemptID]chan slotOrRefusal),
-		running:     make(map[model.AttemptID]*progress),
+
+		countsAgainst: func(observation) bool { return false },
+
+		mayTry:  func(model.TargetID, bool) trialRuling { return notOnTrial },
+		dropped: func(model.AttemptID) {},
+		point:   admission.NewPoint(limits, incarnation),
+		waiting: make(map[model.AttemptID]chan slotOrRefusal),
+		running: make(map[model.AttemptID]*progress),
 	}
 }
 
@@ -210,6 +215,11 @@
 		Deadline:    deadline,
 		Bulk:        head.Bulk,
 		Fingerprint: head.Fingerprint,
+		Route:       head.Route,
+		Objective:   time.Duration(head.ObjectiveMs) * time.Millisecond,
+		Rank:        int(head.Rank),
+		IdleOnly:    head.IdleOnly,
+		LastResort:  head.LastResort,
 	})
 	if d.Kind == admission.Queued {
 		a.waiting[attempt] = ch
@@ -249,10 +259,24 @@
 
 // runIdempotent runs an admitted attempt. It ends when the accepting node cancels.
 func (a *admitter) runIdempotent(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink peer.Sink, ruling trialRuling) *peerv1.AnswerTrailer {
+	a.limitOverdue(head)
 	result := a.upstreams.Run(ctx, address, head, body, a.track(head, sink))
 	return a.finish(address, head, result, nil, ruling)
 }
 
+// limitOverdue makes an attempt that may be repeated elsewhere end when it is overdue.
+func (a *admitter) limitOverdue(head *peerv1.ForwardHead) {
+	if !head.LeaveOverdue {
+		return
+	}
+	a.mu.Lock()
+	limit := a.point.OverdueAfter(model.AttemptID(head.Attempt)).Milliseconds()
+	a.mu.Unlock()
+	if limit > 0 && (head.ProgressTimeoutMs == 0 || limit < head.ProgressTimeoutMs) {
+		head.ProgressTimeoutMs = limit
+	}
+}
+
 // runOnce runs an admitted non-idempotent attempt. It goes on when the accepting node is gone, and holds the answer, so
 // that the accepting node can ask for it on another connection.
 func (a *admitter) runOnce(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink peer.Sink, ruling trialRuling) *peerv1.AnswerTrailer {
@@ -303,15 +327,16 @@
 	a.mu.Lock()
 	warming := a.isWarming(model.TargetID(head.Target))
 	a.mu.Unlock()
-	a.end(head, admission.Result{Outcome: outcomeOf(result.Outcome), Answer: answer})
-	a.observe(observation{
+	o := observation{
 		target:  model.TargetID(head.Target),
 		service: model.ServiceName(head.Service),
 		route:   head.Route,
 		warming: warming,
 		trial:   ruling == trialGranted,
 		result:  result,
-	})
+	}
+	a.end(head, admission.Result{Outcome: outcomeOf(result.Outcome), Failed: a.countsAgainst(o), Answer: answer})
+	a.observe(o)
 	trailer := a.trailer(head, errorOf(result))
 	trailer.TotalBytes = result.Bytes
 	trailer.LossSerial = lossSerial
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -14,6 +14,7 @@
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/peer"
+	"github.com/sardinereach/sardinereach/internal/placement"
 	"github.com/sardinereach/sardinereach/internal/retry"
 	"github.com/sardinereach/sardinereach/internal/routing"
 	"github.com/sardinereach/sardinereach/internal/upstream"
@@ -32,12 +33,16 @@
 		Class: rq.class, RetryStatuses: a.retryStatusesOf(rq.match.Route), MaxAttempts: rq.match.Route.MaxAttempts,
 		Attempt: 1, Hops: 1,
 	}
+	var plan *placement.Plan
 	for {
 		service := a.view.Load().Service(rq.service)
-		target, err := a.pick(rq, service, &tried)
+		if plan == nil {
+			plan = a.planOf(rq, service, &tried)
+		}
+		choice, err := a.pick(rq, service, plan, &tried)
 		if err == nil {
-			tried.Add(target.Target.ID)
-			err = a.attempt(ctx, rq, target, g, out)
+			leave := rq.idempotent() && in.MayRepeat() && budget.available(a.clock.now()) > 0
+			err = a.attempt(ctx, rq, choice, leave, g, out)
 		}
 		if out.committed {
 			return err
@@ -45,9 +50,12 @@
 		if err != nil && err.Verdict != verdict.NotRun {
 			uncertain = err
 		}
+		if err != nil {
+			plan.Refused(refusalOf(err))
+		}
 		in.Err, in.Status, in.Remaining = err, out.status(), rq.remaining()
 		in.RetryAfter = retryAfterOf(out)
-		in.Untried = untried(service, &tried)
+		in.Untried = plan.Left()
 		decision := budget.decide(in, a.clock.now(), rq.rng)
 		if !decision.Retry {
 			return overall(a.giveUp(err, decision), uncertain)
@@ -55,11 +63,32 @@
 		if err == nil {
 			uncertain = verdict.Uncertain(verdict.UpstreamStatus, nil)
 		}
-		if err := a.prepareRetry(ctx, rq, target, &tried, decision); err != nil {
+		if err := a.prepareRetry(ctx, rq, choice.Candidate, &tried, decision); err != nil {
 			return overall(err, uncertain)
 		}
-		in.Attempt, in.Hops = in.Next(decision)
+		if !decision.Hop || decision.SameTarget {
+			plan = nil
+		}
+		in = in.Next(decision)
+	}
+}
+
+// planOf returns the order in which the request is offered to the targets that were not tried.
+func (a *acceptor) planOf(rq *request, service *core.ServiceView, tried *routing.Tried) *placement.Plan {
+	var pool *routing.Pool
+	if service != nil {
+		pool = service.Pool
 	}
+	return placement.New(pool, tried, rq.idempotent(), rq.rng)
+}
+
+// refusalOf returns what an admission point said about its target.
+func refusalOf(err *verdict.Error) placement.Refusal {
+	switch err.Reason {
+	case verdict.SlotsFull, verdict.TargetDoubtful:
+		return placement.Refusal{Full: err.Reason == verdict.SlotsFull, Wait: err.Wait, Doubt: err.Doubt}
+	}
+	return placement.Refusal{}
 }
 
 // retryStatusesOf returns the statuses of the route's answers that are retried.
@@ -91,19 +120,23 @@
 func (a *acceptor) prepareRetry(ctx context.Context, rq *request, target *routing.Candidate, tried *routing.Tried, decision retry.Decision) *verdict.Error {
 	a.metrics.Retried(decision.Reason)
 	a.log.Emit(events.ForReason(decision.Reason), events.OutcomeField(events.Retried), events.ServiceField(rq.service))
-	if decision.SameTarget && target != nil {
-		tried.Remove(target.Target.ID)
-	}
 	if decision.Hop {
 		return nil
 	}
+	if !decision.Waits {
+		a.excludeTried(rq, target, tried)
+	}
+	return sleep(ctx, decision.After)
+}
+
+// excludeTried leaves the target that failed out of the next plan, unless it is the only one. The service may have been
+// removed while the request was running.
+func (a *acceptor) excludeTried(rq *request, target *routing.Candidate, tried *routing.Tried) {
 	tried.Clear()
-	// The service may have been removed while the request was running.
 	service := a.view.Load().Service(rq.service)
 	if target != nil && service != nil && service.Pool.Len() > 1 {
 		tried.Add(target.Target.ID)
 	}
-	return sleep(ctx, decision.After)
 }
 
 // sleep waits, or returns why the request ended before.
@@ -126,22 +159,23 @@
 }
 
 // pick chooses a target for the next attempt.
-func (a *acceptor) pick(rq *request, service *core.ServiceView, tried *routing.Tried) (*routing.Candidate, *verdict.Error) {
-	if service == nil || service.Pool.Len() == 0 {
-		return nil, verdict.Refused(verdict.NoTarget, nil)
+func (a *acceptor) pick(rq *request, service *core.ServiceView, plan *placement.Plan, tried *routing.Tried) (placement.Choice, *verdict.Error) {
+	if service == nil {
+		return placement.Choice{}, verdict.Refused(verdict.NoTarget, nil)
 	}
 	if trial := a.pickTrial(rq, service, tried); trial != nil {
-		return trial, nil
+		tried.Add(trial.Target.ID)
+		return placement.Choice{Candidate: trial, Mode: placement.Queue}, nil
 	}
-	target := service.Pool.Pick(tried, rq.rng.Uint64())
-	if target == nil {
-		return nil, verdict.Refused(verdict.NoTarget, errors.New("every target was tried"))
+	choice, ok := plan.Next()
+	if !ok {
+		return choice, verdict.Refused(verdict.NoTarget, nil)
 	}
-	if target.Distance == routing.OtherRegion && !a.link.allows(rq.head.Bulk) {
-		a.log.Emit(events.LinkBudgetSpent, events.RegionField(target.Node.Region))
-		return nil, verdict.Refused(verdict.LinkBudget, nil)
+	if choice.Candidate.Distance == routing.OtherRegion && !a.link.allows(rq.head.Bulk) {
+		a.log.Emit(events.LinkBudgetSpent, events.RegionField(choice.Candidate.Node.Region))
+		return choice, verdict.Refused(verdict.LinkBudget, nil)
 	}
-	return target, nil
+	return choice, nil
 }
 
 // trialShare is the number of idempotent requests of which one is offered to a target on trial.
@@ -159,19 +193,6 @@
 	return c
 }
 
-func untried(service *core.ServiceView, tried *routing.Tried) int {
-	if service == nil {
-		return 0
-	}
-	n := 0
-	for c := range service.Pool.All {
-		if !tried.Has(c.Target.ID) {
-			n++
-		}
-	}
-	return n
-}
-
 // retryAfterOf returns the wait that a complete answer asks for.
 func retryAfterOf(out *delivery) time.Duration {
 	if out.head == nil {
@@ -185,14 +206,19 @@
 	return 0
 }
 
-// attempt runs the request at one target. The answer is whole if there is no error.
-func (a *acceptor) attempt(ctx context.Context, rq *request, c *routing.Candidate, g gate, out *delivery) *verdict.Error {
+// attempt runs the request at one target. The answer is whole if there is no error. leave means that another target may
+// try if this one takes too long.
+func (a *acceptor) attempt(ctx context.Context, rq *request, choice placement.Choice, leave bool, g gate, out *delivery) *verdict.Error {
+	c := choice.Candidate
 	head := proto.Clone(rq.head).(*peerv1.ForwardHead)
 	head.Attempt = string(a.nextAttempt())
 	head.Target = string(c.Target.ID)
 	head.AcceptingNode = string(a.self.ID)
 	head.TimeoutMs = rq.remaining().Milliseconds()
-	head.ObjectiveMs = (rq.objective() - time.Since(rq.started)).Milliseconds()
+	head.ObjectiveMs = rq.match.Route.ObjectiveMS
+	head.IdleOnly = choice.Mode == placement.IdleOnly
+	head.LastResort = choice.Mode == placement.LastResort
+	head.LeaveOverdue = leave
 	if rq.idempotent() {
 		head.ProgressTimeoutMs = progressTimeout(rq.head.FirstByteMs, head.TimeoutMs, c.Target.FirstByte).Milliseconds()
 	}
@@ -361,6 +387,10 @@
 	if !slices.Contains(verdict.Reasons(), e.Reason) {
 		e.Reason = verdict.NodeLost
 	}
+	if load := trailer.Load; load != nil {
+		e.Doubt = int(load.Doubt)
+		e.Wait = time.Duration(load.WaitMs) * time.Millisecond
+	}
 	if trailer.Detail != "" {
 		e.Cause = errors.New(trailer.Detail)
 	}
--- a/internal/node/locked_budget.go
+++ b/internal/node/locked_budget.go
@@ -26,6 +26,12 @@
 	l.budget.Request(now)
 }
 
+func (l *lockedBudget) available(now time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.budget.Available(now)
+}
+
 func (l *lockedBudget) decide(in retry.Input, now time.Duration, rng *rand.Rand) retry.Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,6 +89,7 @@
 		return nil, err
 	}
 	n.control = newControl(n)
+	n.admitter.countsAgainst = n.control.detection.failed
 	n.admitter.observe = n.control.detection.observe
 	n.admitter.mayTry = n.control.detection.mayTry
 	n.admitter.dropped = func(id model.AttemptID) { log.Emit(events.AnswersDropped, events.CountField(1)) }
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,209 @@
+// Package placement chooses the targets that a request is offered to, one after the other. An admission point refuses in
+// a round trip and at no cost to its target, so a request asks for free slots first, in its own failure domain, its own
+// region and then elsewhere, and waits only where that is shorter than the way to another region. The package is pure.
+//
+// It answers the load at which some targets of a service hang for seconds and the others are nearly full: figures about
+// load that are a second old tell too little then.
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/routing"
+)
+
+const (
+	// maxRemoteAsks bounds the targets of other regions that are asked for a free slot. Each costs a long round trip.
+	maxRemoteAsks = 3
+	// maxLocalAsks bounds the targets of the own region that are asked for a free slot.
+	maxLocalAsks = 12
+	// maxQueueAsks bounds the targets that are asked for a place in their queue.
+	maxQueueAsks = 3
+	// maxLastResorts bounds the doubtful targets that are asked to take the request all the same.
+	maxLastResorts = 2
+	// remoteWait is the wait that a request takes in its own region rather than to cross to another one, where the round
+	// trip takes tens of milliseconds and the bytes are paid for.
+	remoteWait = 120 * time.Millisecond
+	// probeShare is the share of idempotent requests that ask targets that are known to be doubtful like any others.
+	probeShare = 0.25
+)
+
+// Plan is the order in which one request is offered to targets. It is not safe for concurrent use.
+type Plan struct {
+	entries []entry
+	last    int
+	remote  int
+	local   int
+	queued  int
+	forced  int
+}
+
+type entry struct {
+	candidate *routing.Candidate
+	// order is smaller for targets that are asked earlier.
+	order   int
+	asked   bool
+	refusal Refusal
+	// closed means that the target does not take the request in any mode.
+	closed bool
+}
+
+const none = -1
+
+// New returns the plan for a request. Targets in tried are left out.
+func New(pool *routing.Pool, tried *routing.Tried, idempotent bool, random *rand.Rand) *Plan {
+	p := &Plan{last: none}
+	probe := idempotent && random.Float64() < probeShare
+	for candidate := range pool.All {
+		if tried.Has(candidate.Target.ID) {
+			continue
+		}
+		p.entries = append(p.entries, entry{candidate: candidate, order: orderOf(candidate, probe)})
+	}
+	random.Shuffle(len(p.entries), func(i, j int) { p.entries[i], p.entries[j] = p.entries[j], p.entries[i] })
+	slices.SortStableFunc(p.entries, func(a, b entry) int { return a.order - b.order })
+	return p
+}
+
+// Steps of the order, each greater than the sum of the smaller ones.
+const (
+	stepFull       = 1
+	stepDomain     = 2
+	stepCold       = 4
+	stepDoubt      = 8
+	stepLastResort = 16
+	stepTier       = 32
+)
+
+func orderOf(c *routing.Candidate, probe bool) int {
+	order := stepTier * c.Tier()
+	if c.LastResort {
+		order += stepLastResort
+	}
+	if c.Target.Doubtful && !probe {
+		order += stepDoubt
+	}
+	if c.Target.Cold {
+		order += stepCold
+	}
+	if c.Distance != routing.SameDomain {
+		order += stepDomain
+	}
+	if c.IsFull() {
+		order += stepFull
+	}
+	return order
+}
+
+// Next returns the target to ask next, false if none is left that may take the request.
+func (p *Plan) Next() (Choice, bool) {
+	if i := p.nextIdle(false); i != none {
+		p.local++
+		return p.choose(i, IdleOnly), true
+	}
+	if i := p.shortestWait(false); i != none && p.entries[i].refusal.Wait <= remoteWait {
+		return p.chooseQueue(i), true
+	}
+	if i := p.nextIdle(true); i != none {
+		p.remote++
+		return p.choose(i, IdleOnly), true
+	}
+	if i := p.shortestWait(true); i != none {
+		return p.chooseQueue(i), true
+	}
+	if i := p.leastDoubt(); i != none {
+		p.forced++
+		p.entries[i].closed = true
+		return p.choose(i, LastResort), true
+	}
+	return Choice{}, false
+}
+
+func (p *Plan) choose(i int, mode Mode) Choice {
+	p.last = i
+	p.entries[i].asked = true
+	return Choice{Candidate: p.entries[i].candidate, Mode: mode}
+}
+
+func (p *Plan) chooseQueue(i int) Choice {
+	p.queued++
+	p.entries[i].closed = true
+	return p.choose(i, Queue)
+}
+
+// nextIdle returns the first target that was not asked yet, in the own region or in others.
+func (p *Plan) nextIdle(remote bool) int {
+	if remote && p.remote >= maxRemoteAsks || !remote && p.local >= maxLocalAsks {
+		return none
+	}
+	for i := range p.entries {
+		e := &p.entries[i]
+		if !e.asked && !e.closed && e.isRemote() == remote {
+			return i
+		}
+	}
+	return none
+}
+
+func (e *entry) isRemote() bool { return e.candidate.Distance == routing.OtherRegion }
+
+// shortestWait returns the full target with the shortest queue, doubtful ones left out.
+func (p *Plan) shortestWait(remote bool) int {
+	best := none
+	if p.queued >= maxQueueAsks {
+		return none
+	}
+	for i := range p.entries {
+		e := &p.entries[i]
+		if !e.asked || e.closed || !e.refusal.Full || e.refusal.Doubt > 0 || e.isRemote() && !remote {
+			continue
+		}
+		if best == none || e.refusal.Wait < p.entries[best].refusal.Wait {
+			best = i
+		}
+	}
+	return best
+}
+
+// leastDoubt returns the doubtful target that needs the fewest good answers.
+func (p *Plan) leastDoubt() int {
+	best := none
+	if p.forced >= maxLastResorts {
+		return none
+	}
+	for i := range p.entries {
+		e := &p.entries[i]
+		if !e.asked || e.closed || e.refusal.Doubt == 0 {
+			continue
+		}
+		if best == none || e.refusal.Doubt < p.entries[best].refusal.Doubt {
+			best = i
+		}
+	}
+	return best
+}
+
+// Refused takes in that the last target did not take the request.
+func (p *Plan) Refused(refusal Refusal) {
+	if p.last == none {
+		return
+	}
+	e := &p.entries[p.last]
+	e.refusal = refusal
+	if !refusal.Full && refusal.Doubt == 0 {
+		e.closed = true
+	}
+}
+
+// Left returns the number of targets that may still be asked.
+func (p *Plan) Left() int {
+	left := 0
+	for i := range p.entries {
+		if !p.entries[i].closed {
+			left++
+		}
+	}
+	return left
+}
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -14,8 +14,12 @@
 const (
 	// DefaultMaxAttempts is the number of attempts of a request, hops not counted.
 	DefaultMaxAttempts = 3
-	// MaxHops is the number of targets that a request goes on to without backoff after refusals by admission points.
-	MaxHops = 3
+	// MaxHops is the number of targets that a request goes on to without backoff after refusals by admission points. It is
+	// above what the package placement asks, so that a fault there cannot make a request go round for ever.
+	MaxHops = 24
+	// MaxWaits is the number of pauses after rounds in which every target refused the request. Their delays add up to 0.2 s
+	// on average, in which targets that were doubtful for a moment or full have changed.
+	MaxWaits = 4
 	// MinAttemptTime is the least time that has to remain for another attempt.
 	MinAttemptTime = 10 * time.Millisecond
 )
@@ -36,9 +40,32 @@
 	if mayHop(&in) {
 		return Decision{Retry: true, Reason: reason, Hop: true, SameTarget: sameTarget(&in)}
 	}
+	if wasOnlyRefused(&in) {
+		return pause(&in, reason, rng)
+	}
 	return backOff(&in, reason, budget, now, rng)
 }
 
+// wasOnlyRefused reports whether no target has taken the request in this round.
+func wasOnlyRefused(in *Input) bool {
+	if in.Err == nil || in.Err.Verdict != verdict.NotRun {
+		return false
+	}
+	return isAdmissionRefusal(in.Err.Reason) || in.Err.Reason == verdict.NoTarget
+}
+
+// pause offers the request again a little later. Nothing was sent, so that it is neither an attempt nor in the budget.
+func pause(in *Input, reason verdict.Reason, rng *rand.Rand) Decision {
+	if in.Waits >= MaxWaits {
+		return Decision{Reason: reason}
+	}
+	after := Backoff(in.Waits+1, retryAfter(in), rng)
+	if after+MinAttemptTime > in.Remaining {
+		return Decision{Reason: verdict.DeadlineExceeded}
+	}
+	return Decision{Retry: true, After: after, Reason: reason, Waits: true}
+}
+
 func backOff(in *Input, reason verdict.Reason, budget *Budget, now time.Duration, rng *rand.Rand) Decision {
 	if in.Attempt >= maxAttempts(in) {
 		return Decision{Reason: verdict.RetryAttempts}
@@ -99,7 +126,7 @@
 // be opened. Such a refusal costs a message and no work.
 func isAdmissionRefusal(reason verdict.Reason) bool {
 	switch reason {
-	case verdict.SlotsFull, verdict.QueueDeadline, verdict.TargetDraining, verdict.TargetStarting, verdict.TargetOnTrial,
+	case verdict.SlotsFull, verdict.QueueDeadline, verdict.TargetDraining, verdict.TargetStarting, verdict.TargetOnTrial, verdict.TargetDoubtful,
 		verdict.TargetUnknown, verdict.AttemptFenced, verdict.AdmitExpired, verdict.WrongIncarnation, verdict.NodeStopping,
 		verdict.UpstreamUnreachable, verdict.NodeUnreachable:
 		return true
--- a/internal/retry/input.go
+++ b/internal/retry/input.go
@@ -16,6 +16,8 @@
 	MaxAttempts int
 	// Hops counts the refusals by admission points since the last backoff, this one included.
 	Hops int
+	// Waits counts the pauses after rounds in which every target refused the request.
+	Waits int
 	// Untried is the number of usable targets that were not tried since the last backoff.
 	Untried int
 	// Err is the failure or refusal, nil if the upstream answered.
@@ -30,10 +32,21 @@
 	Remaining time.Duration
 }
 
-// Next returns the counts for the attempt that the decision allows. The caller sets the other fields.
-func (in *Input) Next(d Decision) (attempt, hops int) {
-	if d.Hop {
-		return in.Attempt, in.Hops
+// Next returns the input with the counts for the attempt that the decision allows. The caller sets what the attempt
+// brings.
+func (in Input) Next(d Decision) Input {
+	switch {
+	case d.Hop:
+		in.Hops++
+	case d.Waits:
+		in.Waits++
+		in.Hops = 1
+	default:
+		in.Attempt++
+		in.Hops = 1
 	}
-	return in.Attempt + 1, 0
+	return in
 }
+
+// MayRepeat reports whether the number of attempts allows one more after the present one.
+func (in *Input) MayRepeat() bool { return in.Attempt < maxAttempts(in) }
--- a/internal/retry/measure/request.go
+++ b/internal/retry/measure/request.go
@@ -16,6 +16,7 @@
 	arrived time.Duration
 	attempt int
 	hops    int
+	waits   int
 	tried   [targets]bool
 }
 
@@ -127,14 +128,16 @@
 	r.hops++
 	in := retry.Input{
 		Class: declaration.Idempotent, Attempt: r.attempt, MaxAttempts: maxAttempts, Hops: r.hops, Untried: r.untried(),
-		Err: err, Remaining: r.remaining(),
+		Waits: r.waits, Err: err, Remaining: r.remaining(),
 	}
 	d := r.scenario.policy.decide(in, r.budget, r.now, r.rng)
 	if !d.Retry {
 		return
 	}
-	r.attempt, r.hops = in.Next(d)
+	next := in.Next(d)
+	r.attempt, r.waits = next.Attempt, next.Waits
 	if !d.Hop {
+		r.hops = 0
 		r.tried = [targets]bool{}
 	}
 	r.after(d.After, r.send)
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -18,7 +18,8 @@
 	in := Input{
 		Class:         rapid.SampledFrom([]declaration.Class{declaration.Idempotent, declaration.NonIdempotent, ""}).Draw(t, "class"),
 		Attempt:       rapid.IntRange(1, 4).Draw(t, "attempt"),
-		Hops:          rapid.IntRange(0, 5).Draw(t, "hops"),
+		Hops:          rapid.IntRange(0, MaxHops+2).Draw(t, "hops"),
+		Waits:         rapid.IntRange(0, MaxWaits+1).Draw(t, "waits"),
 		Untried:       rapid.IntRange(0, 2).Draw(t, "untried"),
 		RetryAfter:    time.Duration(rapid.IntRange(0, 2000).Draw(t, "retry after")) * time.Millisecond,
 		Remaining:     time.Duration(rapid.IntRange(-10, 5000).Draw(t, "remaining")) * time.Millisecond,
@@ -59,7 +60,9 @@
 			t.Fatalf("%+v: the retry comes after the deadline in %v", d, in.Remaining)
 		case d.Hop && (!notRun || in.Hops > MaxHops || d.After != 0 || spent != 0 || in.Untried == 0 && !d.SameTarget):
 			t.Fatalf("%+v: not a hop", d)
-		case !d.Hop && (spent != 1 || in.Attempt >= DefaultMaxAttempts):
+		case d.Waits && (d.Hop || !notRun || in.Waits >= MaxWaits || spent != 0):
+			t.Fatalf("%+v: not a pause after refusals", d)
+		case !d.Hop && !d.Waits && (spent != 1 || in.Attempt >= DefaultMaxAttempts):
 			t.Fatalf("%+v: %d retries drawn after attempt %d", d, spent, in.Attempt)
 		case !d.Hop && d.After < in.RetryAfter, !d.Hop && in.Err != nil && d.After < in.Err.RetryAfter:
 			t.Fatalf("%+v: the delay is shorter than Retry-After", d)
@@ -72,7 +75,7 @@
 	hops := map[verdict.Reason]bool{
 		verdict.SlotsFull: true, verdict.QueueDeadline: true, verdict.TargetDraining: true, verdict.TargetStarting: true,
 		verdict.TargetUnknown: true, verdict.AttemptFenced: true, verdict.AdmitExpired: true, verdict.WrongIncarnation: true,
-		verdict.NodeStopping: true, verdict.TargetOnTrial: true, verdict.UpstreamUnreachable: true,
+		verdict.NodeStopping: true, verdict.TargetOnTrial: true, verdict.TargetDoubtful: true, verdict.UpstreamUnreachable: true,
 		verdict.NodeUnreachable: true,
 	}
 	retries := map[verdict.Reason]bool{
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -43,6 +43,18 @@
 	return max(c.Load.Own.Load(), c.Load.Reported.Load())
 }
 
+// Tier orders candidates by the operator's order of regions, and the region of the accepting node before others.
+func (c *Candidate) Tier() int {
+	tier := c.Rank * 2
+	if c.Distance == OtherRegion {
+		tier++
+	}
+	return tier
+}
+
+// IsFull reports whether the accepting node's own requests fill the slots of the target.
+func (c *Candidate) IsFull() bool { return c.Load.Own.Load() >= int32(max(c.Target.RampSlots, 1)) }
+
 // hasFreeSlot reports whether the estimate leaves a slot of the cold-start ramp free.
 func (c *Candidate) hasFreeSlot() bool {
 	return c.inFlight() < int32(max(c.Target.RampSlots, 1))
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -12,11 +12,11 @@
 // NewPool returns the pool of the candidates.
 func NewPool(candidates []*Candidate) *Pool {
 	ordered := append([]*Candidate(nil), candidates...)
-	sort.SliceStable(ordered, func(i, j int) bool { return tierOf(ordered[i]) < tierOf(ordered[j]) })
+	sort.SliceStable(ordered, func(i, j int) bool { return ordered[i].Tier() < ordered[j].Tier() })
 	p := &Pool{size: len(ordered)}
 	for start := 0; start < len(ordered); {
 		end := start
-		for end < len(ordered) && tierOf(ordered[end]) == tierOf(ordered[start]) {
+		for end < len(ordered) && ordered[end].Tier() == ordered[start].Tier() {
 			end++
 		}
 		p.tiers = append(p.tiers, ordered[start:end])
@@ -25,15 +25,6 @@
 	return p
 }
 
-// tierOf puts the operator's order of regions first, and the region of the accepting node before all others.
-func tierOf(c *Candidate) int {
-	tier := c.Rank * 2
-	if c.Distance == OtherRegion {
-		tier++
-	}
-	return tier
-}
-
 // Len returns the number of candidates.
 func (p *Pool) Len() int {
 	if p == nil {
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -20,6 +20,9 @@
 	TargetStarting Reason = "target_starting"
 	// TargetOnTrial means that the target is suspected and takes only a few idempotent requests as trials.
 	TargetOnTrial Reason = "target_on_trial"
+	// TargetDoubtful means that the last runs at the target failed or took too long, and that the target takes a few
+	// idempotent requests alone.
+	TargetDoubtful Reason = "target_doubtful"
 	// TargetUnknown means that the admitting node does not serve the target.
 	TargetUnknown Reason = "target_unknown"
 	// AttemptFenced means that the attempt was fenced before it was admitted.
@@ -104,7 +107,7 @@
 // Reasons returns every reason, in the order of their declaration.
 func Reasons() []Reason {
 	return []Reason{
-		NoRoute, NoTarget, SlotsFull, QueueDeadline, TargetDraining, TargetStarting, TargetOnTrial, TargetUnknown, AttemptFenced,
+		NoRoute, NoTarget, SlotsFull, QueueDeadline, TargetDraining, TargetStarting, TargetOnTrial, TargetDoubtful, TargetUnknown, AttemptFenced,
 		AttemptDuplicate, AdmitExpired, WrongIncarnation, UpstreamShed, UpstreamUnreachable, NodeUnreachable,
 		NodeStopping, NotReady, Overloaded, DeadlineExceeded, BodyTooLarge, BodyIncomplete, BadRequest, KeyMissing, KeyInvalid,
 		KeyReused, StoreUnavailable, Quarantined, LinkBudget, CallerGone,
