Tell failed calls from failing targets, bound queues by the objective

Cause: at high load most doubts came from runs whose own calls had failed, so that sound targets stood idle while 30% of the requests were refused; queues without a bound by the objective made every answer late. Change: a failure status doubts a target only if another one follows without a good answer, and not right after a failed request of the same VM; a probe needs no idle target; queues hold what can meet its objective, short requests until their deadline; one target of another region is asked.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -27,7 +27,7 @@
 		return p.refuse(t, r, reason)
 	}
 	p.grantQueued(t)
-	if !r.LastResort && !t.health.admits(p.active(), r.Idempotent, len(t.running)) {
+	if !r.LastResort && !t.health.admits(p.active(), r.Idempotent, t.probes()) {
 		return p.refuse(t, r, verdict.TargetDoubtful)
 	}
 	if len(t.running) < t.rampSlots(p.active(), p.limits.RampFor) {
@@ -60,8 +60,8 @@
 	if r.IdleOnly || len(t.queue) >= places {
 		return verdict.SlotsFull
 	}
-	wait := t.waitFor(t.ahead(r), t.rampSlots(p.active(), p.limits.RampFor))
-	if now+wait+t.runTimes.usual(r.Route) >= r.Deadline {
+	wait := p.waitFor(t, t.ahead(r))
+	if wait > t.patience(now, r) || now+wait+t.runTimes.usual(r.Route) >= r.Deadline {
 		return verdict.QueueDeadline
 	}
 	return ""
@@ -75,7 +75,7 @@
 }
 
 func (p *Point) enqueue(t *target, r Request) Decision {
-	w := &work{request: r, target: t}
+	w := &work{request: r, target: t, leaveAt: min(r.latest(), p.now+t.patience(p.now, &r))}
 	p.records[r.Attempt] = &record{work: w, state: StateRunning}
 	t.enqueue(w)
 	return Decision{Kind: Queued, Load: p.load(t)}
@@ -124,7 +124,7 @@
 	slots := t.rampSlots(p.active(), p.limits.RampFor)
 	for len(t.queue) > 0 && len(t.running) < slots {
 		w := t.queue[0]
-		if w.request.latest() <= p.now {
+		if w.leaveAt <= p.now {
 			p.refuseQueued(w, verdict.QueueDeadline)
 			continue
 		}
--- a/internal/admission/event.go
+++ b/internal/admission/event.go
@@ -19,6 +19,10 @@
 	EventFenceDropped
 	// EventAnswerDropped means that an answer was dropped before it was collected. Attempt is set.
 	EventAnswerDropped
+	// EventDoubted means that a target has become doubtful. Target and Evidence are set.
+	EventDoubted
+	// EventTrusted means that a doubtful target has given the good answers that it needed. Target and Evidence are set.
+	EventTrusted
 )
 
 // Event is returned by Expire.
@@ -28,4 +32,6 @@
 	Target  model.TargetID
 	Grant   Grant
 	Err     *verdict.Error
+	// Evidence is the run that changed the judgement of the target.
+	Evidence Evidence
 }
--- a/internal/admission/expire.go
+++ b/internal/admission/expire.go
@@ -48,7 +48,7 @@
 // refuseLate refuses the queued attempts whose time has passed.
 func (p *Point) refuseLate(now time.Duration, t *target) {
 	for i := 0; i < len(t.queue); {
-		if t.queue[i].request.latest() > now {
+		if t.queue[i].leaveAt > now {
 			i++
 			continue
 		}
--- a/internal/admission/finish.go
+++ b/internal/admission/finish.go
@@ -39,20 +39,48 @@
 // judge takes the end of a run as evidence about its target.
 func (p *Point) judge(w *work, result Result, run time.Duration) {
 	t := w.target
+	if result.Outcome == Answered && !result.Failed {
+		t.runTimes.add(w.request.Route, run)
+	}
 	switch {
+	case w.overdue:
+	case result.Failed && result.Outcome == Answered:
+		p.accuse(w, run, t.health.answeredFailure)
 	case result.Failed, result.Outcome == Shed:
-		if !w.overdue {
-			t.health.failed(p.active())
-		}
+		p.accuse(w, run, t.health.failed)
 	case result.Outcome == Answered:
-		t.runTimes.add(w.request.Route, run)
-		if !w.overdue {
-			t.health.succeeded(p.active())
-		}
+		p.acquit(w, run)
 	}
 	p.refuseDoubtful(t)
 }
 
+// accuse counts a failed or overdue run against its target.
+func (p *Point) accuse(w *work, run time.Duration, count func(now time.Duration)) {
+	t := w.target
+	before := t.health.doubtful
+	count(p.active())
+	if !before && t.health.doubtful {
+		p.pending = append(p.pending, Event{Kind: EventDoubted, Target: t.Target, Evidence: p.evidence(w, run)})
+	}
+}
+
+// acquit counts a good answer for its target.
+func (p *Point) acquit(w *work, run time.Duration) {
+	t := w.target
+	before := t.health.doubtful
+	t.health.succeeded(p.active())
+	if before && !t.health.doubtful {
+		p.pending = append(p.pending, Event{Kind: EventTrusted, Target: t.Target, Evidence: p.evidence(w, run)})
+	}
+}
+
+func (p *Point) evidence(w *work, run time.Duration) Evidence {
+	return Evidence{
+		Attempt: w.request.Attempt, Route: w.request.Route, Overdue: w.overdue,
+		Run: run, Limit: p.overdueAfter(w), Proofs: w.target.doubt(),
+	}
+}
+
 // OverdueAfter returns how long an admitted attempt may run before it is overdue, 0 if that cannot be told.
 func (p *Point) OverdueAfter(attempt model.AttemptID) time.Duration {
 	r := p.records[attempt]
@@ -75,7 +103,7 @@
 			continue
 		}
 		w.overdue = true
-		t.health.failed(p.active())
+		p.accuse(w, p.active()-w.started, t.health.failed)
 	}
 	p.refuseDoubtful(t)
 }
--- a/internal/admission/health.go
+++ b/internal/admission/health.go
@@ -9,6 +9,9 @@
 	maxProbePause = 1600 * time.Millisecond
 	// maxProofs bounds the good answers in a row by which a doubtful target returns.
 	maxProofs = 4
+	// maxStrikes is the number of answers with a failure status, less the good ones since, that makes a target doubtful. One
+	// such answer says little: the target may have failed because a call of its own did.
+	maxStrikes = 2
 	// relapseTime is the time after a return in which another failure asks for one more proof than the last time.
 	relapseTime = 4 * time.Second
 )
@@ -26,8 +29,18 @@
 	pause time.Duration
 	// probeAt is the active time from which the next probe may start.
 	probeAt time.Duration
-	// returned is the active time of the last return.
+	// since and returned are the active times of the last doubt and of the last return.
+	since    time.Duration
 	returned time.Duration
+	strikes  int
+}
+
+// answeredFailure takes in an answer with a failure status.
+func (h *health) answeredFailure(now time.Duration) {
+	h.strikes++
+	if h.doubtful || h.strikes >= maxStrikes {
+		h.failed(now)
+	}
 }
 
 // failed takes in a failed or overdue run.
@@ -44,6 +57,8 @@
 
 func (h *health) doubt(now time.Duration) {
 	h.doubtful = true
+	h.since = now
+	h.strikes = 0
 	if h.asked > 0 && now-h.returned < relapseTime {
 		h.asked = min(h.asked+1, maxProofs)
 	} else {
@@ -56,6 +71,7 @@
 
 // succeeded takes in a good answer that came in time.
 func (h *health) succeeded(now time.Duration) {
+	h.strikes = max(h.strikes-1, 0)
 	if !h.doubtful {
 		return
 	}
@@ -68,10 +84,10 @@
 	h.returned = now
 }
 
-// admits reports whether a request may start; running is the number of requests that run at the target.
-func (h *health) admits(now time.Duration, idempotent bool, running int) bool {
+// admits reports whether a request may start; probes is the number of runs that began since the target is doubtful.
+func (h *health) admits(now time.Duration, idempotent bool, probes int) bool {
 	if !h.doubtful {
 		return true
 	}
-	return idempotent && running == 0 && now >= h.probeAt
+	return idempotent && probes == 0 && now >= h.probeAt
 }
--- a/internal/admission/point.go
+++ b/internal/admission/point.go
@@ -111,7 +111,7 @@
 		Phase:    p.phase(t),
 		Reported: t.Load,
 		Doubt:    t.doubt(),
-		Wait:     t.waitFor(len(t.queue), max(1, t.rampSlots(p.active(), p.limits.RampFor))),
+		Wait:     p.waitFor(t, len(t.queue)),
 	}
 }
 
--- a/internal/admission/record.go
+++ b/internal/admission/record.go
@@ -14,6 +14,8 @@
 	// started is the active time of admission.
 	started time.Duration
 	queued  bool
+	// leaveAt is the time on the node's clock until which the request waits for a slot.
+	leaveAt time.Duration
 	// overdue means that the run was counted against the target because it takes too long.
 	overdue bool
 }
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -24,7 +24,10 @@
 	Route string
 	// Objective is the route's latency objective, 0 for none.
 	Objective time.Duration
-	// Rank orders requests that wait, 0 before all others.
+	// ObjectiveLeft is what is left of the objective when the request arrives.
+	ObjectiveLeft time.Duration
+	// Rank orders requests that wait, 0 before all others. Within a rank those with a shorter objective go first: they are
+	// short, and mostly calls on which a run at another target waits.
 	Rank int
 	// IdleOnly means that the request does not wait for a slot.
 	IdleOnly bool
@@ -39,7 +42,10 @@
 	if r.Bulk != other.Bulk {
 		return other.Bulk
 	}
-	return r.Rank < other.Rank
+	if r.Rank != other.Rank {
+		return r.Rank < other.Rank
+	}
+	return r.Objective < other.Objective
 }
 
 // latest returns the time from which the attempt is not admitted any more.
--- a/internal/admission/target.go
+++ b/internal/admission/target.go
@@ -61,9 +61,12 @@
 	return ""
 }
 
-// waitFor returns the expected wait for a slot behind the given number of queued attempts, 0 without a sample.
-func (t *target) waitFor(ahead, slots int) time.Duration {
-	return t.runTime * time.Duration(ahead+1) / time.Duration(slots)
+// usualRun returns the usual run time of the request's route, that of the target's other work if it is not known.
+func (t *target) usualRun(r *Request) time.Duration {
+	if usual := t.runTimes.usual(r.Route); usual > 0 {
+		return usual
+	}
+	return t.runTime
 }
 
 func (t *target) enqueue(w *work) {
@@ -77,6 +80,17 @@
 	return sort.Search(len(t.queue), func(i int) bool { return r.isBefore(&t.queue[i].request) })
 }
 
+// probes returns the number of runs that began since the target is doubtful.
+func (t *target) probes() int {
+	count := 0
+	for _, w := range t.running {
+		if w.started >= t.health.since {
+			count++
+		}
+	}
+	return count
+}
+
 // doubt returns the number of good answers that the target needs, 0 if it is not doubtful.
 func (t *target) doubt() int {
 	if !t.health.doubtful {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -53,6 +53,8 @@
 	DrainForced        = &Event{412, "drain_forced", Warning, "a target is drained below the floor by force", []Key{Target, Service, Slots, Floor}}
 	DrainRefused       = &Event{413, "drain_refused", Warning, "a drain is refused because of the floor", []Key{Target, Service, Slots, Floor}}
 	DrainEnded         = &Event{414, "drain_ended", Info, "a drained target is restored", []Key{Target, Service}}
+	TargetDoubted      = &Event{416, "target_doubted", Warning, "a run has failed or is overdue; the target gets a few idempotent requests alone", []Key{Target, Attempt, Route, Cause, Duration, Limit, Count}}
+	TargetTrusted      = &Event{417, "target_trusted", Info, "a doubtful target has answered well and takes all work again", []Key{Target, Attempt, Route, Duration, Limit}}
 	AnnounceRefused    = &Event{415, "announce_refused", Warning, "an announcement of an upstream is not valid", []Key{Address, Cause}}
 )
 
@@ -90,7 +92,7 @@
 	RegionReachable, LinkBudgetSpent, TargetAnnounced, TargetPhaseChanged,
 	TargetMissing, TargetSuspected, TargetEjected, TargetAvoided, TargetReturned,
 	TargetHeldDown, EjectionAtFloor, EjectionWithdrawn, DrainStarted, DrainForced,
-	DrainRefused, DrainEnded, AnnounceRefused, CrashAttributed, FingerprintQuarantined,
+	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, CrashAttributed, FingerprintQuarantined,
 	FingerprintReleased, ApplyAccepted, ApplyConflict, ApplyInForce, ApplyBehind,
 	OperatorDenied, OperatorCommand, ClaimOutcomeUnwritten, ClaimsCollected,
 	AnswersDropped,
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -90,3 +90,9 @@
 
 // BytesField gives a number of bytes.
 func BytesField(n int64) Field { return number(Bytes, n) }
+
+// LimitField gives the time span that a duration is compared with.
+func LimitField(d time.Duration) Field { return text(Limit, d.String()) }
+
+// RouteField names a route by its path.
+func RouteField(path string) Field { return text(Route, path) }
--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -23,5 +23,7 @@
 	Slots       Key = "slots"
 	Floor       Key = "floor_slots"
 	Duration    Key = "duration"
+	Limit       Key = "limit"
+	Route       Key = "route"
 	Bytes       Key = "bytes"
 )
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -59,6 +59,9 @@
 	// pathChanged is called when a node begins or ceases to be avoided.
 	pathChanged func()
 
+	// callFailures tells failures of the upstream beside the node from those of its calls.
+	callFailures callFailures
+
 	inFlight atomic.Int64
 	serial   atomic.Uint64
 	seed     uint64
@@ -129,6 +132,9 @@
 		out = newDelivery(sink, onceHoldBytes)
 		err = a.serveNonIdempotent(r, rq, out)
 	}
+	if err != nil || out.status() >= http.StatusInternalServerError {
+		a.callFailures.note(a.clock.now())
+	}
 	if err == nil {
 		return
 	}
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -30,6 +30,8 @@
 	// mayTry rules on attempts at targets on trial.
 	mayTry  func(target model.TargetID, idempotent bool) trialRuling
 	crashes *crashes
+	// judged is told the changes in the judgement of targets.
+	judged func(admission.Event)
 	// dropped is told the attempts whose answer was dropped before it was collected.
 	dropped func(model.AttemptID)
 
@@ -46,6 +48,7 @@
 		upstreams:   upstreams,
 		crashes:     crashes,
 		observe:     func(observation) {},
+		judged:      func(admission.Event) {},
 
 		countsAgainst: func(observation) bool { return false },
 
@@ -153,6 +156,8 @@
 			missing = append(missing, e.Target)
 		case admission.EventAnswerDropped:
 			a.dropped(e.Attempt)
+		case admission.EventDoubted, admission.EventTrusted:
+			a.judged(e)
 		}
 	}
 	return missing
@@ -218,8 +223,11 @@
 		Route:       head.Route,
 		Objective:   time.Duration(head.ObjectiveMs) * time.Millisecond,
 		Rank:        int(head.Rank),
-		IdleOnly:    head.IdleOnly,
-		LastResort:  head.LastResort,
+
+		ObjectiveLeft: time.Duration(head.ObjectiveLeftMs) * time.Millisecond,
+
+		IdleOnly:   head.IdleOnly,
+		LastResort: head.LastResort,
 	})
 	if d.Kind == admission.Queued {
 		a.waiting[attempt] = ch
@@ -350,4 +358,5 @@
 	defer a.mu.Unlock()
 	delete(a.running, attempt)
 	a.handleGrants(a.point.Finish(a.clock.now(), attempt, result))
+	a.handleEvents(a.point.Events())
 }
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -216,7 +216,8 @@
 	head.AcceptingNode = string(a.self.ID)
 	head.TimeoutMs = rq.remaining().Milliseconds()
 	head.ObjectiveMs = rq.match.Route.ObjectiveMS
-	head.IdleOnly = choice.Mode == placement.IdleOnly
+	head.ObjectiveLeftMs = (rq.objective() - time.Since(rq.started)).Milliseconds()
+	head.IdleOnly = choice.Mode != placement.Queue
 	head.LastResort = choice.Mode == placement.LastResort
 	head.LeaveOverdue = leave
 	if rq.idempotent() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,9 +89,10 @@
 		return nil, err
 	}
 	n.control = newControl(n)
-	n.admitter.countsAgainst = n.control.detection.failed
+	n.admitter.countsAgainst = n.countsAgainst
 	n.admitter.observe = n.control.detection.observe
 	n.admitter.mayTry = n.control.detection.mayTry
+	n.admitter.judged = n.logJudgement
 	n.admitter.dropped = func(id model.AttemptID) { log.Emit(events.AnswersDropped, events.CountField(1)) }
 	n.acceptor.pathChanged = n.views.invalidate
 	n.views.publish()
@@ -306,6 +307,14 @@
 	n.control.wake()
 }
 
+// countsAgainst reports whether the end of an attempt counts against its target.
+func (n *Node) countsAgainst(o observation) bool {
+	if !n.control.detection.failed(o) {
+		return false
+	}
+	return o.result.Outcome != upstream.Answered || !n.acceptor.callFailures.explain(n.clock.now())
+}
+
 // countPeerBytes counts the bytes on connections to other nodes.
 func (n *Node) countPeerBytes(address, purpose string, sent bool, bytes int) {
 	direction := metrics.Received
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -3,12 +3,33 @@
 import (
 	"strings"
 
+	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/admission"
 	"github.com/sardinereach/sardinereach/internal/config"
 	"github.com/sardinereach/sardinereach/internal/distribution"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
+// logJudgement logs that a target beside this node has become doubtful or is trusted again.
+func (n *Node) logJudgement(e admission.Event) {
+	run := e.Evidence
+	fields := []events.Field{
+		events.TargetField(e.Target), events.AttemptField(run.Attempt), events.RouteField(run.Route),
+		events.DurationField(run.Run), events.LimitField(run.Limit),
+	}
+	if e.Kind == admission.EventTrusted {
+		n.log.Emit(events.TargetTrusted, fields...)
+		return
+	}
+	cause := "failed"
+	if run.Overdue {
+		cause = "overdue"
+	}
+	n.log.Emit(events.TargetDoubted, append(fields, events.CauseField(errors.New(cause)), events.CountField(run.Proofs))...)
+}
+
 // reportDistribution logs what happens in the exchange of records and documents.
 func (n *Node) reportDistribution(e distribution.Event) {
 	service := model.ServiceName(strings.TrimPrefix(e.Key, config.ServicePrefix))
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -1,6 +1,6 @@
 // Package placement chooses the targets that a request is offered to, one after the other. An admission point refuses in
-// a round trip and at no cost to its target, so a request asks for free slots first, in its own failure domain, its own
-// region and then elsewhere, and waits only where that is shorter than the way to another region. The package is pure.
+// a round trip and at no cost to its target, so a request asks for free slots first, in its own failure domain and then in
+// its own region, waits where the queue is shortest, and goes to another region last. The package is pure.
 //
 // It answers the load at which some targets of a service hang for seconds and the others are nearly full: figures about
 // load that are a second old tell too little then.
@@ -9,23 +9,25 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"github.com/sardinereach/sardinereach/internal/routing"
 )
 
 const (
-	// maxRemoteAsks bounds the targets of other regions that are asked for a free slot. Each costs a long round trip.
-	maxRemoteAsks = 3
-	// maxLocalAsks bounds the targets of the own region that are asked for a free slot.
-	maxLocalAsks = 12
+	// maxDomainAsks bounds the targets of the own failure domain that are asked for a free slot.
+	maxDomainAsks = 12
+	// maxRegionAsks bounds those of the other failure domains of the region, where bytes are paid for.
+	maxRegionAsks = 2
+	// maxRemoteAsks bounds the targets of other regions that are asked. The round trip takes tens of milliseconds, and
+	// bytes cost most.
+	maxRemoteAsks = 1
 	// maxQueueAsks bounds the targets that are asked for a place in their queue.
-	maxQueueAsks = 3
+	maxQueueAsks = 2
 	// maxLastResorts bounds the doubtful targets that are asked to take the request all the same.
 	maxLastResorts = 2
-	// remoteWait is the wait that a request takes in its own region rather than to cross to another one, where the round
-	// trip takes tens of milliseconds and the bytes are paid for.
-	remoteWait = 120 * time.Millisecond
+	// slightDoubt is the doubt up to which a doubtful target is asked while others are merely full. It needs one more good
+	// answer, so that a request is more likely to be served there than not.
+	slightDoubt = 1
 	// probeShare is the share of idempotent requests that ask targets that are known to be doubtful like any others.
 	probeShare = 0.25
 )
@@ -34,10 +36,12 @@
 type Plan struct {
 	entries []entry
 	last    int
-	remote  int
-	local   int
-	queued  int
-	forced  int
+	// asks counts the asks for a free slot by distance.
+	asks   [routing.OtherRegion + 1]int
+	queued int
+	forced int
+	// full means that a target that is not doubtful was full.
+	full bool
 }
 
 type entry struct {
@@ -99,19 +103,16 @@
 
 // Next returns the target to ask next, false if none is left that may take the request.
 func (p *Plan) Next() (Choice, bool) {
-	if i := p.nextIdle(false); i != none {
-		p.local++
+	if i := p.nextIdle(); i != none {
 		return p.choose(i, IdleOnly), true
 	}
-	if i := p.shortestWait(false); i != none && p.entries[i].refusal.Wait <= remoteWait {
-		return p.chooseQueue(i), true
-	}
-	if i := p.nextIdle(true); i != none {
-		p.remote++
-		return p.choose(i, IdleOnly), true
+	if i := p.shortestWait(); i != none {
+		p.queued++
+		p.entries[i].closed = true
+		return p.choose(i, Queue), true
 	}
-	if i := p.shortestWait(true); i != none {
-		return p.chooseQueue(i), true
+	if i := p.nextRemote(); i != none {
+		return p.choose(i, Queue), true
 	}
 	if i := p.leastDoubt(); i != none {
 		p.forced++
@@ -127,37 +128,44 @@
 	return Choice{Candidate: p.entries[i].candidate, Mode: mode}
 }
 
-func (p *Plan) chooseQueue(i int) Choice {
-	p.queued++
-	p.entries[i].closed = true
-	return p.choose(i, Queue)
-}
+// maxAsks bounds the asks for a free slot by distance.
+var maxAsks = [...]int{routing.SameDomain: maxDomainAsks, routing.SameRegion: maxRegionAsks, routing.OtherRegion: maxRemoteAsks}
 
-// nextIdle returns the first target that was not asked yet, in the own region or in others.
-func (p *Plan) nextIdle(remote bool) int {
-	if remote && p.remote >= maxRemoteAsks || !remote && p.local >= maxLocalAsks {
-		return none
+// nextIdle returns the first target of the own region that was not asked yet.
+func (p *Plan) nextIdle() int {
+	for i := range p.entries {
+		if e := &p.entries[i]; e.candidate.Distance != routing.OtherRegion && p.mayAsk(e) {
+			p.asks[e.candidate.Distance]++
+			return i
+		}
 	}
+	return none
+}
+
+// nextRemote returns the first target of another region that was not asked yet.
+func (p *Plan) nextRemote() int {
 	for i := range p.entries {
-		e := &p.entries[i]
-		if !e.asked && !e.closed && e.isRemote() == remote {
+		if e := &p.entries[i]; e.candidate.Distance == routing.OtherRegion && p.mayAsk(e) {
+			p.asks[e.candidate.Distance]++
 			return i
 		}
 	}
 	return none
 }
 
-func (e *entry) isRemote() bool { return e.candidate.Distance == routing.OtherRegion }
+func (p *Plan) mayAsk(e *entry) bool {
+	return !e.asked && !e.closed && p.asks[e.candidate.Distance] < maxAsks[e.candidate.Distance]
+}
 
 // shortestWait returns the full target with the shortest queue, doubtful ones left out.
-func (p *Plan) shortestWait(remote bool) int {
+func (p *Plan) shortestWait() int {
 	best := none
 	if p.queued >= maxQueueAsks {
 		return none
 	}
 	for i := range p.entries {
 		e := &p.entries[i]
-		if !e.asked || e.closed || !e.refusal.Full || e.refusal.Doubt > 0 || e.isRemote() && !remote {
+		if !e.asked || e.closed || !e.refusal.Full || e.refusal.Doubt > 0 {
 			continue
 		}
 		if best == none || e.refusal.Wait < p.entries[best].refusal.Wait {
@@ -175,7 +183,7 @@
 	}
 	for i := range p.entries {
 		e := &p.entries[i]
-		if !e.asked || e.closed || e.refusal.Doubt == 0 {
+		if !e.asked || e.closed || e.refusal.Doubt == 0 || p.full && e.refusal.Doubt > slightDoubt {
 			continue
 		}
 		if best == none || e.refusal.Doubt < p.entries[best].refusal.Doubt {
@@ -192,6 +200,7 @@
 	}
 	e := &p.entries[p.last]
 	e.refusal = refusal
+	p.full = p.full || refusal.Full && refusal.Doubt == 0
 	if !refusal.Full && refusal.Doubt == 0 {
 		e.closed = true
 	}
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -17,9 +17,9 @@
 	// MaxHops is the number of targets that a request goes on to without backoff after refusals by admission points. It is
 	// above what the package placement asks, so that a fault there cannot make a request go round for ever.
 	MaxHops = 24
-	// MaxWaits is the number of pauses after rounds in which every target refused the request. Their delays add up to 0.2 s
-	// on average, in which targets that were doubtful for a moment or full have changed.
-	MaxWaits = 4
+	// MaxWaits is the number of pauses after rounds in which every target refused the request. A second round finds what
+	// has changed meanwhile; more would hold what cannot be served.
+	MaxWaits = 1
 	// MinAttemptTime is the least time that has to remain for another attempt.
 	MinAttemptTime = 10 * time.Millisecond
 )
