Hedge overdue requests, and keep departed targets out

Cause: an overdue run that was given up before another target had taken the request lost it when none did, also after a SIGTERM (LOST); a heartbeat that came again after a target's departure brought the target back (DRAIN); SIGHUP ended the daemon (LOST). Ruled out: giving up only while the node is not stopping, which still loses slow requests. Change: the admitting node tells that a run is overdue, the accepting node offers the request to a second target and takes the first whole answer; departures are remembered; SIGHUP checks the settings file.

--- a/cmd/sardinereachd/main.go
+++ b/cmd/sardinereachd/main.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -77,6 +78,7 @@
 		return exitFailed
 	}
 	go shutDownOnSignal(n)
+	go readAgainOnSignal(config, s, log)
 	if err := n.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -91,3 +93,21 @@
 	<-signals
 	n.Shutdown()
 }
+
+// readAgainOnSignal checks the settings file on SIGHUP and logs whether it has changed. Listeners and identity hold for
+// the life of a process, so that changes take effect at the next start.
+func readAgainOnSignal(config string, present *settings.Settings, log *events.Log) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for range signals {
+		read, err := settings.Load(config)
+		outcome := "unchanged"
+		switch {
+		case err != nil:
+			outcome = "not valid, the present ones stay"
+		case !reflect.DeepEqual(read, present):
+			outcome = "changed"
+		}
+		log.Emit(events.SettingsRead, events.NodeField(present.Node.ID), events.TextOutcomeField(outcome), events.CauseField(err))
+	}
+}
--- a/internal/admission/announce.go
+++ b/internal/admission/announce.go
@@ -19,7 +19,7 @@
 		return err
 	}
 	a.Load = clampLoad(a.Load)
-	if p.isReplaced(&a) {
+	if p.isReplaced(&a) || p.hasLeft(&a) {
 		return nil
 	}
 	p.forgetReplaced(&a)
@@ -71,12 +71,25 @@
 	}
 }
 
+// hasLeft reports whether the target said that it leaves after the start that the announcement is of. An announcement that
+// was held up on its way must not bring the target back.
+func (p *Point) hasLeft(a *Announcement) bool {
+	d, ok := p.departed[a.Target]
+	return ok && a.Born <= d.born
+}
+
 // Leave takes in that a target leaves without a further announcement. born is the time of its start, 0 if it is not
 // told. A target that has started again since stays.
 func (p *Point) Leave(now time.Duration, id model.TargetID, born int64) {
 	p.advance(now)
 	t := p.targets[id]
-	if t == nil || born != 0 && born < t.Born {
+	if t != nil && born == 0 {
+		born = t.Born
+	}
+	if born != 0 {
+		p.departed[id] = departure{born: born, at: p.now}
+	}
+	if t == nil || born < t.Born {
 		return
 	}
 	t.Phase = model.PhaseLeaving
--- a/internal/admission/announcement.go
+++ b/internal/admission/announcement.go
@@ -27,12 +27,12 @@
 	Born int64
 }
 
-// isLate reports whether the announcement was sent before one that has arrived.
+// isLate reports whether the announcement was sent before one that has arrived, or is the same one again.
 func (a *Announcement) isLate(known *Announcement) bool {
 	if a.Born != known.Born {
 		return a.Born < known.Born
 	}
-	return a.Sequence != 0 && a.Sequence < known.Sequence
+	return a.Sequence != 0 && a.Sequence <= known.Sequence
 }
 
 func (a *Announcement) validate() error {
--- a/internal/admission/expire.go
+++ b/internal/admission/expire.go
@@ -26,6 +26,7 @@
 	if now-p.swept >= sweepEvery {
 		p.swept = now
 		p.watermarks.sweep(now)
+		p.forgetDepartures()
 	}
 	return p.Events()
 }
--- a/internal/admission/point.go
+++ b/internal/admission/point.go
@@ -26,6 +26,7 @@
 	targets     map[model.TargetID]*target
 	// drained holds the targets that an operator drains, announced or not.
 	drained  map[model.TargetID]bool
+	departed map[model.TargetID]departure
 	stopping bool
 	records  map[model.AttemptID]*record
 	// ended orders the records of ended, refused and fenced attempts by their expiry.
@@ -49,6 +50,7 @@
 		incarnation: incarnation,
 		targets:     make(map[model.TargetID]*target),
 		drained:     make(map[model.TargetID]bool),
+		departed:    make(map[model.TargetID]departure),
 		records:     make(map[model.AttemptID]*record),
 		watermarks:  make(watermarks),
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -8,6 +8,7 @@
 	NodeStopped    = &Event{104, "node_stopped", Info, "the node has shut down", []Key{Node, Duration}}
 	GraceExceeded  = &Event{105, "grace_exceeded", Error, "the shutdown grace has passed with requests in flight", []Key{Node, Count, Duration}}
 	ListenerFailed = &Event{107, "listener_failed", Error, "a listener could not be opened or has failed", []Key{Address, Operation, Cause}}
+	SettingsRead   = &Event{109, "settings_read", Info, "the settings file was read again; changes take effect at the next start", []Key{Node, Outcome, Cause}}
 	PanicRecovered = &Event{108, "panic_recovered", Error, "a panic was recovered; the affected request failed", []Key{Operation, Cause}}
 )
 
@@ -55,6 +56,7 @@
 	DrainEnded         = &Event{414, "drain_ended", Info, "a drained target is restored", []Key{Target, Service}}
 	TargetDoubted      = &Event{416, "target_doubted", Warning, "a run has failed or is overdue; the target gets a few idempotent requests alone", []Key{Target, Attempt, Route, Cause, Duration, Limit, Count}}
 	TargetTrusted      = &Event{417, "target_trusted", Info, "a doubtful target has answered well and takes all work again", []Key{Target, Attempt, Route, Duration, Limit}}
+	RequestHedged      = &Event{418, "request_hedged", Info, "a run takes much longer than usual; the request is offered to another target as well", []Key{Request, Service}}
 	AnnounceRefused    = &Event{415, "announce_refused", Warning, "an announcement of an upstream is not valid", []Key{Address, Cause}}
 )
 
@@ -85,14 +87,14 @@
 // fixed lists the events that belong to no reason, in the order of their numbers.
 var fixed = []*Event{
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, GraceExceeded,
-	ListenerFailed, PanicRecovered, StoreUnavailable, StoreRecovered,
+	ListenerFailed, PanicRecovered, SettingsRead, StoreUnavailable, StoreRecovered,
 	StoreOutcomeUnknown, ConfigApplied, ConfigInvalid, ConfigStale,
 	WatcherStarted, WatcherStopped, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
 	RegionReachable, LinkBudgetSpent, TargetAnnounced, TargetPhaseChanged,
 	TargetMissing, TargetSuspected, TargetEjected, TargetAvoided, TargetReturned,
 	TargetHeldDown, EjectionAtFloor, EjectionWithdrawn, DrainStarted, DrainForced,
-	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, CrashAttributed, FingerprintQuarantined,
+	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, RequestHedged, CrashAttributed, FingerprintQuarantined,
 	FingerprintReleased, ApplyAccepted, ApplyConflict, ApplyInForce, ApplyBehind,
 	OperatorDenied, OperatorCommand, ClaimOutcomeUnwritten, ClaimsCollected,
 	AnswersDropped,
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -96,3 +96,9 @@
 
 // RouteField names a route by its path.
 func RouteField(path string) Field { return text(Route, path) }
+
+// RequestField gives the ID that the caller gave a request.
+func RequestField(id string) Field { return text(Request, id) }
+
+// TextOutcomeField says what became of an operation that is no request.
+func TextOutcomeField(outcome string) Field { return text(Outcome, outcome) }
--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -24,6 +24,7 @@
 	Floor       Key = "floor_slots"
 	Duration    Key = "duration"
 	Limit       Key = "limit"
+	Request     Key = "request"
 	Route       Key = "route"
 	Bytes       Key = "bytes"
 )
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -267,22 +267,26 @@
 
 // runIdempotent runs an admitted attempt. It ends when the accepting node cancels.
 func (a *admitter) runIdempotent(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink peer.Sink, ruling trialRuling) *peerv1.AnswerTrailer {
-	a.limitOverdue(head)
+	if timer := a.watchOverdue(head, sink); timer != nil {
+		defer timer.Stop()
+	}
 	result := a.upstreams.Run(ctx, address, head, body, a.track(head, sink))
 	return a.finish(address, head, result, nil, ruling)
 }
 
-// limitOverdue makes an attempt that may be repeated elsewhere end when it is overdue.
-func (a *admitter) limitOverdue(head *peerv1.ForwardHead) {
-	if !head.LeaveOverdue {
-		return
+// watchOverdue tells the accepting node when the attempt is overdue, so that it can try another target as well. The timer
+// is nil if there is nothing to tell.
+func (a *admitter) watchOverdue(head *peerv1.ForwardHead, sink peer.Sink) *time.Timer {
+	if !head.ReportOverdue {
+		return nil
 	}
 	a.mu.Lock()
-	limit := a.point.OverdueAfter(model.AttemptID(head.Attempt)).Milliseconds()
+	limit := a.point.OverdueAfter(model.AttemptID(head.Attempt))
 	a.mu.Unlock()
-	if limit > 0 && (head.ProgressTimeoutMs == 0 || limit < head.ProgressTimeoutMs) {
-		head.ProgressTimeoutMs = limit
+	if limit == 0 {
+		return nil
 	}
+	return time.AfterFunc(limit, func() { peer.ReportOverdue(sink) })
 }
 
 // runOnce runs an admitted non-idempotent attempt. It goes on when the accepting node is gone, and holds the answer, so
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -41,8 +41,7 @@
 		}
 		choice, err := a.pick(rq, service, plan, &tried)
 		if err == nil {
-			leave := rq.idempotent() && in.MayRepeat() && budget.available(a.clock.now()) > 0
-			err = a.attempt(ctx, rq, choice, leave, g, out)
+			err = a.attemptOrHedge(ctx, rq, choice, &in, budget, g, out)
 		}
 		if out.committed {
 			return err
@@ -206,9 +205,20 @@
 	return 0
 }
 
-// attempt runs the request at one target. The answer is whole if there is no error. leave means that another target may
-// try if this one takes too long.
-func (a *acceptor) attempt(ctx context.Context, rq *request, choice placement.Choice, leave bool, g gate, out *delivery) *verdict.Error {
+// attemptOrHedge runs the request at the chosen target and, if that may be done twice and takes too long, at another one
+// beside it.
+func (a *acceptor) attemptOrHedge(ctx context.Context, rq *request, choice placement.Choice, in *retry.Input, budget *lockedBudget, g gate, out *delivery) *verdict.Error {
+	if !rq.idempotent() || !in.MayRepeat() {
+		return a.attempt(ctx, rq, choice, g, out)
+	}
+	h := &hedge{acceptor: a, rq: rq, budget: budget, out: out, results: make(chan hedgeResult, maxRunners)}
+	err := h.run(ctx, choice)
+	in.Attempt += h.extra
+	return err
+}
+
+// attempt runs the request at one target. The answer is whole if there is no error.
+func (a *acceptor) attempt(ctx context.Context, rq *request, choice placement.Choice, g gate, out *delivery) *verdict.Error {
 	c := choice.Candidate
 	head := proto.Clone(rq.head).(*peerv1.ForwardHead)
 	head.Attempt = string(a.nextAttempt())
@@ -219,8 +229,9 @@
 	head.ObjectiveLeftMs = (rq.objective() - time.Since(rq.started)).Milliseconds()
 	head.IdleOnly = choice.Mode != placement.Queue
 	head.LastResort = choice.Mode == placement.LastResort
-	head.LeaveOverdue = leave
-	if rq.idempotent() {
+	head.ReportOverdue = out.overdue != nil
+	// A route with an objective is hedged instead, which ends no run before another one has answered.
+	if rq.idempotent() && head.ObjectiveMs == 0 {
 		head.ProgressTimeoutMs = progressTimeout(rq.head.FirstByteMs, head.TimeoutMs, c.Target.FirstByte).Milliseconds()
 	}
 	out.restart(head.Attempt, a.crossBytes(c))
--- a/internal/node/delivery.go
+++ b/internal/node/delivery.go
@@ -38,7 +38,12 @@
 	crossBytes func(int)
 
 	// asIs means that the answer comes from a node that has added the headers for the caller.
-	asIs      bool
+	asIs bool
+	// overdue is called when the attempt takes much longer than usual; nil if nothing can be done about it.
+	overdue func()
+	// mayCommit reports whether the answer may be passed on; nil means that it always may.
+	mayCommit func() bool
+
 	attempt   string
 	head      *peerv1.AnswerHead
 	held      []byte
@@ -100,6 +105,9 @@
 	if d.committed {
 		return nil
 	}
+	if d.mayCommit != nil && !d.mayCommit() {
+		return errSuperseded
+	}
 	d.committed = true
 	if err := d.next.Head(d.finalHead()); err != nil {
 		return err
@@ -112,6 +120,16 @@
 	return err
 }
 
+// errSuperseded ends an attempt whose request is answered by another one.
+var errSuperseded = errors.New("node: another attempt has answered the request")
+
+// Overdue implements peer.OverdueSink.
+func (d *delivery) Overdue() {
+	if d.overdue != nil {
+		d.overdue()
+	}
+}
+
 // finalHead returns the head with the headers that tell the caller the verdict.
 func (d *delivery) finalHead() *peerv1.AnswerHead {
 	if d.asIs {
--- a/internal/node/locked_budget.go
+++ b/internal/node/locked_budget.go
@@ -26,10 +26,11 @@
 	l.budget.Request(now)
 }
 
-func (l *lockedBudget) available(now time.Duration) int {
+// take draws one retry and reports whether there was one.
+func (l *lockedBudget) take(now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.budget.Available(now)
+	return l.budget.Take(now)
 }
 
 func (l *lockedBudget) decide(in retry.Input, now time.Duration, rng *rand.Rand) retry.Decision {
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -57,6 +57,9 @@
 }
 
 func (x *exchange) deliver(frame *peerv1.AnswerFrame) error {
+	if frame.Overdue {
+		ReportOverdue(x.sink)
+	}
 	if frame.Head != nil {
 		x.headSeen = true
 		if err := x.sink.Head(frame.Head); err != nil {
--- a/internal/peer/sink.go
+++ b/internal/peer/sink.go
@@ -8,3 +8,16 @@
 	Head(*peerv1.AnswerHead) error
 	Body([]byte) error
 }
+
+// OverdueSink is a Sink that wants to know when its attempt takes much longer than usual. Overdue may be called while
+// another method runs; it does not block.
+type OverdueSink interface {
+	Overdue()
+}
+
+// ReportOverdue tells the sink that its attempt is overdue, if it wants to know.
+func ReportOverdue(sink Sink) {
+	if s, ok := sink.(OverdueSink); ok {
+		s.Overdue()
+	}
+}
--- a/internal/peer/stream_sink.go
+++ b/internal/peer/stream_sink.go
@@ -96,6 +96,19 @@
 	return s.stream.Send(frame)
 }
 
+// Overdue implements OverdueSink.
+func (s *streamSink) Overdue() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
+	// As in tick, a failure shows with the next frame.
+	if s.stream.Send(&peerv1.AnswerFrame{Overdue: true}) == nil {
+		_ = s.flusher.RawFlush()
+	}
+}
+
 // Head implements Sink.
 func (s *streamSink) Head(head *peerv1.AnswerHead) error {
 	return s.send(&peerv1.AnswerFrame{Head: head})
