Send bodies to other failure domains on admission, queue in the own domain first

Change: bodies above 512 bytes follow a frame that tells that the attempt is admitted; a wait of up to 15% of the objective in the own domain goes before asking in others.

--- a/internal/admission/finish.go
+++ b/internal/admission/finish.go
@@ -131,6 +131,8 @@
 		p.end(w, StateRefused, verdict.UpstreamShed)
 	case Unreachable:
 		p.end(w, StateRefused, verdict.UpstreamUnreachable)
+	case Withdrawn:
+		p.end(w, StateRefused, verdict.CallerGone)
 	case Lost:
 		p.end(w, StateLost, verdict.UpstreamLost)
 	default:
--- a/internal/admission/outcome.go
+++ b/internal/admission/outcome.go
@@ -12,6 +12,8 @@
 	Lost
 	// Unreachable means that no connection to the upstream was opened, so that the request was not run.
 	Unreachable
+	// Withdrawn means that the attempt ended before it was sent to the upstream, so that it was not run.
+	Withdrawn
 	// Cancelled means that the caller or a deadline ended the attempt while it may have been running.
 	Cancelled
 )
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -234,7 +234,7 @@
 func (a *acceptor) localForward(ctx context.Context, head *peerv1.ForwardHead, body []byte, out peer.Sink) *peerv1.AnswerTrailer {
 	head.Incarnation = uint64(a.self.Incarnation)
 	head.AdmitBeforeMs = (a.clock.now() + maxLocalAdmitAhead).Milliseconds()
-	trailer := a.admitter.run(ctx, head, body, out)
+	trailer := a.admitter.run(ctx, head, peer.Bytes(body), out)
 	if !head.Idempotent {
 		a.admitter.collected(head.Attempt)
 	}
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -178,7 +178,7 @@
 }
 
 // run runs one attempt and passes its answer to sink. It returns the trailer of the answer.
-func (a *admitter) run(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink peer.Sink) *peerv1.AnswerTrailer {
+func (a *admitter) run(ctx context.Context, head *peerv1.ForwardHead, source peer.Body, sink peer.Sink) *peerv1.AnswerTrailer {
 	timeout := time.Duration(head.TimeoutMs) * time.Millisecond
 	deadline := a.clock.now() + timeout
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -192,11 +192,16 @@
 	}
 	ruling := a.mayTry(model.TargetID(head.Target), head.Idempotent)
 	if ruling == trialRefused {
-		a.end(head, admission.Result{Outcome: admission.Shed})
+		a.end(head, admission.Result{Outcome: admission.Withdrawn})
 		return a.trailer(head, verdict.Refused(verdict.TargetOnTrial, nil))
 	}
+	body, err := source()
+	if err != nil {
+		a.end(head, admission.Result{Outcome: admission.Withdrawn})
+		return a.trailer(head, verdict.Refused(verdict.BodyIncomplete, err))
+	}
 	if refusal := a.crashes.begin(head); refusal != nil {
-		a.end(head, admission.Result{Outcome: admission.Shed})
+		a.end(head, admission.Result{Outcome: admission.Withdrawn})
 		return a.trailer(head, refusal)
 	}
 	if head.Idempotent {
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -78,7 +78,7 @@
 	if service != nil {
 		pool = service.Pool
 	}
-	return placement.New(pool, tried, rq.idempotent(), rq.rng)
+	return placement.New(pool, tried, rq.idempotent(), rq.objective(), rq.rng)
 }
 
 // refusalOf returns what an admission point said about its target.
@@ -217,6 +217,10 @@
 	return err
 }
 
+// maxOfferBytes is the size up to which a body goes along when a target in another failure domain is asked for a free slot.
+// A larger one follows when the target has taken the request, because refusals would waste bytes that are paid for.
+const maxOfferBytes = 512
+
 // attempt runs the request at one target. The answer is whole if there is no error.
 func (a *acceptor) attempt(ctx context.Context, rq *request, choice placement.Choice, g gate, out *delivery) *verdict.Error {
 	c := choice.Candidate
@@ -230,6 +234,7 @@
 	head.IdleOnly = choice.Mode != placement.Queue
 	head.LastResort = choice.Mode == placement.LastResort
 	head.ReportOverdue = out.overdue != nil
+	head.BodyOnAdmission = head.IdleOnly && c.Distance != routing.SameDomain && len(rq.body) > maxOfferBytes
 	// A route with an objective is hedged instead, which ends no run before another one has answered.
 	if rq.idempotent() && head.ObjectiveMs == 0 {
 		head.ProgressTimeoutMs = progressTimeout(rq.head.FirstByteMs, head.TimeoutMs, c.Target.FirstByte).Milliseconds()
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -28,15 +28,19 @@
 }
 
 // Forward implements peer.Handler.
-func (h *handler) Forward(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink peer.Sink) (trailer *peerv1.AnswerTrailer) {
+func (h *handler) Forward(ctx context.Context, head *peerv1.ForwardHead, body peer.Body, sink peer.Sink) (trailer *peerv1.AnswerTrailer) {
 	defer h.recoverPanic("forward", &trailer)
 	return h.node.admitter.run(ctx, head, body, sink)
 }
 
 // Redeem implements peer.Handler.
-func (h *handler) Redeem(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink peer.Sink) (trailer *peerv1.AnswerTrailer) {
+func (h *handler) Redeem(ctx context.Context, head *peerv1.ForwardHead, body peer.Body, sink peer.Sink) (trailer *peerv1.AnswerTrailer) {
 	defer h.recoverPanic("redeem", &trailer)
-	return h.node.once.redeemForPeer(ctx, head, body, sink)
+	data, err := body()
+	if err != nil {
+		return &peerv1.AnswerTrailer{Verdict: int32(verdict.NotRun), Reason: string(verdict.BodyIncomplete)}
+	}
+	return h.node.once.redeemForPeer(ctx, head, data, sink)
 }
 
 // recoverPanic keeps a fault in the handling of one request from ending the daemon, as the HTTP server does for callers.
--- a/internal/peer/exchange.go
+++ b/internal/peer/exchange.go
@@ -17,10 +17,8 @@
 	if err := x.send(head, body); err != nil {
 		return nil, err
 	}
-	// The end of the client's side goes out with the request, so that the connection is free right after the answer. For
-	// a non-idempotent attempt it is the confirmation of the answer.
-	if head.Idempotent {
-		if err := x.stream.CloseSend(); err != nil {
+	if !head.BodyOnAdmission {
+		if err := x.endSending(head); err != nil {
 			return nil, err
 		}
 	}
@@ -31,6 +29,11 @@
 		if err != nil {
 			return nil, err
 		}
+		if frame.Proceed {
+			if err := x.sendBody(head, body); err != nil {
+				return nil, err
+			}
+		}
 		if err := x.deliver(frame); err != nil {
 			return nil, err
 		}
@@ -40,8 +43,34 @@
 	}
 }
 
+// endSending ends the client's side of an idempotent attempt. The end goes out with the request, so that the connection is
+// free right after the answer. For a non-idempotent attempt it is the confirmation of the answer.
+func (x *exchange) endSending(head *peerv1.ForwardHead) error {
+	if !head.Idempotent {
+		return nil
+	}
+	return x.stream.CloseSend()
+}
+
+// sendBody sends the body of an attempt that was admitted without it.
+func (x *exchange) sendBody(head *peerv1.ForwardHead, body []byte) error {
+	if err := x.sendFrom(new(peerv1.ForwardFrame), body); err != nil {
+		return err
+	}
+	return x.endSending(head)
+}
+
 func (x *exchange) send(head *peerv1.ForwardHead, body []byte) error {
-	frame := &peerv1.ForwardFrame{Head: head}
+	if head.BodyOnAdmission {
+		x.watchdog.Start()
+		defer x.watchdog.Stop()
+		return x.stream.Send(&peerv1.ForwardFrame{Head: head})
+	}
+	return x.sendFrom(&peerv1.ForwardFrame{Head: head}, body)
+}
+
+// sendFrom sends the frame with the beginning of the body, and the rest after it.
+func (x *exchange) sendFrom(frame *peerv1.ForwardFrame, body []byte) error {
 	for {
 		n := min(len(body), bodyChunkBytes)
 		frame.Body, body = body[:n], body[n:]
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -11,9 +11,9 @@
 	Hello(*peerv1.HelloRequest) *peerv1.HelloResponse
 	// Forward runs an attempt at a target of this node and returns the trailer of its answer. ctx ends when the
 	// accepting node cancels or its connection breaks.
-	Forward(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink Sink) *peerv1.AnswerTrailer
+	Forward(ctx context.Context, head *peerv1.ForwardHead, body Body, sink Sink) *peerv1.AnswerTrailer
 	// Redeem runs a request with a ticket that this node issued.
-	Redeem(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink Sink) *peerv1.AnswerTrailer
+	Redeem(ctx context.Context, head *peerv1.ForwardHead, body Body, sink Sink) *peerv1.AnswerTrailer
 	// Collected is called when the accepting node has confirmed the answer of a non-idempotent attempt.
 	Collected(attempt string)
 	Lookup(*peerv1.LookupRequest) *peerv1.LookupResponse
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -29,12 +29,20 @@
 	return &peerv1.HelloResponse{Node: "n", Incarnation: 7, ClockMs: 1000}
 }
 
-func (h *echoHandler) Forward(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink Sink) *peerv1.AnswerTrailer {
-	return h.run(ctx, head, body, sink)
+func (h *echoHandler) Forward(ctx context.Context, head *peerv1.ForwardHead, body Body, sink Sink) *peerv1.AnswerTrailer {
+	return h.runWith(ctx, head, body, sink)
 }
 
-func (h *echoHandler) Redeem(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink Sink) *peerv1.AnswerTrailer {
-	return h.run(ctx, head, body, sink)
+func (h *echoHandler) Redeem(ctx context.Context, head *peerv1.ForwardHead, body Body, sink Sink) *peerv1.AnswerTrailer {
+	return h.runWith(ctx, head, body, sink)
+}
+
+func (h *echoHandler) runWith(ctx context.Context, head *peerv1.ForwardHead, body Body, sink Sink) *peerv1.AnswerTrailer {
+	data, err := body()
+	if err != nil {
+		return &peerv1.AnswerTrailer{Verdict: int32(verdict.NotRun)}
+	}
+	return h.run(ctx, head, data, sink)
 }
 
 func (h *echoHandler) Collected(attempt string) { h.collected <- attempt }
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -23,7 +23,7 @@
 	Recv() (*peerv1.ForwardFrame, error)
 }
 
-type runFunc func(context.Context, *peerv1.ForwardHead, []byte, Sink) *peerv1.AnswerTrailer
+type runFunc func(context.Context, *peerv1.ForwardHead, Body, Sink) *peerv1.AnswerTrailer
 
 // Hello implements the generated interface.
 func (s *service) Hello(_ context.Context, req *peerv1.HelloRequest) (*peerv1.HelloResponse, error) {
@@ -79,7 +79,11 @@
 		return err
 	}
 	sink := newStreamSink(stream, s.opts.Progress)
-	trailer := run(stream.Context(), head, body, sink)
+	source := Bytes(body)
+	if head.BodyOnAdmission {
+		source = func() ([]byte, error) { return s.requestBody(stream, sink) }
+	}
+	trailer := run(stream.Context(), head, source, sink)
 	if err := sink.end(&peerv1.AnswerFrame{Trailer: trailer}); err != nil {
 		return err
 	}
@@ -101,6 +105,14 @@
 	errBodyTooLarge = errors.New("peer: request body over the limit")
 )
 
+// requestBody asks for the body of an attempt that was admitted and receives it.
+func (s *service) requestBody(stream serverStream, sink *streamSink) ([]byte, error) {
+	if err := sink.proceed(); err != nil {
+		return nil, err
+	}
+	return s.receiveBody(stream, new(peerv1.ForwardFrame))
+}
+
 func (s *service) receive(stream serverStream) (*peerv1.ForwardHead, []byte, error) {
 	frame, err := stream.Recv()
 	if err != nil {
@@ -109,18 +121,28 @@
 	if frame.Head == nil {
 		return nil, nil, errNoHead
 	}
-	head, body := frame.Head, frame.Body
+	if frame.Head.BodyOnAdmission {
+		return frame.Head, nil, nil
+	}
+	body, err := s.receiveBody(stream, frame)
+	return frame.Head, body, err
+}
+
+// receiveBody receives the rest of the body that begins with the frame.
+func (s *service) receiveBody(stream serverStream, frame *peerv1.ForwardFrame) ([]byte, error) {
+	body := frame.Body
 	for !frame.End {
+		var err error
 		if frame, err = stream.Recv(); err != nil {
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
-			return nil, nil, err
+			return nil, err
 		}
 		if len(body)+len(frame.Body) > s.maxBody {
-			return nil, nil, errBodyTooLarge
+			return nil, errBodyTooLarge
 		}
 		body = append(body, frame.Body...)
 	}
-	return head, body, nil
+	return body, nil
 }
--- a/internal/peer/stream_sink.go
+++ b/internal/peer/stream_sink.go
@@ -96,17 +96,22 @@
 	return s.stream.Send(frame)
 }
 
-// Overdue implements OverdueSink.
-func (s *streamSink) Overdue() {
+// Overdue implements OverdueSink. As in tick, a failure shows with the next frame.
+func (s *streamSink) Overdue() { _ = s.sendNow(&peerv1.AnswerFrame{Overdue: true}) }
+
+// proceed tells the accepting node to send the body.
+func (s *streamSink) proceed() error { return s.sendNow(&peerv1.AnswerFrame{Proceed: true}) }
+
+func (s *streamSink) sendNow(frame *peerv1.AnswerFrame) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended {
-		return
+		return nil
 	}
-	// As in tick, a failure shows with the next frame.
-	if s.stream.Send(&peerv1.AnswerFrame{Overdue: true}) == nil {
-		_ = s.flusher.RawFlush()
+	if err := s.stream.Send(frame); err != nil {
+		return err
 	}
+	return s.flusher.RawFlush()
 }
 
 // Head implements Sink.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -9,6 +9,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/sardinereach/sardinereach/internal/routing"
 )
@@ -28,6 +29,9 @@
 	// slightDoubt is the doubt up to which a doubtful target is asked while others are merely full. It needs one more good
 	// answer, so that a request is more likely to be served there than not.
 	slightDoubt = 1
+	// comfortShare is the part of its latency objective that a request waits in its own failure domain rather than to ask
+	// in another one.
+	comfortShare = 0.15
 	// probeShare is the share of idempotent requests that ask targets that are known to be doubtful like any others.
 	probeShare = 0.25
 )
@@ -40,6 +44,8 @@
 	asks   [routing.OtherRegion + 1]int
 	queued int
 	forced int
+	// comfort is the wait that a request takes in its own failure domain before it asks in others.
+	comfort time.Duration
 	// full means that a target that is not doubtful was full.
 	full bool
 }
@@ -56,9 +62,9 @@
 
 const none = -1
 
-// New returns the plan for a request. Targets in tried are left out.
-func New(pool *routing.Pool, tried *routing.Tried, idempotent bool, random *rand.Rand) *Plan {
-	p := &Plan{last: none}
+// New returns the plan for a request with the given latency objective. Targets in tried are left out.
+func New(pool *routing.Pool, tried *routing.Tried, idempotent bool, objective time.Duration, random *rand.Rand) *Plan {
+	p := &Plan{last: none, comfort: time.Duration(comfortShare * float64(objective))}
 	probe := idempotent && random.Float64() < probeShare
 	for candidate := range pool.All {
 		if tried.Has(candidate.Target.ID) {
@@ -103,15 +109,19 @@
 
 // Next returns the target to ask next, false if none is left that may take the request.
 func (p *Plan) Next() (Choice, bool) {
-	if i := p.nextIdle(); i != none {
+	if i := p.nextUnasked(routing.SameDomain); i != none {
 		return p.choose(i, IdleOnly), true
 	}
-	if i := p.shortestWait(); i != none {
-		p.queued++
-		p.entries[i].closed = true
-		return p.choose(i, Queue), true
+	if i := p.shortestWait(routing.SameDomain); i != none && p.entries[i].refusal.Wait <= p.comfort {
+		return p.chooseQueue(i), true
+	}
+	if i := p.nextUnasked(routing.SameRegion); i != none {
+		return p.choose(i, IdleOnly), true
 	}
-	if i := p.nextRemote(); i != none {
+	if i := p.shortestWait(routing.OtherRegion); i != none {
+		return p.chooseQueue(i), true
+	}
+	if i := p.nextUnasked(routing.OtherRegion); i != none {
 		return p.choose(i, Queue), true
 	}
 	if i := p.leastDoubt(); i != none {
@@ -122,31 +132,26 @@
 	return Choice{}, false
 }
 
+func (p *Plan) chooseQueue(i int) Choice {
+	p.queued++
+	p.entries[i].closed = true
+	return p.choose(i, Queue)
+}
+
 func (p *Plan) choose(i int, mode Mode) Choice {
 	p.last = i
 	p.entries[i].asked = true
 	return Choice{Candidate: p.entries[i].candidate, Mode: mode}
 }
 
-// maxAsks bounds the asks for a free slot by distance.
+// maxAsks bounds the asks by distance.
 var maxAsks = [...]int{routing.SameDomain: maxDomainAsks, routing.SameRegion: maxRegionAsks, routing.OtherRegion: maxRemoteAsks}
 
-// nextIdle returns the first target of the own region that was not asked yet.
-func (p *Plan) nextIdle() int {
-	for i := range p.entries {
-		if e := &p.entries[i]; e.candidate.Distance != routing.OtherRegion && p.mayAsk(e) {
-			p.asks[e.candidate.Distance]++
-			return i
-		}
-	}
-	return none
-}
-
-// nextRemote returns the first target of another region that was not asked yet.
-func (p *Plan) nextRemote() int {
+// nextUnasked returns the first target at the distance that was not asked yet.
+func (p *Plan) nextUnasked(distance routing.Distance) int {
 	for i := range p.entries {
-		if e := &p.entries[i]; e.candidate.Distance == routing.OtherRegion && p.mayAsk(e) {
-			p.asks[e.candidate.Distance]++
+		if e := &p.entries[i]; e.candidate.Distance == distance && p.mayAsk(e) {
+			p.asks[distance]++
 			return i
 		}
 	}
@@ -157,15 +162,15 @@
 	return !e.asked && !e.closed && p.asks[e.candidate.Distance] < maxAsks[e.candidate.Distance]
 }
 
-// shortestWait returns the full target with the shortest queue, doubtful ones left out.
-func (p *Plan) shortestWait() int {
+// shortestWait returns the full target within the distance with the shortest queue, doubtful ones left out.
+func (p *Plan) shortestWait(within routing.Distance) int {
 	best := none
 	if p.queued >= maxQueueAsks {
 		return none
 	}
 	for i := range p.entries {
 		e := &p.entries[i]
-		if !e.asked || e.closed || !e.refusal.Full || e.refusal.Doubt > 0 {
+		if !e.asked || e.closed || !e.refusal.Full || e.refusal.Doubt > 0 || e.candidate.Distance > within {
 			continue
 		}
 		if best == none || e.refusal.Wait < p.entries[best].refusal.Wait {
