Ask fewer targets under overload, log every attempt and request

Change: one round and one ask of another region while a sound target is full; two good answers in a row restore a target; the last attempt of a request is no probe. Each attempt and each request leaves one line on standard output, written without blocking.

--- a/cmd/sardinereachd/main.go
+++ b/cmd/sardinereachd/main.go
@@ -11,6 +11,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"reflect"
@@ -42,11 +43,23 @@
 	config := flag.String("config", defaultConfig(), "settings `file`")
 	check := flag.Bool("check", false, "check the settings and exit")
 	flag.Parse()
+	out := logToStdout()
 	code := run(*config, *check)
 	klog.Flush()
+	out.Close()
 	os.Exit(code)
 }
 
+// logToStdout sends the log to standard output, which never holds a request up.
+func logToStdout() *events.AsyncWriter {
+	out := events.NewAsyncWriter(os.Stdout)
+	klog.LogToStderr(false)
+	// klog writes each line to the output of its severity and of all lower ones.
+	klog.SetOutput(io.Discard)
+	klog.SetOutputBySeverity("INFO", out)
+	return out
+}
+
 // defaultConfig returns the settings file that is read unless the command line names one.
 func defaultConfig() string {
 	if path := platform.SettingsPath(); path != "" {
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -27,7 +27,7 @@
 		return p.refuse(t, r, reason)
 	}
 	p.grantQueued(t)
-	if !r.LastResort && !t.health.admits(p.active(), r.Idempotent, t.probes()) {
+	if !r.LastResort && !t.health.admits(p.active(), r.Idempotent && !r.TrustedOnly, t.probes()) {
 		return p.refuse(t, r, verdict.TargetDoubtful)
 	}
 	if len(t.running) < t.rampSlots(p.active(), p.limits.RampFor) {
--- a/internal/admission/finish.go
+++ b/internal/admission/finish.go
@@ -43,13 +43,14 @@
 		t.runTimes.add(w.request.Route, run)
 	}
 	switch {
+	case result.Outcome == Answered && !result.Failed:
+		// A late good answer shows that the target is slow and does not hang.
+		p.acquit(w, run)
 	case w.overdue:
 	case result.Failed && result.Outcome == Answered:
 		p.accuse(w, run, t.health.answeredFailure)
 	case result.Failed, result.Outcome == Shed:
 		p.accuse(w, run, t.health.failed)
-	case result.Outcome == Answered:
-		p.acquit(w, run)
 	}
 	p.refuseDoubtful(t)
 }
@@ -90,12 +91,15 @@
 	return p.overdueAfter(r.work)
 }
 
-func (p *Point) overdueAfter(w *work) time.Duration {
+func (p *Point) overdueAfter(w *work) time.Duration { return overdueAfter(p.expected(w)) }
+
+// expected returns how long the run is taken to need, 0 if that cannot be told.
+func (p *Point) expected(w *work) time.Duration {
 	cold := w.target.coldUntil > w.started
-	return w.target.runTimes.overdueAfter(w.request.Route, w.request.Objective, cold)
+	return w.target.runTimes.expected(w.request.Route, w.request.Objective, cold)
 }
 
-// noteOverdue counts the runs that have become overdue against their target.
+// noteOverdue counts the runs that have become overdue against their target, and the silence of all of them together.
 func (p *Point) noteOverdue(t *target) {
 	for _, w := range t.running {
 		limit := p.overdueAfter(w)
@@ -105,6 +109,10 @@
 		w.overdue = true
 		p.accuse(w, p.active()-w.started, t.health.failed)
 	}
+	if !t.health.doubtful && len(t.running) > 0 && p.silence(t) < silenceLimit {
+		oldest := t.running[0]
+		p.accuse(oldest, p.active()-oldest.started, t.health.failed)
+	}
 	p.refuseDoubtful(t)
 }
 
--- a/internal/admission/health.go
+++ b/internal/admission/health.go
@@ -6,9 +6,11 @@
 	// probePause is the time after a failed probe until the next one. It doubles with each further failure.
 	probePause = 200 * time.Millisecond
 	// maxProbePause bounds the pause, and so the time for which a target that has recovered stays out.
-	maxProbePause = 1600 * time.Millisecond
-	// maxProofs bounds the good answers in a row by which a doubtful target returns.
-	maxProofs = 4
+	maxProbePause = 500 * time.Millisecond
+	// minProofs and maxProofs bound the good answers in a row by which a doubtful target returns. A target that fails three
+	// quarters of its work gives two in a row once in sixteen tries.
+	minProofs = 2
+	maxProofs = 3
 	// maxStrikes is the number of answers with a failure status, less the good ones since, that makes a target doubtful. One
 	// such answer says little: the target may have failed because a call of its own did.
 	maxStrikes = 2
@@ -62,7 +64,7 @@
 	if h.asked > 0 && now-h.returned < relapseTime {
 		h.asked = min(h.asked+1, maxProofs)
 	} else {
-		h.asked = 1
+		h.asked = minProofs
 	}
 	h.proofs = h.asked
 	h.pause = probePause
--- /dev/null
+++ b/internal/admission/health_test.go
@@ -0,0 +1,208 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/verdict"
+)
+
+// routeRequest returns a request of a route with a latency objective of one second.
+func routeRequest(now time.Duration, serial uint64, route string, idempotent bool) Request {
+	r := testRequest(now, serial, 20*time.Second)
+	r.Route, r.Idempotent = route, idempotent
+	r.Objective, r.ObjectiveLeft = time.Second, time.Second
+	return r
+}
+
+// serve admits a request, lets it run for the given time and ends it. It returns the time of the end.
+func serve(t *testing.T, p *Point, now time.Duration, r Request, run time.Duration, result Result) time.Duration {
+	t.Helper()
+	if d := p.Admit(now, r); d.Kind != Admitted {
+		t.Fatalf("request %s at %v: %+v, want admitted", r.Attempt, now, d)
+	}
+	now += run
+	p.Expire(now)
+	p.Finish(now, r.Attempt, result)
+	return now
+}
+
+// learn teaches the point that the route takes 100 ms.
+func learn(t *testing.T, p *Point, now time.Duration) time.Duration {
+	t.Helper()
+	for serial := range uint64(minUsualRuns) {
+		now = serve(t, p, now, routeRequest(now, 1000+serial, "/r", true), 100*time.Millisecond, Result{Outcome: Answered})
+	}
+	return now
+}
+
+// Guards against a target that hangs and goes on getting non-idempotent work, which is lost there, and against one that
+// has recovered and gets none.
+func TestHangingTargetGetsProbesOnly(t *testing.T) {
+	p, now := newReadyPoint(t, DefaultLimits(), 3)
+	now = learn(t, p, now)
+	hung := routeRequest(now, 1, "/r", false)
+	p.Admit(now, hung)
+	now += 250 * time.Millisecond
+	events := p.Expire(now)
+	if len(events) != 1 || events[0].Kind != EventDoubted || !events[0].Evidence.Overdue {
+		t.Fatalf("after 2.5 times the usual run: events %+v, want a doubt", events)
+	}
+	if d := p.Admit(now, routeRequest(now, 2, "/r", false)); d.Kind != Refused || d.Err.Reason != verdict.TargetDoubtful {
+		t.Fatalf("non-idempotent request at a doubtful target: %+v", d)
+	}
+	probe := routeRequest(now, 3, "/r", true)
+	if d := p.Admit(now, probe); d.Kind != Admitted {
+		t.Fatalf("probe: %+v", d)
+	}
+	if d := p.Admit(now, routeRequest(now, 4, "/r", true)); d.Kind != Refused {
+		t.Fatalf("second probe at a time: %+v", d)
+	}
+	now += 100 * time.Millisecond
+	p.Finish(now, probe.Attempt, Result{Outcome: Answered})
+	now = serve(t, p, now, routeRequest(now, 5, "/r", true), 100*time.Millisecond, Result{Outcome: Answered})
+	if d := p.Admit(now, routeRequest(now, 6, "/r", false)); d.Kind != Admitted {
+		t.Fatalf("after %d good answers: %+v, want admitted", minProofs, d)
+	}
+}
+
+// Guards against a request that cannot be repeated any more being spent on a probe.
+func TestLastAttemptIsNoProbe(t *testing.T) {
+	p, now := newReadyPoint(t, DefaultLimits(), 3)
+	now = serve(t, p, now, routeRequest(now, 1, "/r", true), time.Millisecond, Result{Outcome: Lost, Failed: true})
+	last := routeRequest(now, 2, "/r", true)
+	last.TrustedOnly = true
+	if d := p.Admit(now, last); d.Kind != Refused || d.Err.Reason != verdict.TargetDoubtful {
+		t.Fatalf("last attempt at a doubtful target: %+v", d)
+	}
+	last = routeRequest(now, 3, "/r", false)
+	last.LastResort = true
+	if d := p.Admit(now, last); d.Kind != Admitted {
+		t.Fatalf("last resort at a doubtful target: %+v", d)
+	}
+}
+
+// Guards against a single answer with a failure status, which may come from a failed call of the upstream, taking a target
+// out, and against two in a row leaving it in.
+func TestFailureStatusesNeedASecondOne(t *testing.T) {
+	p, now := newReadyPoint(t, DefaultLimits(), 3)
+	failure := Result{Outcome: Answered, Failed: true}
+	now = serve(t, p, now, routeRequest(now, 1, "/r", true), time.Millisecond, failure)
+	now = serve(t, p, now, routeRequest(now, 2, "/r", false), time.Millisecond, Result{Outcome: Answered})
+	now = serve(t, p, now, routeRequest(now, 3, "/r", true), time.Millisecond, failure)
+	now = serve(t, p, now, routeRequest(now, 4, "/r", false), time.Millisecond, failure)
+	if d := p.Admit(now, routeRequest(now, 5, "/r", false)); d.Kind != Refused || d.Err.Reason != verdict.TargetDoubtful {
+		t.Fatalf("after two failures in a row: %+v", d)
+	}
+}
+
+// Guards against work that waits at a target which hangs until its own deadline passes.
+func TestQueueLeavesADoubtfulTarget(t *testing.T) {
+	p, now := newReadyPoint(t, DefaultLimits(), 1)
+	now = learn(t, p, now)
+	p.Admit(now, routeRequest(now, 1, "/r", false))
+	waiting := routeRequest(now, 2, "/r", false)
+	if d := p.Admit(now, waiting); d.Kind != Queued {
+		t.Fatalf("second request: %+v, want queued", d)
+	}
+	refused := false
+	for _, e := range p.Expire(now + 300*time.Millisecond) {
+		refused = refused || e.Kind == EventRefused && e.Attempt == waiting.Attempt && e.Err.Reason == verdict.TargetDoubtful
+	}
+	if !refused {
+		t.Fatal("the waiting request stays at the doubtful target")
+	}
+}
+
+// Guards against a queue that makes every answer late, and against short requests, for which runs elsewhere wait, being
+// refused with it.
+func TestQueueHoldsWhatMeetsItsObjective(t *testing.T) {
+	p, now := newReadyPoint(t, DefaultLimits(), 1)
+	for serial := range uint64(4 * minUsualRuns) {
+		now = serve(t, p, now, routeRequest(now, 100+serial, "/long", true), 400*time.Millisecond, Result{Outcome: Answered})
+	}
+	for serial := range uint64(minUsualRuns) {
+		now = serve(t, p, now, routeRequest(now, 200+serial, "/short", true), 10*time.Millisecond, Result{Outcome: Answered})
+		now = serve(t, p, now, routeRequest(now, 300+serial, "/long", true), 400*time.Millisecond, Result{Outcome: Answered})
+	}
+	p.Admit(now, routeRequest(now, 1, "/long", false))
+	kinds := []Kind{Queued, Refused}
+	for i, want := range kinds {
+		if d := p.Admit(now, routeRequest(now, uint64(2+i), "/long", false)); d.Kind != want {
+			t.Errorf("long request %d behind one that runs: %+v, want %v", i, d, want)
+		}
+	}
+	short := routeRequest(now, 9, "/short", true)
+	short.Objective, short.ObjectiveLeft = 50*time.Millisecond, 50*time.Millisecond
+	if d := p.Admit(now, short); d.Kind != Queued {
+		t.Errorf("short request: %+v, want queued", d)
+	}
+	grants := p.Finish(now+400*time.Millisecond, model.NewAttemptID("n", 1, 1), Result{Outcome: Answered})
+	if len(grants) != 1 || grants[0].Attempt != short.Attempt {
+		t.Errorf("grants %v, want the short request", grants)
+	}
+}
+
+// Guards against a less urgent request that goes before a more urgent one.
+func TestRankOrdersTheQueue(t *testing.T) {
+	p, now := newReadyPoint(t, DefaultLimits(), 1)
+	p.Admit(now, routeRequest(now, 1, "/r", true))
+	for serial, rank := range map[uint64]int{2: 2, 3: 0, 4: 1} {
+		r := routeRequest(now, serial, "/r", true)
+		r.Rank = rank
+		if d := p.Admit(now, r); d.Kind != Queued {
+			t.Fatalf("rank %d: %+v", rank, d)
+		}
+	}
+	for _, want := range []uint64{3, 4, 2} {
+		running := p.InFlightOf(p.Targets(now)[0].ID)[0].Attempt
+		grants := p.Finish(now, running, Result{Outcome: Answered})
+		if len(grants) != 1 || grants[0].Attempt != model.NewAttemptID("n", 1, want) {
+			t.Fatalf("grants %v, want request %d", grants, want)
+		}
+	}
+}
+
+// Guards against a heartbeat that was held up, or came twice, bringing back a target that has left, and against an old one
+// displacing the target that has taken over its address.
+func TestLateAnnouncements(t *testing.T) {
+	p := NewPoint(DefaultLimits(), testIncarnation)
+	announce := func(id model.TargetID, born int64, sequence uint64, phase model.Phase) {
+		t.Helper()
+		err := p.Announce(0, Announcement{
+			Service: testService, Target: id, Address: "127.0.0.1:1", Slots: 1, Phase: phase, Born: born, Sequence: sequence,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	phase := func(id model.TargetID) model.Phase {
+		target, ok := p.Target(0, id)
+		if !ok {
+			return model.PhaseLeaving
+		}
+		return target.Phase
+	}
+	announce("a", 10, 5, model.PhaseReady)
+	announce("a", 10, 6, model.PhaseDraining)
+	announce("a", 10, 5, model.PhaseReady)
+	if got := phase("a"); got != model.PhaseDraining {
+		t.Errorf("after a late announcement: %v, want draining", got)
+	}
+	p.Leave(0, "a", 0)
+	announce("a", 10, 6, model.PhaseReady)
+	announce("a", 10, 7, model.PhaseReady)
+	if got := phase("a"); got != model.PhaseLeaving {
+		t.Errorf("after the departure: %v, want leaving", got)
+	}
+	announce("a", 11, 1, model.PhaseReady)
+	if got := phase("a"); got != model.PhaseReady {
+		t.Errorf("after another start: %v, want ready", got)
+	}
+	announce("b", 12, 1, model.PhaseReady)
+	announce("a", 11, 2, model.PhaseReady)
+	if _, ok := p.Target(0, "a"); ok || phase("b") != model.PhaseReady {
+		t.Error("an announcement from before has displaced the target that has the address now")
+	}
+}
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -33,6 +33,8 @@
 	IdleOnly bool
 	// LastResort means that no other target would take the request, so that a doubtful one does.
 	LastResort bool
+	// TrustedOnly means that the request is no probe of a doubtful target, because it cannot be repeated any more.
+	TrustedOnly bool
 	// Fingerprint is the hash of method, URI and body.
 	Fingerprint uint64
 }
--- a/internal/admission/run_times.go
+++ b/internal/admission/run_times.go
@@ -19,8 +19,8 @@
 	overdueFactor = 2.5
 	// coldFactor is how much longer a run may take at a target that has just started.
 	coldFactor = 2.0
-	// objectiveShare is the part of the latency objective after which a run of a route without a usual run time is overdue.
-	objectiveShare = 0.8
+	// objectiveShare is the part of the latency objective that a run of a route without a usual run time is taken to need.
+	objectiveShare = 0.3
 	// minOverdue keeps short scheduling delays from making a run overdue.
 	minOverdue = 100 * time.Millisecond
 )
@@ -67,18 +67,23 @@
 	return 0
 }
 
-// overdueAfter returns how long a run of the route may take before it is overdue; 0 means that this cannot be told. The
-// objective is the route's latency objective, 0 for none.
-func (r runTimes) overdueAfter(route string, objective time.Duration, cold bool) time.Duration {
-	limit := time.Duration(overdueFactor * float64(r.usual(route)))
-	if limit == 0 {
-		limit = time.Duration(objectiveShare * float64(objective))
-	}
-	if limit == 0 {
-		return 0
+// expected returns how long a run of the route is taken to need, 0 if that cannot be told. The objective is the route's
+// latency objective, 0 for none.
+func (r runTimes) expected(route string, objective time.Duration, cold bool) time.Duration {
+	run := r.usual(route)
+	if run == 0 {
+		run = time.Duration(objectiveShare * float64(objective))
 	}
 	if cold {
-		limit = time.Duration(coldFactor * float64(limit))
+		run = time.Duration(coldFactor * float64(run))
+	}
+	return run
+}
+
+// overdueAfter returns how long a run with the expected time may take before it is overdue, 0 if that cannot be told.
+func overdueAfter(expected time.Duration) time.Duration {
+	if expected == 0 {
+		return 0
 	}
-	return max(limit, minOverdue)
+	return max(time.Duration(overdueFactor*float64(expected)), minOverdue)
 }
--- a/internal/admission/wait.go
+++ b/internal/admission/wait.go
@@ -8,6 +8,12 @@
 // shortShare is the part of the target's mean run time below which a run is short.
 const shortShare = 0.6
 
+// isShort reports whether the request's route usually takes much less time than the other work of the target.
+func (t *target) isShort(r *Request) bool {
+	usual := t.runTimes.usual(r.Route)
+	return usual > 0 && usual < time.Duration(shortShare*float64(t.runTime))
+}
+
 // patience returns how long the request waits for a slot: as long as its answer can meet the latency objective. Requests
 // that come too late for that wait for a part of the objective. Under lasting overload a longer queue would make every
 // answer late and serve no one more. Without an objective only the deadline counts. A short request waits to its deadline: it
@@ -16,8 +22,8 @@
 	if r.Objective == 0 {
 		return r.Deadline - now
 	}
-	if usual := t.runTimes.usual(r.Route); usual > 0 && usual < time.Duration(shortShare*float64(t.runTime)) {
-		return r.Deadline - now - usual
+	if t.isShort(r) {
+		return r.Deadline - now - t.runTimes.usual(r.Route)
 	}
 	late := time.Duration(lateShare * float64(r.Objective))
 	return max(r.ObjectiveLeft-t.usualRun(r), late)
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -11,6 +11,8 @@
 	Text     string
 	// Fields lists the keys of the fields that the event may carry.
 	Fields []Key
+	// PerSecond bounds the lines of the event in a second; 0 means the bound of most events.
+	PerSecond int
 }
 
 // allows reports whether the catalogue lists the field for the event.
--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -20,8 +20,9 @@
 const docsHead = `# Log events
 
 A daemon writes one line for each event: its number and name, its text, then its fields as key="value". Numbers are
-stable. Each number is limited to bursts of 10 and 1 event/s; ` + "`held_back`" + ` counts the events that were not written
-since the last one with this number. A field that the table does not list for an event is never written, and neither
+stable. Each number is limited to bursts of 10 and 1 event/s, those of every attempt and request to 100 events/s;
+` + "`held_back`" + ` counts the events that were not written since the last one with this number. The log goes to standard output
+and never holds a request up: lines that cannot be written in time are dropped and counted. A field that the table does not list for an event is never written, and neither
 bodies, headers nor tokens are fields. ` + "`go test ./internal/events -update`" + ` writes this page.
 
 `
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -102,3 +102,15 @@
 
 // TextOutcomeField says what became of an operation that is no request.
 func TextOutcomeField(outcome string) Field { return text(Outcome, outcome) }
+
+// ModeField says under which condition a target was asked.
+func ModeField(mode string) Field { return text(Mode, mode) }
+
+// WaitField gives the time that an attempt waited for its slot, or would have to wait.
+func WaitField(d time.Duration) Field { return text(Wait, d.String()) }
+
+// DoubtField gives the good answers that a doubtful target needs.
+func DoubtField(n int) Field { return number(Doubt, int64(n)) }
+
+// StatusField gives the status of an answer.
+func StatusField(status int) Field { return number(Status, int64(status)) }
--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -25,6 +25,10 @@
 	Duration    Key = "duration"
 	Limit       Key = "limit"
 	Request     Key = "request"
+	Mode        Key = "mode"
+	Wait        Key = "wait"
+	Doubt       Key = "doubt"
+	Status      Key = "status"
 	Route       Key = "route"
 	Bytes       Key = "bytes"
 )
--- a/internal/events/limiter.go
+++ b/internal/events/limiter.go
@@ -21,7 +21,10 @@
 	heldBack uint64
 }
 
-func newLimiter() *limiter {
+func newLimiter(event *Event) *limiter {
+	if event.PerSecond > 0 {
+		return &limiter{bucket: rate.NewLimiter(rate.Limit(event.PerSecond), event.PerSecond)}
+	}
 	return &limiter{bucket: rate.NewLimiter(eventsPerSecond, eventBurst)}
 }
 
--- a/internal/events/log.go
+++ b/internal/events/log.go
@@ -19,7 +19,7 @@
 	all := All()
 	limiters := make(map[int]*limiter, len(all))
 	for _, event := range all {
-		limiters[event.Number] = newLimiter()
+		limiters[event.Number] = newLimiter(event)
 	}
 	return &Log{sink: sink, now: now, limiters: limiters}
 }
--- a/internal/events/reason_events.go
+++ b/internal/events/reason_events.go
@@ -7,13 +7,13 @@
 )
 
 // reasonFields are the fields of every reason's event.
-var reasonFields = []Key{Outcome, Service, Target, Node, Attempt, Cause}
+var reasonFields = []Key{Outcome, Request, Service, Target, Node, Attempt, Cause}
 
 // reasonEvents holds the event of each reason. It is not changed after the package's initialization.
 var reasonEvents = newReasonEvents()
 
 // unknownReason is the event of a reason without a number. A test keeps every reason out of it.
-var unknownReason = &Event{1000, "request_reason_unknown", Error, "a request ended for a reason without an event", reasonFields}
+var unknownReason = &Event{1000, "request_reason_unknown", Error, "a request ended for a reason without an event", reasonFields, 0}
 
 func newReasonEvents() map[verdict.Reason]*Event {
 	table := make(map[verdict.Reason]*Event, len(reasonNumbers))
--- a/internal/events/sink_test.go
+++ b/internal/events/sink_test.go
@@ -59,6 +59,13 @@
 		`floor_slots="20"`:    events.FloorField(20),
 		`duration="1.5s"`:     events.DurationField(1500 * time.Millisecond),
 		`bytes="700"`:         events.BytesField(700),
+		`limit="2s"`:          events.LimitField(2 * time.Second),
+		`route="/r/"`:         events.RouteField("/r/"),
+		`request="9c41"`:      events.RequestField("9c41"),
+		`mode="queue"`:        events.ModeField("queue"),
+		`wait="5ms"`:          events.WaitField(5 * time.Millisecond),
+		`doubt="2"`:           events.DoubtField(2),
+		`status="503"`:        events.StatusField(503),
 	}
 	listed := make(map[events.Key]*events.Event)
 	for _, event := range events.All() {
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -132,6 +132,7 @@
 		out = newDelivery(sink, onceHoldBytes)
 		err = a.serveNonIdempotent(r, rq, out)
 	}
+	a.logRequest(rq, out, err)
 	if err != nil || out.status() >= http.StatusInternalServerError {
 		a.callFailures.note(a.clock.now())
 	}
@@ -145,6 +146,20 @@
 	a.refuse(w, rq, err)
 }
 
+// logRequest logs the final answer to a request.
+func (a *acceptor) logRequest(rq *request, out *delivery, err *verdict.Error) {
+	outcome, status := verdict.Ran.String(), out.status()
+	if err != nil {
+		outcome = err.Verdict.String() + " " + string(err.Reason)
+		if !out.committed {
+			status = statusOf(err)
+		}
+	}
+	a.log.Emit(events.RequestEnded, events.RequestField(rq.head.RequestId), events.ServiceField(rq.service),
+		events.RouteField(rq.match.Route.Path), events.TextOutcomeField(outcome), events.StatusField(status),
+		events.DurationField(time.Since(rq.started)), events.RevisionField(a.view.Load().Revision))
+}
+
 // serveNonIdempotent runs the request at most once. A caller that names each request anew needs no key for that: an
 // attempt is repeated only if it did not run.
 func (a *acceptor) serveNonIdempotent(r *http.Request, rq *request, out *delivery) *verdict.Error {
@@ -191,7 +206,7 @@
 	}
 	fields := []events.Field{events.OutcomeField(handling)}
 	if rq != nil {
-		fields = append(fields, events.ServiceField(rq.service))
+		fields = append(fields, events.RequestField(rq.head.RequestId), events.ServiceField(rq.service))
 	}
 	if err.Cause != nil {
 		fields = append(fields, events.CauseField(err.Cause))
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -186,10 +186,19 @@
 	if refusal := a.crashes.await(ctx, head); refusal != nil {
 		return a.trailer(head, refusal)
 	}
+	arrived := a.clock.now()
 	address, refusal := a.admit(ctx, head, deadline)
 	if refusal != nil {
 		return a.trailer(head, refusal)
 	}
+	waited := a.clock.now() - arrived
+	trailer := a.runAdmitted(ctx, address, head, source, sink)
+	trailer.WaitedMs = waited.Milliseconds()
+	return trailer
+}
+
+// runAdmitted runs an attempt that has a slot.
+func (a *admitter) runAdmitted(ctx context.Context, address string, head *peerv1.ForwardHead, source peer.Body, sink peer.Sink) *peerv1.AnswerTrailer {
 	ruling := a.mayTry(model.TargetID(head.Target), head.Idempotent)
 	if ruling == trialRefused {
 		a.end(head, admission.Result{Outcome: admission.Withdrawn})
@@ -231,8 +240,9 @@
 
 		ObjectiveLeft: time.Duration(head.ObjectiveLeftMs) * time.Millisecond,
 
-		IdleOnly:   head.IdleOnly,
-		LastResort: head.LastResort,
+		IdleOnly:    head.IdleOnly,
+		LastResort:  head.LastResort,
+		TrustedOnly: head.TrustedOnly,
 	})
 	if d.Kind == admission.Queued {
 		a.waiting[attempt] = ch
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -55,6 +55,7 @@
 		in.Err, in.Status, in.Remaining = err, out.status(), rq.remaining()
 		in.RetryAfter = retryAfterOf(out)
 		in.Untried = plan.Left()
+		in.Saturated = plan.Saturated()
 		decision := budget.decide(in, a.clock.now(), rq.rng)
 		if !decision.Retry {
 			return overall(a.giveUp(err, decision), uncertain)
@@ -118,7 +119,7 @@
 // prepareRetry counts the retry and waits for its time.
 func (a *acceptor) prepareRetry(ctx context.Context, rq *request, target *routing.Candidate, tried *routing.Tried, decision retry.Decision) *verdict.Error {
 	a.metrics.Retried(decision.Reason)
-	a.log.Emit(events.ForReason(decision.Reason), events.OutcomeField(events.Retried), events.ServiceField(rq.service))
+	a.log.Emit(events.ForReason(decision.Reason), events.OutcomeField(events.Retried), events.RequestField(rq.head.RequestId), events.ServiceField(rq.service))
 	if decision.Hop {
 		return nil
 	}
@@ -234,6 +235,7 @@
 	head.IdleOnly = choice.Mode != placement.Queue
 	head.LastResort = choice.Mode == placement.LastResort
 	head.ReportOverdue = out.overdue != nil
+	head.TrustedOnly = out.overdue == nil
 	head.BodyOnAdmission = head.IdleOnly && c.Distance != routing.SameDomain && len(rq.body) > maxOfferBytes
 	// A route with an objective is hedged instead, which ends no run before another one has answered.
 	if rq.idempotent() && head.ObjectiveMs == 0 {
@@ -243,6 +245,7 @@
 	if head.TimeoutMs <= 0 || ctx.Err() != nil || !g.open() {
 		return endedOrLate(ctx)
 	}
+	started := time.Now()
 	c.Load.Own.Add(1)
 	trailer, err := a.dispatch(ctx, rq, c, head, out)
 	c.Load.Own.Add(-1)
@@ -250,12 +253,28 @@
 		noteLoad(c, trailer.Load)
 		err = conclude(rq, trailer, out)
 	}
+	a.logAttempt(rq, choice, head, trailer, err, time.Since(started))
 	if err != nil && err.Verdict == verdict.NotRun {
 		g.notRun()
 	}
 	return err
 }
 
+// logAttempt logs the end of an attempt with what the admitting node knew.
+func (a *acceptor) logAttempt(rq *request, choice placement.Choice, head *peerv1.ForwardHead, trailer *peerv1.AnswerTrailer, err *verdict.Error, took time.Duration) {
+	outcome := verdict.Ran.String()
+	wait := time.Duration(trailer.GetWaitedMs()) * time.Millisecond
+	doubt := 0
+	if err != nil {
+		outcome = string(err.Reason)
+		wait, doubt = max(wait, err.Wait), err.Doubt
+	}
+	a.log.Emit(events.AttemptEnded, events.RequestField(rq.head.RequestId), events.AttemptField(model.AttemptID(head.Attempt)),
+		events.TargetField(choice.Candidate.Target.ID), events.RouteField(head.Route), events.ModeField(choice.Mode.String()),
+		events.TextOutcomeField(outcome), events.WaitField(wait), events.DurationField(took), events.DoubtField(doubt),
+		events.RevisionField(a.view.Load().Revision))
+}
+
 // slowFactor is how many times its usual time to the first byte a target may take before half of the remaining time is
 // given to another target.
 const slowFactor = 10
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -18,10 +18,12 @@
 	// maxDomainAsks bounds the targets of the own failure domain that are asked for a free slot.
 	maxDomainAsks = 12
 	// maxRegionAsks bounds those of the other failure domains of the region, where bytes are paid for.
-	maxRegionAsks = 2
-	// maxRemoteAsks bounds the targets of other regions that are asked. The round trip takes tens of milliseconds, and
-	// bytes cost most.
-	maxRemoteAsks = 1
+	maxRegionAsks = 3
+	// maxRemoteAsks bounds the targets of other regions that are asked while all targets of the own region are doubtful.
+	maxRemoteAsks = 3
+	// maxRemoteAsksIfFull bounds them while a sound target of the own region is merely full: the others are then likely to
+	// be full as well, and each ask takes a long round trip and bytes that are paid for.
+	maxRemoteAsksIfFull = 1
 	// maxQueueAsks bounds the targets that are asked for a place in their queue.
 	maxQueueAsks = 2
 	// maxLastResorts bounds the doubtful targets that are asked to take the request all the same.
@@ -159,6 +161,9 @@
 }
 
 func (p *Plan) mayAsk(e *entry) bool {
+	if e.candidate.Distance == routing.OtherRegion && p.full && p.asks[routing.OtherRegion] >= maxRemoteAsksIfFull {
+		return false
+	}
 	return !e.asked && !e.closed && p.asks[e.candidate.Distance] < maxAsks[e.candidate.Distance]
 }
 
@@ -221,3 +226,6 @@
 	}
 	return left
 }
+
+// Saturated reports whether a sound target had no room for the request. A second round would find the same.
+func (p *Plan) Saturated() bool { return p.full }
--- /dev/null
+++ b/internal/placement/plan_test.go
@@ -0,0 +1,147 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/routing"
+)
+
+const objective = time.Second
+
+func candidate(id string, distance routing.Distance, change func(*routing.Candidate)) *routing.Candidate {
+	c := &routing.Candidate{
+		Target:   model.Target{ID: model.TargetID(id), Slots: 3, RampSlots: 3},
+		Distance: distance, Load: new(routing.Load),
+	}
+	if change != nil {
+		change(c)
+	}
+	return c
+}
+
+func newPlan(idempotent bool, candidates ...*routing.Candidate) *Plan {
+	random := rand.New(rand.NewPCG(1, 2))
+	return New(routing.NewPool(candidates), new(routing.Tried), idempotent, objective, random)
+}
+
+// walk answers each choice of the plan by refuse until the plan ends, and returns the choices.
+func walk(p *Plan, refuse func(Choice) Refusal) (choices []Choice) {
+	for {
+		choice, ok := p.Next()
+		if !ok {
+			return choices
+		}
+		choices = append(choices, choice)
+		p.Refused(refuse(choice))
+	}
+}
+
+func full(wait time.Duration) Refusal { return Refusal{Full: true, Wait: wait} }
+
+// Guards against a request that leaves its failure domain, or its region, while a target there would serve it in time.
+func TestNearTargetsGoFirst(t *testing.T) {
+	p := newPlan(false,
+		candidate("remote", routing.OtherRegion, nil),
+		candidate("near", routing.SameRegion, nil),
+		candidate("own", routing.SameDomain, nil),
+	)
+	var got []string
+	for _, c := range walk(p, func(Choice) Refusal { return full(objective / 2) }) {
+		got = append(got, string(c.Candidate.Target.ID)+" "+c.Mode.String())
+	}
+	want := []string{"own idle only", "near idle only", "own queue", "near queue", "remote queue"}
+	if len(got) != len(want) {
+		t.Fatalf("choices %q, want %q", got, want)
+	}
+	for i := range want {
+		// The two queues are as long as each other, so that either may come first.
+		if got[i] != want[i] && i != 2 && i != 3 {
+			t.Errorf("choice %d is %q, want %q", i, got[i], want[i])
+		}
+	}
+}
+
+// Guards against asking in other failure domains, where bytes are paid for, while the wait in the own one is short.
+func TestShortWaitInTheOwnDomain(t *testing.T) {
+	p := newPlan(false, candidate("near", routing.SameRegion, nil), candidate("own", routing.SameDomain, nil))
+	first, _ := p.Next()
+	p.Refused(full(objective / 10))
+	second, ok := p.Next()
+	if !ok || first.Candidate.Target.ID != "own" || second.Candidate.Target.ID != "own" || second.Mode != Queue {
+		t.Fatalf("choices %v and %v, want the queue of the own domain's target", first, second)
+	}
+}
+
+// Guards against a non-idempotent request that goes to a target which hangs while others are merely full, and against
+// none being asked where all are doubtful.
+func TestLastResort(t *testing.T) {
+	doubt := map[string]int{"hangs": 3, "slight": 1}
+	refuse := func(c Choice) Refusal {
+		if d := doubt[string(c.Candidate.Target.ID)]; d > 0 {
+			return Refusal{Doubt: d}
+		}
+		return full(time.Hour)
+	}
+	forced := func(choices []Choice) (ids []string) {
+		for _, c := range choices {
+			if c.Mode == LastResort {
+				ids = append(ids, string(c.Candidate.Target.ID))
+			}
+		}
+		return ids
+	}
+	hangs, slight := candidate("hangs", routing.SameDomain, nil), candidate("slight", routing.SameDomain, nil)
+	if got := forced(walk(newPlan(false, hangs, candidate("full", routing.SameDomain, nil)), refuse)); len(got) != 0 {
+		t.Errorf("beside a full target: last resorts %v, want none", got)
+	}
+	if got := forced(walk(newPlan(false, hangs, slight, candidate("full", routing.SameDomain, nil)), refuse)); len(got) != 1 || got[0] != "slight" {
+		t.Errorf("beside a full target and one in slight doubt: last resorts %v, want slight", got)
+	}
+	if got := forced(walk(newPlan(false, hangs, slight), refuse)); len(got) != 2 || got[0] != "slight" {
+		t.Errorf("all doubtful: last resorts %v, want slight before hangs", got)
+	}
+}
+
+// Guards against requests that ask known doubtful, cold or full targets before the others of their domain.
+func TestKnownStateOrdersTargets(t *testing.T) {
+	states := map[string]func(*routing.Candidate){
+		"doubtful": func(c *routing.Candidate) { c.Target.Doubtful = true },
+		"cold":     func(c *routing.Candidate) { c.Target.Cold = true },
+		"full":     func(c *routing.Candidate) { c.Load.Own.Store(3) },
+		"suspect":  func(c *routing.Candidate) { c.LastResort = true },
+	}
+	for name, state := range states {
+		p := newPlan(false, candidate(name, routing.SameDomain, state), candidate("sound", routing.SameDomain, nil))
+		if first, _ := p.Next(); first.Candidate.Target.ID != "sound" {
+			t.Errorf("the %s target is asked first", name)
+		}
+	}
+}
+
+// Guards against a plan that asks without end, or that counts targets as left when none can be asked.
+func TestPlanIsBounded(t *testing.T) {
+	var candidates []*routing.Candidate
+	for i := range 60 {
+		candidates = append(candidates, candidate(string(rune('A'+i)), routing.Distance(i%3), nil))
+	}
+	refusals := []Refusal{{}, full(0), full(time.Hour), {Doubt: 1}, {Doubt: 4}}
+	random := rand.New(rand.NewPCG(3, 4))
+	for range 200 {
+		choices := walk(newPlan(random.IntN(2) == 0, candidates...), func(Choice) Refusal { return refusals[random.IntN(len(refusals))] })
+		if limit := maxDomainAsks + maxRegionAsks + maxRemoteAsks + maxQueueAsks + maxLastResorts; len(choices) > limit {
+			t.Fatalf("%d choices, want at most %d", len(choices), limit)
+		}
+	}
+}
+
+// Guards against a plan of a service without targets that fails.
+func TestEmptyPlan(t *testing.T) {
+	p := New(nil, new(routing.Tried), true, 0, rand.New(rand.NewPCG(1, 2)))
+	if _, ok := p.Next(); ok || p.Left() != 0 {
+		t.Error("a plan without targets has a choice")
+	}
+	p.Refused(Refusal{})
+}
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -56,7 +56,7 @@
 
 // pause offers the request again a little later. Nothing was sent, so that it is neither an attempt nor in the budget.
 func pause(in *Input, reason verdict.Reason, rng *rand.Rand) Decision {
-	if in.Waits >= MaxWaits {
+	if in.Waits >= MaxWaits || in.Saturated {
 		return Decision{Reason: reason}
 	}
 	after := Backoff(in.Waits+1, retryAfter(in), rng)
--- a/internal/retry/input.go
+++ b/internal/retry/input.go
@@ -18,6 +18,8 @@
 	Hops int
 	// Waits counts the pauses after rounds in which every target refused the request.
 	Waits int
+	// Saturated means that a sound target had no room for the request, so that another round is of no use.
+	Saturated bool
 	// Untried is the number of usable targets that were not tried since the last backoff.
 	Untried int
 	// Err is the failure or refusal, nil if the upstream answered.
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -19,6 +19,7 @@
 		Class:         rapid.SampledFrom([]declaration.Class{declaration.Idempotent, declaration.NonIdempotent, ""}).Draw(t, "class"),
 		Attempt:       rapid.IntRange(1, 4).Draw(t, "attempt"),
 		Hops:          rapid.IntRange(0, MaxHops+2).Draw(t, "hops"),
+		Saturated:     rapid.Bool().Draw(t, "saturated"),
 		Waits:         rapid.IntRange(0, MaxWaits+1).Draw(t, "waits"),
 		Untried:       rapid.IntRange(0, 2).Draw(t, "untried"),
 		RetryAfter:    time.Duration(rapid.IntRange(0, 2000).Draw(t, "retry after")) * time.Millisecond,
@@ -60,7 +61,7 @@
 			t.Fatalf("%+v: the retry comes after the deadline in %v", d, in.Remaining)
 		case d.Hop && (!notRun || in.Hops > MaxHops || d.After != 0 || spent != 0 || in.Untried == 0 && !d.SameTarget):
 			t.Fatalf("%+v: not a hop", d)
-		case d.Waits && (d.Hop || !notRun || in.Waits >= MaxWaits || spent != 0):
+		case d.Waits && (d.Hop || !notRun || in.Waits >= MaxWaits || in.Saturated || spent != 0):
 			t.Fatalf("%+v: not a pause after refusals", d)
 		case !d.Hop && !d.Waits && (spent != 1 || in.Attempt >= DefaultMaxAttempts):
 			t.Fatalf("%+v: %d retries drawn after attempt %d", d, spent, in.Attempt)
