Send probes to the doubtful targets of the own failure domain first

Change: the quarter of the idempotent requests that probe asks the doubtful targets of its domain first.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -34,7 +34,8 @@
 	// comfortShare is the part of its latency objective that a request waits in its own failure domain rather than to ask
 	// in another one.
 	comfortShare = 0.15
-	// probeShare is the share of idempotent requests that ask targets that are known to be doubtful like any others.
+	// probeShare is the share of idempotent requests that ask the doubtful targets of their failure domain first. Without
+	// them a target that has recovered stays out, and the targets in use fall below the service's floor.
 	probeShare = 0.25
 )
 
@@ -94,8 +95,11 @@
 	if c.LastResort {
 		order += stepLastResort
 	}
-	if c.Target.Doubtful && !probe {
+	switch {
+	case c.Target.Doubtful && !probe:
 		order += stepDoubt
+	case c.Target.Doubtful && c.Distance == routing.SameDomain:
+		order -= stepDoubt
 	}
 	if c.Target.Cold {
 		order += stepCold
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -145,3 +145,28 @@
 	}
 	p.Refused(Refusal{})
 }
+
+// Guards against a target that has recovered staying out because no request proves it, and against probes that leave the
+// failure domain or are made of requests that must not be lost.
+func TestProbesAskDoubtfulTargetsOfTheDomainFirst(t *testing.T) {
+	doubtful := func(c *routing.Candidate) { c.Target.Doubtful = true }
+	pool := routing.NewPool([]*routing.Candidate{
+		candidate("sound", routing.SameDomain, nil), candidate("doubtful", routing.SameDomain, doubtful),
+		candidate("far", routing.SameRegion, doubtful),
+	})
+	random := rand.New(rand.NewPCG(5, 6))
+	const requests = 2000
+	first := map[bool]map[model.TargetID]int{true: {}, false: {}}
+	for range requests {
+		for _, idempotent := range []bool{true, false} {
+			choice, _ := New(pool, new(routing.Tried), idempotent, objective, random).Next()
+			first[idempotent][choice.Candidate.Target.ID]++
+		}
+	}
+	if got := float64(first[true]["doubtful"]) / requests; got < probeShare-0.05 || got > probeShare+0.05 {
+		t.Errorf("%.2f of the idempotent requests are probes, want %.2f", got, probeShare)
+	}
+	if first[false]["sound"] != requests || first[true]["far"] != 0 {
+		t.Errorf("first choices %v", first)
+	}
+}
