--- /dev/null
+++ b/internal/node/attempt.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/placement"
+	"github.com/sardinereach/sardinereach/internal/routing"
+	"github.com/sardinereach/sardinereach/internal/verdict"
+)
+
+func endedBeforeDispatch(ctx context.Context) *verdict.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return verdict.Refused(verdict.DeadlineExceeded, ctx.Err())
+	}
+	return verdict.Refused(verdict.CallerGone, ctx.Err())
+}
+
+const maxOfferBytes = 512
+
+func (a *acceptor) attempt(ctx context.Context, rq *request, choice placement.Choice, g gate, out *delivery) *verdict.Error {
+	c := choice.Candidate
+	head := proto.Clone(rq.head).(*peerv1.ForwardHead)
+	head.Attempt = string(a.nextAttempt())
+	head.Target = string(c.Target.ID)
+	head.AcceptingNode = string(a.self.ID)
+	head.TimeoutMs = rq.remaining().Milliseconds()
+	head.ObjectiveMs = rq.match.Route.ObjectiveMS
+	head.ObjectiveLeftMs = (rq.objective() - time.Since(rq.started)).Milliseconds()
+	head.IdleOnly = choice.Mode != placement.Queue
+	head.LastResort = choice.Mode == placement.LastResort
+	head.ReportOverdue = out.overdue != nil
+	head.TrustedOnly = out.overdue == nil
+	head.BodyOnAdmission = head.IdleOnly && c.Distance != routing.SameDomain && len(rq.body) > maxOfferBytes
+	// A route with an objective is hedged instead, which ends no run before another one has answered.
+	if rq.idempotent() && head.ObjectiveMs == 0 {
+		head.ProgressTimeoutMs = progressTimeout(rq.head.FirstByteMs, head.TimeoutMs, c.Target.FirstByte).Milliseconds()
+	}
+	out.restart(head.Attempt, a.crossBytes(c))
+	if head.TimeoutMs <= 0 || ctx.Err() != nil || !g.open() {
+		return endedOrLate(ctx)
+	}
+	started := time.Now()
+	c.Load.Own.Add(1)
+	trailer, err := a.dispatch(ctx, rq, c, head, out)
+	c.Load.Own.Add(-1)
+	if err == nil {
+		noteLoad(c, trailer.Load)
+		err = conclude(rq, trailer, out)
+	}
+	a.logAttempt(rq, choice, head, trailer, err, time.Since(started))
+	if err != nil && err.Verdict == verdict.NotRun {
+		g.notRun()
+	}
+	return err
+}
+
+func (a *acceptor) logAttempt(rq *request, choice placement.Choice, head *peerv1.ForwardHead, trailer *peerv1.AnswerTrailer, err *verdict.Error, took time.Duration) {
+	outcome := verdict.Ran.String()
+	wait := time.Duration(trailer.GetWaitedMs()) * time.Millisecond
+	doubt := 0
+	if err != nil {
+		outcome = string(err.Reason)
+		wait, doubt = max(wait, err.Wait), err.Doubt
+	}
+	a.log.Emit(events.AttemptEnded, events.RequestField(rq.head.RequestId), events.AttemptField(model.AttemptID(head.Attempt)),
+		events.TargetField(choice.Candidate.Target.ID), events.RouteField(head.Route), events.ModeField(choice.Mode.String()),
+		events.TextOutcomeField(outcome), events.WaitField(wait), events.DurationField(took), events.DoubtField(doubt),
+		events.RevisionField(a.view.Load().Revision))
+}
+
+const slowFactor = 10
+
+func progressTimeout(firstByteMS, remainingMS int64, usual time.Duration) time.Duration {
+	limit := time.Duration(firstByteMS) * time.Millisecond
+	half := time.Duration(remainingMS) * time.Millisecond / 2
+	if half >= limit || usual <= 0 || half < slowFactor*usual {
+		return limit
+	}
+	return half
+}
+
+func endedOrLate(ctx context.Context) *verdict.Error {
+	if ctx.Err() != nil {
+		return endedBeforeDispatch(ctx)
+	}
+	return verdict.Refused(verdict.DeadlineExceeded, nil)
+}
+
+func (a *acceptor) crossBytes(c *routing.Candidate) func(int) {
+	if c.Distance != routing.OtherRegion || a.link == nil {
+		return nil
+	}
+	return a.link.spend
+}
+
+func noteLoad(c *routing.Candidate, load *peerv1.TargetLoad) {
+	if load != nil {
+		c.Load.Reported.Store(load.InFlight)
+	}
+}
+
+func conclude(rq *request, trailer *peerv1.AnswerTrailer, out *delivery) *verdict.Error {
+	v := verdict.Verdict(trailer.Verdict)
+	if v == verdict.Ran {
+		return out.checkWhole(rq.head.Method == "HEAD", trailer)
+	}
+	e := &verdict.Error{
+		Verdict:    verdict.MayHaveRun,
+		Reason:     verdict.Reason(trailer.Reason),
+		RetryAfter: time.Duration(trailer.RetryAfterMs) * time.Millisecond,
+	}
+	if v == verdict.NotRun {
+		e.Verdict = verdict.NotRun
+	}
+	if !slices.Contains(verdict.Reasons(), e.Reason) {
+		e.Reason = verdict.NodeLost
+	}
+	if load := trailer.Load; load != nil {
+		e.Doubt = int(load.Doubt)
+		e.Wait = time.Duration(load.WaitMs) * time.Millisecond
+	}
+	if trailer.Detail != "" {
+		e.Cause = errors.New(trailer.Detail)
+	}
+	return e
+}
--- a/internal/node/delivery.go
+++ b/internal/node/delivery.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -64,6 +65,13 @@
 	d.received = 0
 }
 
+// clone returns a delivery that holds the same answer and is not changed by restart.
+func (d *delivery) clone() *delivery {
+	c := *d
+	c.held = slices.Clone(d.held)
+	return &c
+}
+
 // status returns the status of the answer, 0 without a head.
 func (d *delivery) status() int {
 	if d.head == nil {
--- /dev/null
+++ b/internal/node/listeners.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/peer"
+)
+
+type listeners struct {
+	callers, peers, operators, upstreams net.Listener
+	// health and metrics are nil without an address of their own.
+	health, metrics net.Listener
+}
+
+func (n *Node) listen() (l listeners, err error) {
+	for _, open := range []struct {
+		name    string
+		address string
+		into    *net.Listener
+	}{
+		{"callers", n.settings.Listen.Callers.String(), &l.callers},
+		{"peers", n.settings.Listen.Peers.String(), &l.peers},
+		{"operators", n.settings.Listen.Operators.String(), &l.operators},
+		{"upstreams", n.settings.Listen.Upstreams.String(), &l.upstreams},
+		{"health", optionalAddress(n.settings.Listen.Health), &l.health},
+		{"metrics", optionalAddress(n.settings.Listen.Metrics), &l.metrics},
+	} {
+		if open.address == "" {
+			continue
+		}
+		*open.into, err = net.Listen("tcp", open.address)
+		if err != nil {
+			n.log.Emit(events.ListenerFailed, events.AddressField(open.address), events.OperationField(open.name), events.CauseField(err))
+			return l, errors.Wrapf(err, "listener for %s", open.name)
+		}
+	}
+	return l, nil
+}
+
+func optionalAddress(address netip.AddrPort) string {
+	if !address.IsValid() {
+		return ""
+	}
+	return address.String()
+}
+
+type servers struct {
+	callers, operators, upstreams *http.Server
+	// plain are the servers of the health answer and the metrics, which end with the process.
+	plain []*http.Server
+}
+
+func (n *Node) serve(ctx context.Context, group *errgroup.Group, l listeners) servers {
+	s := servers{
+		callers:   n.httpServer(n.acceptor),
+		operators: n.httpServer(n.operatorHandler()),
+		upstreams: n.httpServer(n.ports.Announcements(n.announced, n.left)),
+	}
+	// The address is known only now if the settings leave the port to the system.
+	group.Go(func() error {
+		return serveHTTP(s.callers, newLimitListener(l.callers, n.settings.Limits.MaxConnections))
+	})
+	group.Go(func() error { return serveHTTP(s.operators, l.operators) })
+	group.Go(func() error { return serveHTTP(s.upstreams, l.upstreams) })
+	if l.health != nil {
+		server := n.httpServer(http.HandlerFunc(n.acceptor.serveHealthOnly))
+		s.plain = append(s.plain, server)
+		group.Go(func() error { return serveHTTP(server, l.health) })
+	}
+	if l.metrics != nil {
+		server := n.httpServer(expvar.Handler())
+		s.plain = append(s.plain, server)
+		group.Go(func() error { return serveHTTP(server, l.metrics) })
+	}
+	n.peerServer = peer.NewServer(&handler{node: n}, int(n.settings.Limits.MaxBodyBytes), peer.Options{})
+	group.Go(func() error { return n.peerServer.Serve(ctx, l.peers) })
+	return s
+}
+
+func (n *Node) httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: n.settings.Limits.ReadHeaderTimeout,
+		IdleTimeout:       n.settings.Limits.IdleTimeout,
+		MaxHeaderBytes:    int(n.settings.Limits.MaxHeaderBytes),
+		ErrorLog:          nil,
+	}
+}
+
+func serveHTTP(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "http server")
+	}
+	return nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,10 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"expvar"
-	"net"
-	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,7 +14,6 @@
 	"github.com/sardinereach/sardinereach/internal/admission"
 	"github.com/sardinereach/sardinereach/internal/distribution"
 	"github.com/sardinereach/sardinereach/internal/events"
-	"github.com/sardinereach/sardinereach/internal/membership"
 	"github.com/sardinereach/sardinereach/internal/metrics"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/once"
@@ -195,96 +190,8 @@
 func (n *Node) Shutdown() { n.stopOnce.Do(func() { close(n.stop) }) }
 
 // listeners are the node's open listeners.
-type listeners struct {
-	callers, peers, operators, upstreams net.Listener
-	// health and metrics are nil without an address of their own.
-	health, metrics net.Listener
-}
-
-func (n *Node) listen() (l listeners, err error) {
-	for _, open := range []struct {
-		name    string
-		address string
-		into    *net.Listener
-	}{
-		{"callers", n.settings.Listen.Callers.String(), &l.callers},
-		{"peers", n.settings.Listen.Peers.String(), &l.peers},
-		{"operators", n.settings.Listen.Operators.String(), &l.operators},
-		{"upstreams", n.settings.Listen.Upstreams.String(), &l.upstreams},
-		{"health", optionalAddress(n.settings.Listen.Health), &l.health},
-		{"metrics", optionalAddress(n.settings.Listen.Metrics), &l.metrics},
-	} {
-		if open.address == "" {
-			continue
-		}
-		*open.into, err = net.Listen("tcp", open.address)
-		if err != nil {
-			n.log.Emit(events.ListenerFailed, events.AddressField(open.address), events.OperationField(open.name), events.CauseField(err))
-			return l, errors.Wrapf(err, "listener for %s", open.name)
-		}
-	}
-	return l, nil
-}
-
 // optionalAddress returns "" for an address that the settings leave out.
-func optionalAddress(address netip.AddrPort) string {
-	if !address.IsValid() {
-		return ""
-	}
-	return address.String()
-}
-
 // servers are the HTTP servers that shut down gracefully.
-type servers struct {
-	callers, operators, upstreams *http.Server
-	// plain are the servers of the health answer and the metrics, which end with the process.
-	plain []*http.Server
-}
-
-func (n *Node) serve(ctx context.Context, group *errgroup.Group, l listeners) servers {
-	s := servers{
-		callers:   n.httpServer(n.acceptor),
-		operators: n.httpServer(n.operatorHandler()),
-		upstreams: n.httpServer(n.ports.Announcements(n.announced, n.left)),
-	}
-	// The address is known only now if the settings leave the port to the system.
-	group.Go(func() error {
-		return serveHTTP(s.callers, newLimitListener(l.callers, n.settings.Limits.MaxConnections))
-	})
-	group.Go(func() error { return serveHTTP(s.operators, l.operators) })
-	group.Go(func() error { return serveHTTP(s.upstreams, l.upstreams) })
-	if l.health != nil {
-		server := n.httpServer(http.HandlerFunc(n.acceptor.serveHealthOnly))
-		s.plain = append(s.plain, server)
-		group.Go(func() error { return serveHTTP(server, l.health) })
-	}
-	if l.metrics != nil {
-		server := n.httpServer(expvar.Handler())
-		s.plain = append(s.plain, server)
-		group.Go(func() error { return serveHTTP(server, l.metrics) })
-	}
-	n.peerServer = peer.NewServer(&handler{node: n}, int(n.settings.Limits.MaxBodyBytes), peer.Options{})
-	group.Go(func() error { return n.peerServer.Serve(ctx, l.peers) })
-	return s
-}
-
-func (n *Node) httpServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: n.settings.Limits.ReadHeaderTimeout,
-		IdleTimeout:       n.settings.Limits.IdleTimeout,
-		MaxHeaderBytes:    int(n.settings.Limits.MaxHeaderBytes),
-		ErrorLog:          nil,
-	}
-}
-
-func serveHTTP(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "http server")
-	}
-	return nil
-}
-
 // announced takes in what an upstream says about itself.
 func (n *Node) announced(a upstream.Announcement) error {
 	phase, _ := model.ParsePhase(a.Phase)
@@ -316,39 +223,5 @@
 }
 
 // countPeerBytes counts the bytes on connections to other nodes.
-func (n *Node) countPeerBytes(address, purpose string, sent bool, bytes int) {
-	direction := metrics.Received
-	if sent {
-		direction = metrics.Sent
-	}
-	n.metrics.LinkBytes(purposeOf(purpose, n.isRemote(address)), direction, int64(bytes))
-}
-
-func purposeOf(purpose string, remote bool) metrics.Purpose {
-	switch {
-	case purpose == peer.PurposeTraffic && remote:
-		return metrics.PurposeForwardRegion
-	case purpose == peer.PurposeTraffic:
-		return metrics.PurposeForward
-	case remote:
-		return metrics.PurposeExchangeRegion
-	}
-	return metrics.PurposeExchange
-}
-
 // isRemote reports whether the address is that of a node in another region.
-func (n *Node) isRemote(address string) bool {
-	remote := n.remote.Load()
-	return remote != nil && (*remote)[address]
-}
-
 // noteRemote keeps the addresses of the nodes in other regions.
-func (n *Node) noteRemote(members *membership.Snapshot) {
-	remote := make(map[string]bool)
-	for _, member := range members.Members {
-		if member.Record.Region != n.self.Region {
-			remote[member.Record.PeerAddress] = true
-		}
-	}
-	n.remote.Store(&remote)
-}
--- /dev/null
+++ b/internal/node/pick.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"github.com/sardinereach/sardinereach/internal/core"
+	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/placement"
+	"github.com/sardinereach/sardinereach/internal/routing"
+	"github.com/sardinereach/sardinereach/internal/verdict"
+)
+
+func (a *acceptor) planOf(rq *request, service *core.ServiceView, tried *routing.Tried) *placement.Plan {
+	var pool *routing.Pool
+	if service != nil {
+		pool = service.Pool
+	}
+	return placement.New(pool, tried, rq.idempotent(), rq.objective(), rq.rng)
+}
+
+func refusalOf(err *verdict.Error) placement.Refusal {
+	switch err.Reason {
+	case verdict.SlotsFull, verdict.TargetDoubtful:
+		return placement.Refusal{Full: err.Reason == verdict.SlotsFull, Wait: err.Wait, Doubt: err.Doubt}
+	}
+	return placement.Refusal{}
+}
+
+func (a *acceptor) pick(rq *request, service *core.ServiceView, plan *placement.Plan, tried *routing.Tried) (placement.Choice, *verdict.Error) {
+	if service == nil {
+		return placement.Choice{}, verdict.Refused(verdict.NoTarget, nil)
+	}
+	if trial := a.pickTrial(rq, service, tried); trial != nil {
+		tried.Add(trial.Target.ID)
+		return placement.Choice{Candidate: trial, Mode: placement.Queue}, nil
+	}
+	choice, ok := plan.Next()
+	if !ok {
+		return choice, verdict.Refused(verdict.NoTarget, nil)
+	}
+	if choice.Candidate.Distance == routing.OtherRegion && !a.link.allows(rq.head.Bulk) {
+		a.log.Emit(events.LinkBudgetSpent, events.RegionField(choice.Candidate.Node.Region))
+		return choice, verdict.Refused(verdict.LinkBudget, nil)
+	}
+	return choice, nil
+}
+
+const trialShare = 8
+
+func (a *acceptor) pickTrial(rq *request, service *core.ServiceView, tried *routing.Tried) *routing.Candidate {
+	if len(service.Trials) == 0 || !rq.idempotent() || !tried.Empty() || rq.rng.IntN(trialShare) != 0 {
+		return nil
+	}
+	c := service.Trials[rq.rng.IntN(len(service.Trials))]
+	if c.Distance == routing.OtherRegion {
+		return nil
+	}
+	return c
+}
--- a/internal/node/retried_answer_test.go
+++ b/internal/node/retried_answer_test.go
@@ -65,16 +65,16 @@
 }
 
 // Guards against "not run" being told of a request that an upstream has answered with a retry status, because the attempt
-// after it was refused.
+// after it was refused, and against that answer being lost.
 func TestRefusalAfterARetriedAnswer(t *testing.T) {
 	a, address := startAcceptor(t)
 	service := &declaration.Service{Name: "s", Routes: []declaration.Route{{Path: "/s", RetryStatuses: []int{503}}}}
-	addTarget(t, a, service, answerOnce(t, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"))
+	addTarget(t, a, service, answerOnce(t, "HTTP/1.1 503 Busy\r\nBusy: yes\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"))
 	res, err := exchange(t, address, "GET /s HTTP/1.1\r\nHost: h\r\n\r\n")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got := res.Header.Get(headerVerdict); got != verdict.MayHaveRun.String() {
-		t.Errorf("status %d, verdict %q, reason %q; the request ran once", res.StatusCode, got, res.Header.Get(headerReason))
+	if got := res.Header.Get(headerVerdict); got != verdict.Ran.String() || res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Busy") != "yes" {
+		t.Errorf("status %d, verdict %q, reason %q; want the upstream's own answer", res.StatusCode, got, res.Header.Get(headerReason))
 	}
 }
