--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -61,7 +61,7 @@
 		return verdict.SlotsFull
 	}
 	wait := p.waitFor(t, t.ahead(r))
-	if wait > t.patience(now, r) || now+wait+t.runTimes.usual(r.Route) >= r.Deadline {
+	if wait > t.maxWait(now, r) || now+wait+t.runTimes.usual(r.Route) >= r.Deadline {
 		return verdict.QueueDeadline
 	}
 	return ""
@@ -75,7 +75,7 @@
 }
 
 func (p *Point) enqueue(t *target, r Request) Decision {
-	w := &work{request: r, target: t, leaveAt: min(r.latest(), p.now+t.patience(p.now, &r))}
+	w := &work{request: r, target: t, leaveAt: min(r.latest(), p.now+t.maxWait(p.now, &r))}
 	p.records[r.Attempt] = &record{work: w, state: StateRunning}
 	t.enqueue(w)
 	return Decision{Kind: Queued, Load: p.load(t)}
--- a/internal/admission/finish.go
+++ b/internal/admission/finish.go
@@ -45,18 +45,18 @@
 	switch {
 	case result.Outcome == Answered && !result.Failed:
 		// A late good answer shows that the target is slow and does not hang.
-		p.acquit(w, run)
+		p.countSuccess(w, run)
 	case w.overdue:
 	case result.Failed && result.Outcome == Answered:
-		p.accuse(w, run, t.health.answeredFailure)
+		p.countFailure(w, run, t.health.answeredFailure)
 	case result.Failed, result.Outcome == Shed:
-		p.accuse(w, run, t.health.failed)
+		p.countFailure(w, run, t.health.failed)
 	}
 	p.refuseDoubtful(t)
 }
 
-// accuse counts a failed or overdue run against its target.
-func (p *Point) accuse(w *work, run time.Duration, count func(now time.Duration)) {
+// countFailure counts a failed or overdue run against its target.
+func (p *Point) countFailure(w *work, run time.Duration, count func(now time.Duration)) {
 	t := w.target
 	before := t.health.doubtful
 	count(p.active())
@@ -65,8 +65,8 @@
 	}
 }
 
-// acquit counts a good answer for its target.
-func (p *Point) acquit(w *work, run time.Duration) {
+// countSuccess counts a good answer for its target.
+func (p *Point) countSuccess(w *work, run time.Duration) {
 	t := w.target
 	before := t.health.doubtful
 	t.health.succeeded(p.active())
@@ -107,11 +107,11 @@
 			continue
 		}
 		w.overdue = true
-		p.accuse(w, p.active()-w.started, t.health.failed)
+		p.countFailure(w, p.active()-w.started, t.health.failed)
 	}
 	if !t.health.doubtful && len(t.running) > 0 && p.silence(t) < silenceLimit {
 		oldest := t.running[0]
-		p.accuse(oldest, p.active()-oldest.started, t.health.failed)
+		p.countFailure(oldest, p.active()-oldest.started, t.health.failed)
 	}
 	p.refuseDoubtful(t)
 }
--- a/internal/admission/health.go
+++ b/internal/admission/health.go
@@ -11,9 +11,9 @@
 	// quarters of its work gives two in a row once in sixteen tries.
 	minProofs = 2
 	maxProofs = 3
-	// maxStrikes is the number of answers with a failure status, less the good ones since, that makes a target doubtful. One
+	// maxFailureStatuses is the number of answers with a failure status, less the good ones since, that makes a target doubtful. One
 	// such answer says little: the target may have failed because a call of its own did.
-	maxStrikes = 2
+	maxFailureStatuses = 2
 	// relapseTime is the time after a return in which another failure asks for one more proof than the last time.
 	relapseTime = 4 * time.Second
 )
@@ -32,15 +32,15 @@
 	// probeAt is the active time from which the next probe may start.
 	probeAt time.Duration
 	// since and returned are the active times of the last doubt and of the last return.
-	since    time.Duration
-	returned time.Duration
-	strikes  int
+	since           time.Duration
+	returned        time.Duration
+	failureStatuses int
 }
 
 // answeredFailure takes in an answer with a failure status.
 func (h *health) answeredFailure(now time.Duration) {
-	h.strikes++
-	if h.doubtful || h.strikes >= maxStrikes {
+	h.failureStatuses++
+	if h.doubtful || h.failureStatuses >= maxFailureStatuses {
 		h.failed(now)
 	}
 }
@@ -60,7 +60,7 @@
 func (h *health) doubt(now time.Duration) {
 	h.doubtful = true
 	h.since = now
-	h.strikes = 0
+	h.failureStatuses = 0
 	if h.asked > 0 && now-h.returned < relapseTime {
 		h.asked = min(h.asked+1, maxProofs)
 	} else {
@@ -73,7 +73,7 @@
 
 // succeeded takes in a good answer that came in time.
 func (h *health) succeeded(now time.Duration) {
-	h.strikes = max(h.strikes-1, 0)
+	h.failureStatuses = max(h.failureStatuses-1, 0)
 	if !h.doubtful {
 		return
 	}
--- a/internal/admission/wait.go
+++ b/internal/admission/wait.go
@@ -14,11 +14,11 @@
 	return usual > 0 && usual < time.Duration(shortShare*float64(t.runTime))
 }
 
-// patience returns how long the request waits for a slot: as long as its answer can meet the latency objective. Requests
+// maxWait returns how long the request waits for a slot: as long as its answer can meet the latency objective. Requests
 // that come too late for that wait for a part of the objective. Under lasting overload a longer queue would make every
 // answer late and serve no one more. Without an objective only the deadline counts. A short request waits to its deadline: it
 // takes little capacity, and mostly the run of another request waits for it and is lost with it.
-func (t *target) patience(now time.Duration, r *Request) time.Duration {
+func (t *target) maxWait(now time.Duration, r *Request) time.Duration {
 	if r.Objective == 0 {
 		return r.Deadline - now
 	}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -31,9 +31,9 @@
 	// slightDoubt is the doubt up to which a doubtful target is asked while others are merely full. It needs one more good
 	// answer, so that a request is more likely to be served there than not.
 	slightDoubt = 1
-	// comfortShare is the part of its latency objective that a request waits in its own failure domain rather than to ask
+	// domainWaitShare is the part of its latency objective that a request waits in its own failure domain rather than to ask
 	// in another one.
-	comfortShare = 0.15
+	domainWaitShare = 0.15
 	// probeShare is the share of idempotent requests that ask the doubtful targets of their failure domain first. Without
 	// them a target that has recovered stays out, and the targets in use fall below the service's floor.
 	probeShare = 0.25
@@ -47,8 +47,8 @@
 	asks   [routing.OtherRegion + 1]int
 	queued int
 	forced int
-	// comfort is the wait that a request takes in its own failure domain before it asks in others.
-	comfort time.Duration
+	// domainWait is the wait that a request takes in its own failure domain before it asks in others.
+	domainWait time.Duration
 	// full means that a target that is not doubtful was full.
 	full bool
 }
@@ -67,7 +67,7 @@
 
 // New returns the plan for a request with the given latency objective. Targets in tried are left out.
 func New(pool *routing.Pool, tried *routing.Tried, idempotent bool, objective time.Duration, random *rand.Rand) *Plan {
-	p := &Plan{last: none, comfort: time.Duration(comfortShare * float64(objective))}
+	p := &Plan{last: none, domainWait: time.Duration(domainWaitShare * float64(objective))}
 	probe := idempotent && random.Float64() < probeShare
 	for candidate := range pool.All {
 		if tried.Has(candidate.Target.ID) {
@@ -118,7 +118,7 @@
 	if i := p.nextUnasked(routing.SameDomain); i != none {
 		return p.choose(i, IdleOnly), true
 	}
-	if i := p.shortestWait(routing.SameDomain); i != none && p.entries[i].refusal.Wait <= p.comfort {
+	if i := p.shortestWait(routing.SameDomain); i != none && p.entries[i].refusal.Wait <= p.domainWait {
 		return p.chooseQueue(i), true
 	}
 	if i := p.nextUnasked(routing.SameRegion); i != none {
