Count a hedge in one goroutine

Cause: found on reading: the number of attempts was written by the second attempt while the first one's end read it. Change: the goroutine that waits for both keeps the number.

--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -24,7 +24,7 @@
 	// winner is the number of the attempt that may pass its answer on, 0 while there is none.
 	winner  atomic.Int32
 	results chan hedgeResult
-	// extra is the number of attempts beyond the first that a target took.
+	// extra is the number of attempts beyond the first that a target has taken or may still take. Only run uses it.
 	extra int
 }
 
@@ -38,6 +38,9 @@
 // failed reports whether the other attempt may do better.
 func (r *hedgeResult) failed() bool { return r.err != nil || r.out.status() >= firstServerError }
 
+// wasRefused reports whether no target has taken the request.
+func (r *hedgeResult) wasRefused() bool { return r.err != nil && r.err.Verdict == verdict.NotRun }
+
 // firstServerError is the first status by which an upstream says that it failed.
 const firstServerError = 500
 
@@ -59,10 +62,14 @@
 		case <-overdue:
 			if h.mayHedge() {
 				running++
+				h.extra = 1
 				go h.second(ctx, choice)
 			}
 		case r := <-h.results:
 			running--
+			if r.number != 1 && r.wasRefused() {
+				h.extra = 0
+			}
 			best = better(best, &r)
 			if running == 0 || !best.failed() {
 				return h.conclude(best)
@@ -138,7 +145,6 @@
 		}
 		err := a.attempt(ctx, h.rq, choice, openGate{}, out)
 		if err == nil || err.Verdict != verdict.NotRun {
-			h.extra = 1
 			return err
 		}
 		plan.Refused(refusalOf(err))
