Answer open requests before the grace of a shutdown ends

Ruled out: a shorter grace in the settings, which closes the connections earlier in the same way. Change: after 0.9 of the grace the context of the callers' requests ends, so that each gets its refusal or failure.

--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -64,6 +64,7 @@
 		operators: n.httpServer(n.operatorHandler()),
 		upstreams: n.httpServer(n.ports.Announcements(n.announced, n.left)),
 	}
+	s.callers.BaseContext = func(net.Listener) context.Context { return n.requests }
 	// The address is known only now if the settings leave the port to the system.
 	group.Go(func() error {
 		return serveHTTP(s.callers, newLimitListener(l.callers, n.settings.Limits.MaxConnections))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,9 +52,12 @@
 	// remote holds the peer addresses of the nodes in other regions.
 	remote atomic.Pointer[map[string]bool]
 	// ready is set once a view with the complete configuration is in force.
-	ready    atomic.Bool
-	stopOnce sync.Once
-	stop     chan struct{}
+	ready atomic.Bool
+	// requests is the context of all callers' requests; endRequests ends those that are still open at the end of the grace.
+	requests    context.Context
+	endRequests context.CancelFunc
+	stopOnce    sync.Once
+	stop        chan struct{}
 }
 
 // secretBytes is the length of the key that signs operation tickets.
@@ -71,6 +74,7 @@
 		settings: s, ports: ports, self: s.Identity(incarnation), clock: newClock(), metrics: m, log: log,
 		paths: newPaths(), loads: newLoads(), heartbeats: newHeartbeats(), stop: make(chan struct{}),
 	}
+	n.requests, n.endRequests = context.WithCancel(context.Background())
 	n.store = ports.Store
 	n.peers = peer.NewClient(n.self.ID, peer.Options{Count: n.countPeerBytes})
 	n.upstreams = upstream.NewClient(s.Limits.MaxHeaderBytes, ports.Upstreams)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -10,6 +10,10 @@
 // lingerTime lets the last frames of the last answers leave before the connections to other nodes are closed.
 const lingerTime = 100 * time.Millisecond
 
+// answerShare is the part of the grace after which requests that are still open get their final answer. The rest of the
+// grace lets the answers leave before the process is killed.
+const answerShare = 0.9
+
 // shutdownPoll is the time between two looks at the requests in flight.
 const shutdownPoll = 20 * time.Millisecond
 
@@ -20,6 +24,8 @@
 	n.log.Emit(events.NodeStopping, events.NodeField(n.self.ID), events.CountField(n.busy()))
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Shutdown.Grace)
 	defer cancel()
+	finalAnswers := time.AfterFunc(time.Duration(answerShare*float64(n.settings.Shutdown.Grace)), n.endRequests)
+	defer finalAnswers.Stop()
 	n.admitter.stop()
 	n.distributor.SetStopping()
 	n.views.invalidate()
