Put comments back beside their functions, remove a test that could not fire

Cause: found on reading the change. The split of attempts.go, admitter.go and node.go left the comments of what moved behind in the old files; the test of the silence of all runs, a trial that was not taken, stood with a limit of 0 and could never fire; a function literal wrapped platform.HeartbeatHandler. Behaviour stays; no test is changed.

--- a/cmd/sardinereachd/ports.go
+++ b/cmd/sardinereachd/ports.go
@@ -1,14 +1,10 @@
 package main
 
 import (
-	"net/http"
-
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/metrics"
-	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/node"
 	"github.com/sardinereach/sardinereach/internal/settings"
-	"github.com/sardinereach/sardinereach/internal/upstream"
 	"github.com/sardinereach/sardinereach/platform"
 )
 
@@ -20,11 +16,9 @@
 	count := func(kind string) { m.StoreCall(metrics.StoreCall(kind)) }
 	rejected := func(err error) { log.Emit(events.ConfigInvalid, events.CauseField(err)) }
 	return node.Ports{
-		Store:     platform.NewStore(s.Store.Address.String(), count, rejected),
-		Callers:   platform.CallerDialect(),
-		Upstreams: platform.UpstreamDialect(),
-		Announcements: func(announced func(upstream.Announcement) error, left func(model.TargetID, int64)) http.Handler {
-			return platform.HeartbeatHandler(announced, left)
-		},
+		Store:         platform.NewStore(s.Store.Address.String(), count, rejected),
+		Callers:       platform.CallerDialect(),
+		Upstreams:     platform.UpstreamDialect(),
+		Announcements: platform.HeartbeatHandler,
 	}
 }
--- a/internal/admission/finish.go
+++ b/internal/admission/finish.go
@@ -99,7 +99,7 @@
 	return w.target.runTimes.expected(w.request.Route, w.request.Objective, cold)
 }
 
-// noteOverdue counts the runs that have become overdue against their target, and the silence of all of them together.
+// noteOverdue counts the runs that have become overdue against their target.
 func (p *Point) noteOverdue(t *target) {
 	for _, w := range t.running {
 		limit := p.overdueAfter(w)
@@ -109,10 +109,6 @@
 		w.overdue = true
 		p.countFailure(w, p.active()-w.started, t.health.failed)
 	}
-	if !t.health.doubtful && len(t.running) > 0 && p.silence(t) < silenceLimit {
-		oldest := t.running[0]
-		p.countFailure(oldest, p.active()-oldest.started, t.health.failed)
-	}
 	p.refuseDoubtful(t)
 }
 
--- a/internal/admission/health.go
+++ b/internal/admission/health.go
@@ -11,8 +11,8 @@
 	// quarters of its work gives two in a row once in sixteen tries.
 	minProofs = 2
 	maxProofs = 3
-	// maxFailureStatuses is the number of answers with a failure status, less the good ones since, that makes a target doubtful. One
-	// such answer says little: the target may have failed because a call of its own did.
+	// maxFailureStatuses is the number of answers with a failure status, less the good ones since, that makes a target
+	// doubtful. One such answer says little: the target may have failed because a call of its own did.
 	maxFailureStatuses = 2
 	// relapseTime is the time after a return in which another failure asks for one more proof than the last time.
 	relapseTime = 4 * time.Second
@@ -71,7 +71,7 @@
 	h.probeAt = now
 }
 
-// succeeded takes in a good answer that came in time.
+// succeeded takes in a good answer, also a late one.
 func (h *health) succeeded(now time.Duration) {
 	h.failureStatuses = max(h.failureStatuses-1, 0)
 	if !h.doubtful {
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -188,17 +188,6 @@
 	}
 }
 
-// run runs one attempt and passes its answer to sink. It returns the trailer of the answer.
-// runAdmitted runs an attempt that has a slot.
-// admit waits for a slot and returns the address of the upstream.
-// leaveQueue takes an attempt out of the queue whose accepting node gave up. If a slot was granted meanwhile, it is
-// given back unused: the request was not run either way.
-// runIdempotent runs an admitted attempt. It ends when the accepting node cancels.
-// watchOverdue tells the accepting node when the attempt is overdue, so that it can try another target as well. The timer
-// is nil if there is nothing to tell.
-// runOnce runs an admitted non-idempotent attempt. It goes on when the accepting node is gone, and holds the answer, so
-// that the accepting node can ask for it on another connection.
-// track returns a sink that follows the progress of an admitted attempt.
 // progress returns the attempts that run at a target, in the terms of the detector.
 func (a *admitter) progress(target model.TargetID) []detect.InFlight {
 	a.mu.Lock()
@@ -219,6 +208,3 @@
 	t, ok := a.point.Target(a.clock.now(), id)
 	return ok && t.RampSlots < t.Slots
 }
-
-// finish ends an attempt that was sent to the upstream and returns its trailer.
-// end frees the slot of an admitted attempt.
--- a/internal/node/admitter_run.go
+++ b/internal/node/admitter_run.go
@@ -12,6 +12,7 @@
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
+// run runs one attempt and passes its answer to sink. It returns the trailer of the answer.
 func (a *admitter) run(ctx context.Context, head *peerv1.ForwardHead, source peer.Body, sink peer.Sink) *peerv1.AnswerTrailer {
 	timeout := time.Duration(head.TimeoutMs) * time.Millisecond
 	deadline := a.clock.now() + timeout
@@ -31,6 +32,7 @@
 	return trailer
 }
 
+// runAdmitted runs an attempt that has a slot.
 func (a *admitter) runAdmitted(ctx context.Context, address string, head *peerv1.ForwardHead, source peer.Body, sink peer.Sink) *peerv1.AnswerTrailer {
 	ruling := a.mayTry(model.TargetID(head.Target), head.Idempotent)
 	if ruling == trialRefused {
@@ -52,6 +54,7 @@
 	return a.runOnce(ctx, address, head, body, sink, ruling)
 }
 
+// admit waits for a slot and returns the address of the upstream.
 func (a *admitter) admit(ctx context.Context, head *peerv1.ForwardHead, deadline time.Duration) (string, *verdict.Error) {
 	attempt := model.AttemptID(head.Attempt)
 	ch := make(chan slotOrRefusal, 1)
@@ -94,6 +97,8 @@
 	}
 }
 
+// leaveQueue takes an attempt out of the queue whose accepting node gave up. If a slot was granted meanwhile, it is
+// given back unused: the request was not run either way.
 func (a *admitter) leaveQueue(ctx context.Context, attempt model.AttemptID, ch chan slotOrRefusal) (string, *verdict.Error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -110,6 +115,7 @@
 	return "", verdict.Refused(verdict.QueueDeadline, ctx.Err())
 }
 
+// runIdempotent runs an admitted attempt. It ends when the accepting node cancels.
 func (a *admitter) runIdempotent(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink peer.Sink, ruling trialRuling) *peerv1.AnswerTrailer {
 	if timer := a.watchOverdue(head, sink); timer != nil {
 		defer timer.Stop()
@@ -118,6 +124,8 @@
 	return a.finish(address, head, result, nil, ruling)
 }
 
+// watchOverdue tells the accepting node when the attempt is overdue, so that it can try another target as well. The timer
+// is nil if there is nothing to tell.
 func (a *admitter) watchOverdue(head *peerv1.ForwardHead, sink peer.Sink) *time.Timer {
 	if !head.ReportOverdue {
 		return nil
@@ -131,6 +139,8 @@
 	return time.AfterFunc(limit, func() { peer.ReportOverdue(sink) })
 }
 
+// runOnce runs an admitted non-idempotent attempt. It goes on when the accepting node is gone, and holds the answer, so
+// that the accepting node can ask for it on another connection.
 func (a *admitter) runOnce(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink peer.Sink, ruling trialRuling) *peerv1.AnswerTrailer {
 	deadline, _ := ctx.Deadline()
 	running, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
@@ -140,6 +150,7 @@
 	return a.finish(address, head, result, holder.answer(), ruling)
 }
 
+// track returns a sink that follows the progress of an admitted attempt.
 func (a *admitter) track(head *peerv1.ForwardHead, sink peer.Sink) *progress {
 	p := &progress{
 		next: sink, clock: a.clock, target: model.TargetID(head.Target), route: head.Route,
@@ -151,6 +162,7 @@
 	return p
 }
 
+// finish ends an attempt that was sent to the upstream and returns its trailer.
 func (a *admitter) finish(address string, head *peerv1.ForwardHead, result upstream.Result, answer *admission.Answer, ruling trialRuling) *peerv1.AnswerTrailer {
 	lossSerial := a.crashes.ended(address, head, result)
 	a.mu.Lock()
@@ -172,6 +184,7 @@
 	return trailer
 }
 
+// end frees the slot of an admitted attempt.
 func (a *admitter) end(head *peerv1.ForwardHead, result admission.Result) {
 	attempt := model.AttemptID(head.Attempt)
 	a.mu.Lock()
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -23,8 +23,11 @@
 	return verdict.Refused(verdict.CallerGone, ctx.Err())
 }
 
+// maxOfferBytes is the size up to which a body goes along when a target in another failure domain is asked for a free slot.
+// A larger one follows when the target has taken the request, because refusals would waste bytes that are paid for.
 const maxOfferBytes = 512
 
+// attempt runs the request at one target. The answer is whole if there is no error.
 func (a *acceptor) attempt(ctx context.Context, rq *request, choice placement.Choice, g gate, out *delivery) *verdict.Error {
 	c := choice.Candidate
 	head := proto.Clone(rq.head).(*peerv1.ForwardHead)
@@ -62,6 +65,7 @@
 	return err
 }
 
+// logAttempt logs the end of an attempt with what the admitting node knew.
 func (a *acceptor) logAttempt(rq *request, choice placement.Choice, head *peerv1.ForwardHead, trailer *peerv1.AnswerTrailer, err *verdict.Error, took time.Duration) {
 	outcome := verdict.Ran.String()
 	wait := time.Duration(trailer.GetWaitedMs()) * time.Millisecond
@@ -76,8 +80,13 @@
 		events.RevisionField(a.view.Load().Revision))
 }
 
+// slowFactor is how many times its usual time to the first byte a target may take before half of the remaining time is
+// given to another target.
 const slowFactor = 10
 
+// progressTimeout returns the time without progress after which an idempotent attempt is given up. It is the route's
+// time to the first byte. Where that would leave no time for another attempt, it is half of the remaining time, if that
+// is still many times what the target usually takes.
 func progressTimeout(firstByteMS, remainingMS int64, usual time.Duration) time.Duration {
 	limit := time.Duration(firstByteMS) * time.Millisecond
 	half := time.Duration(remainingMS) * time.Millisecond / 2
@@ -94,6 +103,7 @@
 	return verdict.Refused(verdict.DeadlineExceeded, nil)
 }
 
+// crossBytes returns where to count the bytes of an answer that crosses a link between regions.
 func (a *acceptor) crossBytes(c *routing.Candidate) func(int) {
 	if c.Distance != routing.OtherRegion || a.link == nil {
 		return nil
@@ -107,6 +117,7 @@
 	}
 }
 
+// conclude returns the outcome that a trailer tells, nil for a whole answer.
 func conclude(rq *request, trailer *peerv1.AnswerTrailer, out *delivery) *verdict.Error {
 	v := verdict.Verdict(trailer.Verdict)
 	if v == verdict.Ran {
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -68,8 +68,6 @@
 	}
 }
 
-// planOf returns the order in which the request is offered to the targets that were not tried.
-// refusalOf returns what an admission point said about its target.
 // retryStatusesOf returns the statuses of the route's answers that are retried.
 func (a *acceptor) retryStatusesOf(route *declaration.Route) []int {
 	if len(route.RetryStatuses) > 0 {
@@ -139,9 +137,6 @@
 	}
 }
 
-// pick chooses a target for the next attempt.
-// trialShare is the number of idempotent requests of which one is offered to a target on trial.
-// pickTrial returns a target on trial now and then, for a first attempt that can be retried elsewhere.
 // retryAfterOf returns the wait that a complete answer asks for.
 func retryAfterOf(out *delivery) time.Duration {
 	if out.head == nil {
@@ -166,20 +161,3 @@
 	in.Attempt += h.extra
 	return err
 }
-
-// maxOfferBytes is the size up to which a body goes along when a target in another failure domain is asked for a free slot.
-// A larger one follows when the target has taken the request, because refusals would waste bytes that are paid for.
-// attempt runs the request at one target. The answer is whole if there is no error.
-// logAttempt logs the end of an attempt with what the admitting node knew.
-// slowFactor is how many times its usual time to the first byte a target may take before half of the remaining time is
-// given to another target.
-// progressTimeout returns the time without progress after which an idempotent attempt is given up. It is the route's
-// time to the first byte. Where that would leave no time for another attempt, it is half of the remaining time, if that
-// is still many times what the target usually takes.
-// crossBytes returns where to count the bytes of an answer that crosses a link between regions.
-// dispatch sends the attempt to the admitting node. It returns a trailer, or an outcome if there is none.
-// beginRemote asks the quarantine whether the request may run at a target beside another node. Both nodes ask, so that a
-// request that crashes upstreams is stopped also while the store, by which nodes tell each other, is down.
-// forgetOldIncarnation drops the session of a peer that has restarted, so that the next attempt begins with Hello.
-// forwardFailed finds out what became of an attempt whose connection failed.
-// conclude returns the outcome that a trailer tells, nil for a whole answer.
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -13,6 +13,7 @@
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
+// dispatch sends the attempt to the admitting node. It returns a trailer, or an outcome if there is none.
 func (a *acceptor) dispatch(ctx context.Context, rq *request, c *routing.Candidate, head *peerv1.ForwardHead, out *delivery) (*peerv1.AnswerTrailer, *verdict.Error) {
 	if c.Node.ID == a.self.ID {
 		return a.localForward(ctx, head, rq.body, out), nil
@@ -30,6 +31,8 @@
 	return a.forwardFailed(ctx, rq, c, head, err, out)
 }
 
+// beginRemote asks the quarantine whether the request may run at a target beside another node. Both nodes ask, so that a
+// request that crashes upstreams is stopped also while the store, by which nodes tell each other, is down.
 func (a *acceptor) beginRemote(ctx context.Context, head *peerv1.ForwardHead) *verdict.Error {
 	if err := a.admitter.crashes.await(ctx, head); err != nil {
 		return err
@@ -45,6 +48,7 @@
 	a.admitter.crashes.finish(head, verdict.Verdict(trailer.GetVerdict()) == verdict.Ran)
 }
 
+// forgetOldIncarnation drops the session of a peer that has restarted, so that the next attempt begins with Hello.
 func (a *acceptor) forgetOldIncarnation(address string, trailer *peerv1.AnswerTrailer) {
 	switch verdict.Reason(trailer.Reason) {
 	case verdict.WrongIncarnation, verdict.AdmitExpired:
@@ -66,6 +70,7 @@
 	}
 }
 
+// forwardFailed finds out what became of an attempt whose connection failed.
 func (a *acceptor) forwardFailed(ctx context.Context, rq *request, c *routing.Candidate, head *peerv1.ForwardHead, err error, out *delivery) (*peerv1.AnswerTrailer, *verdict.Error) {
 	var failed *peer.ForwardError
 	if !errors.As(err, &failed) {
--- a/internal/node/link_bytes.go
+++ b/internal/node/link_bytes.go
@@ -6,6 +6,7 @@
 	"github.com/sardinereach/sardinereach/internal/peer"
 )
 
+// countPeerBytes counts the bytes on connections to other nodes.
 func (n *Node) countPeerBytes(address, purpose string, sent bool, bytes int) {
 	direction := metrics.Received
 	if sent {
@@ -26,11 +27,13 @@
 	return metrics.PurposeExchange
 }
 
+// isRemote reports whether the address is that of a node in another region.
 func (n *Node) isRemote(address string) bool {
 	remote := n.remote.Load()
 	return remote != nil && (*remote)[address]
 }
 
+// noteRemote keeps the addresses of the nodes in other regions.
 func (n *Node) noteRemote(members *membership.Snapshot) {
 	remote := make(map[string]bool)
 	for _, member := range members.Members {
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -14,6 +14,7 @@
 	"github.com/sardinereach/sardinereach/internal/peer"
 )
 
+// listeners are the node's open listeners.
 type listeners struct {
 	callers, peers, operators, upstreams net.Listener
 	// health and metrics are nil without an address of their own.
@@ -45,6 +46,7 @@
 	return l, nil
 }
 
+// optionalAddress returns "" for an address that the settings leave out.
 func optionalAddress(address netip.AddrPort) string {
 	if !address.IsValid() {
 		return ""
@@ -52,6 +54,7 @@
 	return address.String()
 }
 
+// servers are the HTTP servers that shut down gracefully.
 type servers struct {
 	callers, operators, upstreams *http.Server
 	// plain are the servers of the health answer and the metrics, which end with the process.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -193,9 +193,6 @@
 // Shutdown begins the graceful shutdown. Run returns when it is complete.
 func (n *Node) Shutdown() { n.stopOnce.Do(func() { close(n.stop) }) }
 
-// listeners are the node's open listeners.
-// optionalAddress returns "" for an address that the settings leave out.
-// servers are the HTTP servers that shut down gracefully.
 // announced takes in what an upstream says about itself.
 func (n *Node) announced(a upstream.Announcement) error {
 	phase, _ := model.ParsePhase(a.Phase)
@@ -225,7 +222,3 @@
 	}
 	return o.result.Outcome != upstream.Answered || !n.acceptor.callFailures.explain(n.clock.now())
 }
-
-// countPeerBytes counts the bytes on connections to other nodes.
-// isRemote reports whether the address is that of a node in another region.
-// noteRemote keeps the addresses of the nodes in other regions.
--- a/internal/node/pick.go
+++ b/internal/node/pick.go
@@ -8,6 +8,7 @@
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
+// planOf returns the order in which the request is offered to the targets that were not tried.
 func (a *acceptor) planOf(rq *request, service *core.ServiceView, tried *routing.Tried) *placement.Plan {
 	var pool *routing.Pool
 	if service != nil {
@@ -16,6 +17,7 @@
 	return placement.New(pool, tried, rq.idempotent(), rq.objective(), rq.rng)
 }
 
+// refusalOf returns what an admission point said about its target.
 func refusalOf(err *verdict.Error) placement.Refusal {
 	switch err.Reason {
 	case verdict.SlotsFull, verdict.TargetDoubtful:
@@ -24,6 +26,7 @@
 	return placement.Refusal{}
 }
 
+// pick chooses a target for the next attempt.
 func (a *acceptor) pick(rq *request, service *core.ServiceView, plan *placement.Plan, tried *routing.Tried) (placement.Choice, *verdict.Error) {
 	if service == nil {
 		return placement.Choice{}, verdict.Refused(verdict.NoTarget, nil)
@@ -43,8 +46,10 @@
 	return choice, nil
 }
 
+// trialShare is the number of idempotent requests of which one is offered to a target on trial.
 const trialShare = 8
 
+// pickTrial returns a target on trial now and then, for a first attempt that can be retried elsewhere.
 func (a *acceptor) pickTrial(rq *request, service *core.ServiceView, tried *routing.Tried) *routing.Candidate {
 	if len(service.Trials) == 0 || !rq.idempotent() || !tried.Empty() || rq.rng.IntN(trialShare) != 0 {
 		return nil
