Give targets that tell their cold time all slots at once

Cause: the admission point ramped each target over 10 s from its first announcement. Change: an announcement that tells how long the target stays cold needs no ramp. It stays for upstreams that do not tell.

--- a/internal/admission/announcement.go
+++ b/internal/admission/announcement.go
@@ -21,6 +21,9 @@
 	Load float64
 	// ColdLeft is how much longer the target is slow after its start.
 	ColdLeft time.Duration
+	// TellsCold means that ColdLeft is told. Such a target gets all its slots at once: a ramp of the node's own would begin
+	// anew with each start of the node beside a target that has long been warm.
+	TellsCold bool
 	// Sequence grows with each announcement of one start of the target; 0 means that it is not told.
 	Sequence uint64
 	// Born is the time of the target's start, in milliseconds since 1970; 0 means that it is not told.
--- a/internal/admission/point_test.go
+++ b/internal/admission/point_test.go
@@ -34,6 +34,22 @@
 	}
 }
 
+// Guards against a target that has long been warm getting one slot after a restart of the node beside it.
+func TestTargetThatTellsItsColdTimeGetsAllSlots(t *testing.T) {
+	p := NewPoint(DefaultLimits(), testIncarnation)
+	a := Announcement{
+		Service: testService, Target: "a", Address: "127.0.0.1:1", Slots: 7, Phase: model.PhaseReady, TellsCold: true,
+	}
+	if err := p.Announce(0, a); err != nil {
+		t.Fatal(err)
+	}
+	for serial := range uint64(7) {
+		if d := p.Admit(0, testRequest(0, serial, time.Second)); d.Kind != Admitted {
+			t.Fatalf("request %d at a target with 7 slots: %+v, want admitted", serial, d)
+		}
+	}
+}
+
 // Guards against full load on a cold target, and against a ramp that goes on while the process is frozen.
 func TestRampGivesSlotsGradually(t *testing.T) {
 	p := NewPoint(DefaultLimits(), testIncarnation)
--- a/internal/admission/target.go
+++ b/internal/admission/target.go
@@ -41,7 +41,7 @@
 // rampSlots returns the slots that the cold-start ramp gives at the active time.
 func (t *target) rampSlots(active, rampFor time.Duration) int {
 	elapsed := active - t.rampFrom
-	if elapsed >= rampFor {
+	if t.TellsCold || elapsed >= rampFor {
 		return t.Slots
 	}
 	extra := float64(t.Slots-rampFirstSlots) * float64(elapsed) / float64(rampFor)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -198,7 +198,7 @@
 	phase, _ := model.ParsePhase(a.Phase)
 	err := n.admitter.announce(admission.Announcement{
 		Service: a.Service, Target: a.Target, Address: a.Address, Slots: a.Slots, Phase: phase, Load: a.Load,
-		ColdLeft: a.ColdLeft, Sequence: a.Sequence, Born: a.Born,
+		ColdLeft: a.ColdLeft, TellsCold: a.TellsCold, Sequence: a.Sequence, Born: a.Born,
 	})
 	if err != nil {
 		n.log.Emit(events.AnnounceRefused, events.AddressField(a.Address), events.CauseField(err))
--- a/internal/upstream/announcement.go
+++ b/internal/upstream/announcement.go
@@ -28,6 +28,8 @@
 	Crashes int `json:"crashes"`
 	// ColdLeft is how much longer the upstream is slow after its start.
 	ColdLeft time.Duration `json:"-"`
+	// TellsCold means that ColdLeft is told.
+	TellsCold bool `json:"-"`
 	// Sequence grows with each announcement of one start of the upstream; 0 means that it is not told.
 	Sequence uint64 `json:"-"`
 	// Born is the time of the upstream's start, in milliseconds since 1970; 0 means that it is not told.
