Doubt a target for two overdue runs or one very long one, and for sheds late

Cause: one run over 2.5 times its usual time made its target doubtful. A shed counted like a lost request: when all targets of a service shed 45% of their requests, each was served one request at a time. Change: two overdue runs, or one that takes 4 times as long as usual, make a target doubtful; sheds do so when four more than twice the good answers came. Runs from before a doubt say nothing after it.

--- a/internal/admission/health.go
+++ b/internal/admission/health.go
@@ -14,6 +14,12 @@
 	// maxFailureStatuses is the number of answers with a failure status, less the good ones since, that makes a target
 	// doubtful. One such answer says little: the target may have failed because a call of its own did.
 	maxFailureStatuses = 2
+	// maxOverdue is the number of overdue runs, less the good answers since, that makes a target doubtful. One healthy run in
+	// thirty is overdue, so that a busy target would be doubted every few seconds for a single one.
+	maxOverdue = 2
+	// maxSheds is the number of sheds, less twice the good answers since, that makes a target doubtful. A shed costs its caller
+	// little, and a target that sheds half of its work still serves the other half.
+	maxSheds = 4
 	// relapseTime is the time after a return in which another failure asks for one more proof than the last time.
 	relapseTime = 4 * time.Second
 )
@@ -35,6 +41,25 @@
 	since           time.Duration
 	returned        time.Duration
 	failureStatuses int
+	// overdue counts overdue runs, less the good answers since.
+	overdue int
+	sheds   int
+}
+
+// shed takes in that the target declared not to have run a request.
+func (h *health) shed(now time.Duration) {
+	h.sheds++
+	if h.sheds >= maxSheds {
+		h.failed(now)
+	}
+}
+
+// ranOverdue takes in a run that has become overdue.
+func (h *health) ranOverdue(now time.Duration) {
+	h.overdue++
+	if h.doubtful || h.overdue >= maxOverdue {
+		h.failed(now)
+	}
 }
 
 // answeredFailure takes in an answer with a failure status.
@@ -61,6 +86,8 @@
 	h.doubtful = true
 	h.since = now
 	h.failureStatuses = 0
+	h.overdue = 0
+	h.sheds = 0
 	if h.asked > 0 && now-h.returned < relapseTime {
 		h.asked = min(h.asked+1, maxProofs)
 	} else {
@@ -74,6 +101,8 @@
 // succeeded takes in a good answer, also a late one.
 func (h *health) succeeded(now time.Duration) {
 	h.failureStatuses = max(h.failureStatuses-1, 0)
+	h.overdue = max(h.overdue-1, 0)
+	h.sheds = max(h.sheds-2, 0)
 	if !h.doubtful {
 		return
 	}
--- a/internal/admission/record.go
+++ b/internal/admission/record.go
@@ -18,6 +18,8 @@
 	leaveAt time.Duration
 	// overdue means that the run was counted against the target because it takes too long.
 	overdue bool
+	// silent means that the run has taken so long that it has counted twice.
+	silent bool
 }
 
 // record is what the point knows of one attempt. An attempt with a record is never admitted again.
--- a/internal/admission/run_times.go
+++ b/internal/admission/run_times.go
@@ -17,6 +17,9 @@
 	// overdueFactor is how many times its usual run time a request takes before it is overdue. With a spread of 0.5 in
 	// natural logarithms one healthy run in thirty takes longer.
 	overdueFactor = 2.5
+	// silentFactor is how many times the limit for an overdue run makes a single run enough to doubt its target. One healthy run
+	// in three hundred takes so long.
+	silentFactor = 1.6
 	// coldFactor is how much longer a run may take at a target that has just started.
 	coldFactor = 2.0
 	// objectiveShare is the part of the latency objective that a run of a route without a usual run time is taken to need.
