Let a hung probe not hold up the next one

Cause: a doubtful target got one probe at a time. Ruled out: too few idempotent requests in the domain; they were refused with target_doubtful all the while. Change: probes are spaced by 0.2 to 0.5 s and may overlap; one slot stays free of them. TestHungProbeDoesNotHoldUpTheNext fails on the code before.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -27,7 +27,7 @@
 		return p.refuse(t, r, reason)
 	}
 	p.grantQueued(t)
-	if !r.LastResort && !t.health.admits(p.active(), r.Idempotent && !r.TrustedOnly, t.probes()) {
+	if !r.LastResort && !t.health.admits(p.active(), r.Idempotent && !r.TrustedOnly, t.probes(), t.Slots) {
 		return p.refuse(t, r, verdict.TargetDoubtful)
 	}
 	if len(t.running) < t.rampSlots(p.active(), p.limits.RampFor) {
@@ -104,6 +104,9 @@
 }
 
 func (p *Point) start(w *work) {
+	if w.target.health.doubtful {
+		w.target.health.probed(p.active())
+	}
 	w.target.start(w, p.active())
 	p.inFlight++
 }
--- a/internal/admission/health.go
+++ b/internal/admission/health.go
@@ -3,7 +3,8 @@
 import "time"
 
 const (
-	// probePause is the time after a failed probe until the next one. It doubles with each further failure.
+	// probePause is the time after a probe began until the next one. It doubles with each further one. A probe that hangs does
+	// not hold up the next: it may last until its deadline, long after the target has recovered.
 	probePause = 200 * time.Millisecond
 	// maxProbePause bounds the pause, and so the time for which a target that has recovered stays out.
 	maxProbePause = 500 * time.Millisecond
@@ -25,7 +26,7 @@
 )
 
 // health is what the last runs at a target say about it. A target with a failed or an overdue run is doubtful until a few
-// runs in a row have gone well. A doubtful target gets idempotent requests alone, one at a time, because those can be
+// runs in a row have gone well. A doubtful target gets idempotent requests alone, a few a second, because those can be
 // repeated elsewhere: the load that this answers is a target that hangs or fails most of its work for seconds while its
 // health check is good.
 type health struct {
@@ -78,6 +79,10 @@
 	}
 	h.asked = min(h.asked+1, maxProofs)
 	h.proofs = h.asked
+}
+
+// probed takes in that a request has started at a doubtful target.
+func (h *health) probed(now time.Duration) {
 	h.probeAt = now + h.pause
 	h.pause = min(2*h.pause, maxProbePause)
 }
@@ -115,10 +120,11 @@
 	h.returned = now
 }
 
-// admits reports whether a request may start; probes is the number of runs that began since the target is doubtful.
-func (h *health) admits(now time.Duration, idempotent bool, probes int) bool {
+// admits reports whether a request may start. probes is the number of runs that began since the target is doubtful; one slot
+// is kept free of them, because those that hang hold theirs for long.
+func (h *health) admits(now time.Duration, idempotent bool, probes, slots int) bool {
 	if !h.doubtful {
 		return true
 	}
-	return idempotent && probes == 0 && now >= h.probeAt
+	return idempotent && probes < max(slots-1, 1) && now >= h.probeAt
 }
--- a/internal/admission/health_test.go
+++ b/internal/admission/health_test.go
@@ -68,6 +68,27 @@
 	}
 }
 
+// Guards against a probe that hangs until its deadline keeping a target out that has recovered meanwhile, and against probes
+// that fill every slot of a target that hangs.
+func TestHungProbeDoesNotHoldUpTheNext(t *testing.T) {
+	const slots = 4
+	p, now := newReadyPoint(t, DefaultLimits(), slots)
+	now = serve(t, p, now, routeRequest(now, 1, "/r", true), time.Millisecond, Result{Outcome: Lost, Failed: true})
+	for probe := range uint64(slots - 1) {
+		now += maxProbePause
+		if d := p.Admit(now, routeRequest(now, 2+probe, "/r", true)); d.Kind != Admitted {
+			t.Fatalf("probe %d: %+v, want admitted", probe, d)
+		}
+		if d := p.Admit(now, routeRequest(now, 102+probe, "/r", true)); d.Kind != Refused {
+			t.Fatalf("another probe at once: %+v, want refused", d)
+		}
+	}
+	now += maxProbePause
+	if d := p.Admit(now, routeRequest(now, 200, "/r", true)); d.Kind != Refused || d.Err.Reason != verdict.TargetDoubtful {
+		t.Fatalf("with %d probes that hang: %+v, want refused", slots-1, d)
+	}
+}
+
 // Guards against a target that is doubted for a single run of its long tail, and against one whose only run hangs and that is
 // never doubted.
 func TestSingleOverdueRunIsDoubtedLate(t *testing.T) {
