Keep the retry budget where attempts arrive

Cause: each of 24 accepting nodes had its own small budget of retries for each service, and most of it lay where nobody needed it. Ruled out: the bound on attempts (2, one was used), missing reports of overdue runs. Change: setting [retries] window_extra. Admission points count first attempts and repeats of the last 10 s and refuse repeats beyond the share and their part of the extra, before they are sent; an asking node goes on to the next target.

--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -32,7 +32,9 @@
 	// dropped is told the attempts whose answer was dropped before it was collected.
 	dropped func(model.AttemptID)
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// repeats bounds the repeats of requests; nil sets no bound.
+	repeats *repeats
 	point   *admission.Point
 	waiting map[model.AttemptID]chan slotOrRefusal
 	running map[model.AttemptID]*progress
--- a/internal/node/admitter_run.go
+++ b/internal/node/admitter_run.go
@@ -44,7 +44,7 @@
 		a.end(head, admission.Result{Outcome: admission.Withdrawn})
 		return a.trailer(head, verdict.Refused(verdict.BodyIncomplete, err))
 	}
-	if refusal := a.crashes.begin(head); refusal != nil {
+	if refusal := a.begin(head); refusal != nil {
 		a.end(head, admission.Result{Outcome: admission.Withdrawn})
 		return a.trailer(head, refusal)
 	}
@@ -54,6 +54,16 @@
 	return a.runOnce(ctx, address, head, body, sink, ruling)
 }
 
+// begin returns why an attempt that has a slot is not sent to the upstream, nil if it is.
+func (a *admitter) begin(head *peerv1.ForwardHead) *verdict.Error {
+	if refusal := a.crashes.begin(head); refusal != nil {
+		return refusal
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.repeats.take(a.clock.now(), head)
+}
+
 // admit waits for a slot and returns the address of the upstream.
 func (a *admitter) admit(ctx context.Context, head *peerv1.ForwardHead, deadline time.Duration) (string, *verdict.Error) {
 	attempt := model.AttemptID(head.Attempt)
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -41,6 +41,7 @@
 	head.LastResort = choice.Mode == placement.LastResort
 	head.ReportOverdue = out.overdue != nil
 	head.TrustedOnly = out.overdue == nil
+	head.Repeat = out.repeat
 	head.BodyOnAdmission = head.IdleOnly && c.Distance != routing.SameDomain && len(rq.body) > maxOfferBytes
 	// A route with an objective is hedged instead, which ends no run before another one has answered.
 	if rq.idempotent() && head.ObjectiveMs == 0 {
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -65,6 +65,7 @@
 			plan = nil
 		}
 		in = in.Next(decision)
+		out.repeat = in.Attempt > 1
 	}
 }
 
--- a/internal/node/budgets.go
+++ b/internal/node/budgets.go
@@ -48,7 +48,7 @@
 	l := b.services[service]
 	if l == nil {
 		limits := retry.BudgetLimits{Share: b.limits.Share, MinPerSecond: nodeMinimum, Burst: b.limits.Burst}
-		l = &lockedBudget{budget: retry.NewBudget(limits, now)}
+		l = &lockedBudget{budget: retry.NewBudget(limits, now), unlimited: b.limits.WindowExtra > 0}
 		l.setMinimum(now, b.minimum)
 		b.services[service] = l
 	}
--- a/internal/node/delivery.go
+++ b/internal/node/delivery.go
@@ -40,6 +40,8 @@
 
 	// asIs means that the answer comes from a node that has added the headers for the caller.
 	asIs bool
+	// repeat means that a target has received, or may receive, the request by another attempt.
+	repeat bool
 	// overdue is called when the attempt takes much longer than usual; nil if nothing can be done about it.
 	overdue func()
 	// mayCommit reports whether the answer may be passed on; nil means that it always may.
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -111,6 +111,7 @@
 func (h *hedge) delivery(number int32) *delivery {
 	d := newDelivery(h.out.next, h.out.limit)
 	d.asIs = h.out.asIs
+	d.repeat = h.out.repeat
 	d.mayCommit = func() bool { return h.winner.CompareAndSwap(0, number) || h.winner.Load() == number }
 	return d
 }
@@ -131,6 +132,7 @@
 	var tried routing.Tried
 	tried.Add(first.Candidate.Target.ID)
 	out := h.delivery(2)
+	out.repeat = true
 	err := h.offer(ctx, &tried, out)
 	h.results <- hedgeResult{number: 2, out: out, err: err}
 }
--- a/internal/node/locked_budget.go
+++ b/internal/node/locked_budget.go
@@ -12,6 +12,8 @@
 type lockedBudget struct {
 	mu     sync.Mutex
 	budget *retry.Budget
+	// unlimited means that the admission points keep the budget.
+	unlimited bool
 }
 
 func (l *lockedBudget) setMinimum(now time.Duration, minimum float64) {
@@ -30,11 +32,14 @@
 func (l *lockedBudget) take(now time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.budget.Take(now)
+	return l.unlimited || l.budget.Take(now)
 }
 
 func (l *lockedBudget) decide(in retry.Input, now time.Duration, rng *rand.Rand) retry.Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.unlimited {
+		return retry.Decide(in, nil, now, rng)
+	}
 	return retry.Decide(in, l.budget, now, rng)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,8 @@
 	n.crashes = newCrashes(n.clock, n.self, n.store, log)
 	n.crashes.warn = n.warnService
 	n.admitter = newAdmitter(n.clock, incarnation, n.admissionLimits(), n.upstreams, n.crashes)
+	n.admitter.repeats = newRepeats(s.Retries)
+	n.admitter.repeats.targetsOf = n.targetsOf
 	n.buildAcceptor(binary.LittleEndian.Uint64(secret))
 	n.buildOnce(secret)
 	n.views = &viewPublisher{node: n, dirty: make(chan struct{}, 1), members: newMemberWatch(n.self, log)}
@@ -210,6 +212,15 @@
 	return nil
 }
 
+// targetsOf returns the number of targets of the service that the node knows.
+func (n *Node) targetsOf(name model.ServiceName) int {
+	service := n.acceptor.view.Load().Service(name)
+	if service == nil {
+		return 0
+	}
+	return len(service.Targets)
+}
+
 // left takes in that an upstream leaves.
 func (n *Node) left(target model.TargetID, born int64) {
 	n.admitter.leave(target, born)
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -25,7 +25,7 @@
 )
 
 // Decide returns whether and when to make another attempt. It draws on the budget only if the answer is yes. The budget
-// is that of the request's service and is not nil.
+// is that of the request's service, nil if the admission points keep it.
 func Decide(in Input, budget *Budget, now time.Duration, rng *rand.Rand) Decision {
 	reason := failureOf(&in)
 	if reason == "" {
@@ -74,7 +74,7 @@
 	if after+MinAttemptTime > in.Remaining {
 		return Decision{Reason: verdict.DeadlineExceeded}
 	}
-	if !budget.Take(now) {
+	if budget != nil && !budget.Take(now) {
 		return Decision{Reason: verdict.RetryBudget}
 	}
 	return Decision{Retry: true, After: after, Reason: reason}
@@ -126,7 +126,7 @@
 // be opened. Such a refusal costs a message and no work.
 func isAdmissionRefusal(reason verdict.Reason) bool {
 	switch reason {
-	case verdict.SlotsFull, verdict.QueueDeadline, verdict.TargetDraining, verdict.TargetStarting, verdict.TargetOnTrial, verdict.TargetDoubtful,
+	case verdict.SlotsFull, verdict.QueueDeadline, verdict.TargetDraining, verdict.TargetStarting, verdict.TargetOnTrial, verdict.TargetDoubtful, verdict.RepeatsSpent,
 		verdict.TargetUnknown, verdict.AttemptFenced, verdict.AdmitExpired, verdict.WrongIncarnation, verdict.NodeStopping,
 		verdict.UpstreamUnreachable, verdict.NodeUnreachable:
 		return true
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -54,6 +54,7 @@
 share = 0.25
 fleet_per_second = 6
 burst = 2
+window_extra = 60
 statuses = 500, 503
 [ejection]
 permits = no
@@ -89,7 +90,7 @@
 			IdleTimeout: 3 * time.Minute, HeldAnswerBytes: 2 << 20, LinkBytesPerSecond: 3750 << 10,
 		},
 		Upstream: settings.Upstream{Service: "proofroom"},
-		Retries:  settings.Retries{Share: 0.25, FleetPerSecond: 6, Burst: 2, Statuses: []int{500, 503}},
+		Retries:  settings.Retries{Share: 0.25, FleetPerSecond: 6, Burst: 2, WindowExtra: 60, Statuses: []int{500, 503}},
 		Ejection: settings.Ejection{Permits: false, FloorShare: 0.7},
 		Shutdown: settings.Shutdown{Grace: 90 * time.Second, LameDuck: 2 * time.Second},
 	}
--- a/internal/settings/readers.go
+++ b/internal/settings/readers.go
@@ -142,6 +142,10 @@
 	return readNumber(text, 0, maxCount, &s.Retries.Burst)
 }
 
+func retryWindowExtra(s *Settings, text string) *problem {
+	return readNumber(text, 0, maxCount, &s.Retries.WindowExtra)
+}
+
 func retryStatuses(s *Settings, text string) *problem {
 	return readStatuses(text, &s.Retries.Statuses)
 }
--- a/internal/settings/retries.go
+++ b/internal/settings/retries.go
@@ -1,5 +1,10 @@
 package settings
 
+import "time"
+
+// RetryWindow is the length of the span in which the admission points count repeats.
+const RetryWindow = 10 * time.Second
+
 // Retries bounds the retries of a service.
 type Retries struct {
 	// Share is the number of retries that each request adds, at each node.
@@ -8,6 +13,9 @@
 	FleetPerSecond float64
 	// Burst is the number of retries that a node can save up.
 	Burst float64
+	// WindowExtra is the number of repeats of a service in RetryWindow that need no first attempts, shared by its admission
+	// points. Above 0 the admission points keep the budget, and FleetPerSecond and Burst are not used.
+	WindowExtra float64
 	// Statuses are the statuses of answers to idempotent requests that are retried on routes that name none.
 	Statuses []int
 }
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -69,6 +69,7 @@
 		"share":            optional("0.1", retryShare),
 		"fleet_per_second": optional("30", retryFleet),
 		"burst":            optional("30", retryBurst),
+		"window_extra":     optional("0", retryWindowExtra),
 		"statuses":         optional("", retryStatuses),
 	},
 	"ejection": {
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -65,6 +65,8 @@
 	Quarantined Reason = "quarantined"
 	// LinkBudget means that only targets in other regions are usable and the link's byte budget is spent.
 	LinkBudget Reason = "link_budget"
+	// RepeatsSpent means that the admission point has taken as many repeats as its part of the service's retry budget allows.
+	RepeatsSpent Reason = "repeats_spent"
 	// CallerGone means that the caller closed its connection before the request was dispatched.
 	CallerGone Reason = "caller_gone"
 )
@@ -110,7 +112,7 @@
 		NoRoute, NoTarget, SlotsFull, QueueDeadline, TargetDraining, TargetStarting, TargetOnTrial, TargetDoubtful, TargetUnknown, AttemptFenced,
 		AttemptDuplicate, AdmitExpired, WrongIncarnation, UpstreamShed, UpstreamUnreachable, NodeUnreachable,
 		NodeStopping, NotReady, Overloaded, DeadlineExceeded, BodyTooLarge, BodyIncomplete, BadRequest, KeyMissing, KeyInvalid,
-		KeyReused, StoreUnavailable, Quarantined, LinkBudget, CallerGone,
+		KeyReused, StoreUnavailable, Quarantined, LinkBudget, RepeatsSpent, CallerGone,
 		UpstreamLost, UpstreamTimeout, NodeLost, AnswerIncomplete, AnswerDropped, ClaimRunning, ClaimHolderLost,
 		TicketLost, TicketUnreachable, CallerCancelled,
 		RetryBudget, UpstreamStatus, RetryAttempts,
