Let a hedge wait in the queues of other targets

Ruled out: the retry budget (33 refusals, 488 hedges). Change: a hedge is offered to queues as well, not as a last resort.

--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -127,7 +127,8 @@
 	return true
 }
 
-// second offers the request to targets with a free slot until one takes it.
+// second offers the request to the other targets until one takes it. It waits in their queues too: at high load no slot is
+// free, and the first run may hang until the deadline.
 func (h *hedge) second(ctx context.Context, first placement.Choice) {
 	var tried routing.Tried
 	tried.Add(first.Candidate.Target.ID)
@@ -142,7 +143,7 @@
 	plan := a.planOf(h.rq, a.view.Load().Service(h.rq.service), tried)
 	for {
 		choice, ok := plan.Next()
-		if !ok || choice.Mode != placement.IdleOnly {
+		if !ok || choice.Mode == placement.LastResort {
 			return verdict.Refused(verdict.NoTarget, nil)
 		}
 		err := a.attempt(ctx, h.rq, choice, openGate{}, out)
