Count the calls of repeated runs as repeats

A repeated run makes its calls again, and these count as repeats at the service that is called, where they were counted as first attempts and even earned repeats. Change: the node beside a target knows which of its runs are repeats, tells their calls by the ID and marks them. They are counted and not refused, because that would waste the run. TestCallsOfRepeatedRunsCountAsRepeats fails on the code before.

--- a/internal/dialect/caller.go
+++ b/internal/dialect/caller.go
@@ -8,6 +8,9 @@
 	TimeoutHeader string
 	// RequestIDHeader holds the ID that the caller gave the request. Empty means that callers give none.
 	RequestIDHeader string
+	// CallSeparator stands in the ID of a call that an upstream makes between the ID of the request that it runs and the rest.
+	// Empty means that calls cannot be told by their IDs.
+	CallSeparator string
 	// CallerServiceHeader tells the upstream the service beside the accepting node. Empty means that it is not told.
 	CallerServiceHeader string
 	// Operations means that each request is an operation of its own: the caller never sends one ID twice, so that a
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -190,6 +190,21 @@
 	}
 }
 
+// runsRepeat reports whether a repeat of the request runs at a target beside this node.
+func (a *admitter) runsRepeat(request string) bool {
+	if request == "" {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range a.running {
+		if p.repeatOf == request {
+			return true
+		}
+	}
+	return false
+}
+
 // progress returns the attempts that run at a target, in the terms of the detector.
 func (a *admitter) progress(target model.TargetID) []detect.InFlight {
 	a.mu.Lock()
--- a/internal/node/admitter_run.go
+++ b/internal/node/admitter_run.go
@@ -166,6 +166,9 @@
 		next: sink, clock: a.clock, target: model.TargetID(head.Target), route: head.Route,
 		limit: time.Duration(head.FirstByteMs) * time.Millisecond, started: a.clock.now(),
 	}
+	if head.Repeat || head.OfRepeat {
+		p.repeatOf = head.RequestId
+	}
 	a.mu.Lock()
 	a.running[model.AttemptID(head.Attempt)] = p
 	a.mu.Unlock()
--- a/internal/node/progress.go
+++ b/internal/node/progress.go
@@ -18,6 +18,8 @@
 	route   string
 	limit   time.Duration
 	started time.Duration
+	// repeatOf is the ID of the request if the attempt is a repeat, "" otherwise.
+	repeatOf string
 	// headAt and lastAt are the times of the first and the last byte, in nanoseconds of the node's clock; 0 for none.
 	headAt atomic.Int64
 	lastAt atomic.Int64
--- a/internal/node/repeats.go
+++ b/internal/node/repeats.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// extraShare is the part of the extra that the admission points give out. The rest covers the calls of repeated runs, which
-	// nobody can tell from first attempts, and admission points that count the targets of the service differently.
+	// extraShare is the part of the extra that the admission points give out. The rest covers calls of repeated runs, which are
+	// not refused, and admission points that count the targets of the service differently.
 	extraShare = 0.7
 	// minTargets bounds the part of the extra that one admission point gives out while it does not know the others yet.
 	minTargets = 6
@@ -47,7 +47,12 @@
 		window = retry.NewWindow(settings.RetryWindow, r.limits.Share)
 		r.windows[service] = window
 	}
-	if !head.Repeat {
+	switch {
+	case head.Repeat:
+	case head.OfRepeat:
+		window.Repeat(now)
+		return nil
+	default:
 		window.First(now)
 		return nil
 	}
--- a/internal/node/repeats_test.go
+++ b/internal/node/repeats_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/admission"
+	"github.com/sardinereach/sardinereach/internal/dialect"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/settings"
 	"github.com/sardinereach/sardinereach/internal/verdict"
@@ -61,3 +63,27 @@
 		t.Errorf("one more: %v, want not-run", err)
 	}
 }
+
+// Guards against the calls of repeated runs, which count as repeats at the service that is called, being counted as first
+// attempts that earn repeats, or being refused, which would waste the run.
+func TestCallsOfRepeatedRunsCountAsRepeats(t *testing.T) {
+	a := newAdmitter(newClock(), 1, admission.DefaultLimits(), nil, nil)
+	a.track(&peerv1.ForwardHead{Attempt: "n.1.1", RequestId: "first"}, nil)
+	a.track(&peerv1.ForwardHead{Attempt: "n.1.2", RequestId: "again", Repeat: true}, nil)
+	acceptor := &acceptor{admitter: a, dialect: dialect.Caller{CallSeparator: "."}}
+	for id, want := range map[string]bool{"again.1": true, "first.1": false, "again": false, "other.1": false} {
+		if got := a.runsRepeat(acceptor.parentID(id)); got != want {
+			t.Errorf("request %s: of a repeat %v, want %v", id, got, want)
+		}
+	}
+	r := newRepeats(settings.Retries{Share: 0.2, WindowExtra: 60})
+	before := taken(newRepeats(r.limits), time.Hour)
+	for range before {
+		if err := r.take(time.Hour, &peerv1.ForwardHead{Service: "s", OfRepeat: true}); err != nil {
+			t.Fatalf("call of a repeated run: %v", err)
+		}
+	}
+	if got := taken(r, time.Hour); got != 0 {
+		t.Errorf("%d repeats beside the calls, want 0", got)
+	}
+}
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -83,6 +83,7 @@
 		Route:         match.Route.Path,
 		Bulk:          match.Route.Priority == declaration.Bulk,
 	}
+	rq.head.OfRepeat = a.admitter.runsRepeat(a.parentID(rq.head.RequestId))
 	rq.head.FirstByteMs = orDefault(match.Route.FirstByteMS, declaration.DefaultFirstByteMS)
 	return rq, nil
 }
@@ -103,6 +104,18 @@
 	return r.Header.Get(a.dialect.RequestIDHeader)
 }
 
+// parentID returns the ID of the request whose run makes the call with the ID, "" if it is no call.
+func (a *acceptor) parentID(id string) string {
+	if a.dialect.CallSeparator == "" {
+		return ""
+	}
+	parent, _, found := strings.Cut(id, a.dialect.CallSeparator)
+	if !found {
+		return ""
+	}
+	return parent
+}
+
 // objective returns the time within which an answer is fully useful, counted from the arrival of the request.
 func (rq *request) objective() time.Duration {
 	if rq.match.Route.ObjectiveMS > 0 {
