--- a/cmd/sardinereachd/ports.go
+++ b/internal/daemon/ports.go
@@ -1,4 +1,5 @@
-package main
+// Package daemon is what the programs that run a node have in common.
+package daemon
 
 import (
 	"github.com/sardinereach/sardinereach/internal/events"
--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -170,9 +170,17 @@
 	tasks.Go(func() { d.runMembers(ctx) })
 	tasks.Go(func() { d.runPublish(ctx) })
 	tasks.Go(func() { d.runSpread(ctx) })
-	for _, prefix := range []string{ConfigPrefix, EjectionPrefix, QuarantinePrefix} {
+	for _, prefix := range d.prefixes() {
 		tasks.Go(func() { d.runWatch(ctx, prefix) })
 	}
 	tasks.Wait()
 	d.pulls.Wait()
 }
+
+// prefixes returns the prefixes whose documents this node takes from the store while it is a watcher.
+func (d *Distributor) prefixes() []string {
+	if d.options.NoEjections {
+		return []string{ConfigPrefix, QuarantinePrefix}
+	}
+	return []string{ConfigPrefix, EjectionPrefix, QuarantinePrefix}
+}
--- a/internal/distribution/options.go
+++ b/internal/distribution/options.go
@@ -28,6 +28,9 @@
 	// call the Distributor. It may be nil.
 	OnSnapshot func(*Snapshot)
 
+	// NoEjections means that the fleet writes no permits for ejections, so that the store is not watched for them.
+	NoEjections bool
+
 	// RoundInterval is the time between two rounds of pulls.
 	RoundInterval time.Duration
 	// PullTimeout limits one Pull.
--- a/internal/fleettest/relayeddaemon/main.go
+++ b/internal/fleettest/relayeddaemon/main.go
@@ -7,15 +7,10 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/sardinereach/sardinereach/internal/events"
-	"github.com/sardinereach/sardinereach/internal/metrics"
-	"github.com/sardinereach/sardinereach/internal/node"
+	"github.com/sardinereach/sardinereach/internal/daemon"
 	"github.com/sardinereach/sardinereach/internal/settings"
 )
 
@@ -38,21 +33,5 @@
 	if err != nil {
 		return errors.Wrap(err, "bind-peers")
 	}
-	m := metrics.New()
-	if err := metrics.Publish("sardinereach", m); err != nil {
-		return err
-	}
-	n, err := node.New(s, m, events.New(events.Klog{}, time.Now), node.OwnPorts(s, m))
-	if err != nil {
-		return err
-	}
-	// New has taken the node's identity, with the address that peers are told. Run listens at what the settings say now.
-	s.Listen.Peers = address
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM)
-	go func() {
-		<-signals
-		n.Shutdown()
-	}()
-	return n.Run()
+	return daemon.Run(config, s, func(s *settings.Settings) { s.Listen.Peers = address })
 }
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -53,6 +53,7 @@
 	paths    *paths
 	link     *linkBudget
 	budgets  *budgets
+	sizes    *answerSizes
 	once     *onceRunner
 	metrics  *metrics.Metrics
 	log      *events.Log
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -59,6 +59,9 @@
 		a.noteLoad(c, trailer.Load)
 		err = conclude(rq, trailer, out)
 	}
+	if err == nil {
+		a.sizes.add(rq.head.Route, out.received)
+	}
 	a.logAttempt(rq, choice, head, trailer, err, time.Since(started))
 	if err != nil && err.Verdict == verdict.NotRun {
 		g.notRun()
--- a/internal/node/detection.go
+++ b/internal/node/detection.go
@@ -133,6 +133,9 @@
 func (dt *detection) step(targets []model.Target) []model.Target {
 	dt.mu.Lock()
 	defer dt.mu.Unlock()
+	if !dt.node.settings.Ejection.Detector {
+		return dt.noteRefused(targets)
+	}
 	now := dt.node.clock.now()
 	dt.updatePeers(now, targets)
 	present := make(map[model.TargetID]bool, len(targets))
@@ -159,6 +162,15 @@
 	return targets
 }
 
+// noteRefused marks the targets whose address refuses connections. Without the detector the admission points judge their
+// targets alone, so that no detector runs and no evidence is sent. dt.mu is held.
+func (dt *detection) noteRefused(targets []model.Target) []model.Target {
+	for i := range targets {
+		targets[i].Missing = targets[i].Missing || dt.refused[targets[i].ID]
+	}
+	return targets
+}
+
 func (dt *detection) detectorOf(now time.Duration, t *model.Target) *detector {
 	policy := dt.policyOf(t.Service)
 	d := dt.detectors[t.ID]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,7 +113,7 @@
 		dialect: n.ports.Callers, callerService: n.settings.Upstream.Service, retryStatuses: n.settings.Retries.Statuses,
 		ready: n.ready.Load,
 		peers: n.peers, admitter: n.admitter, paths: n.paths, link: newLinkBudget(n.settings.Limits.LinkBytesPerSecond),
-		budgets: newBudgets(n.settings.Retries), metrics: n.metrics, log: n.log, seed: seed,
+		budgets: newBudgets(n.settings.Retries), sizes: newAnswerSizes(), metrics: n.metrics, log: n.log, seed: seed,
 	}
 }
 
@@ -137,7 +137,8 @@
 		Report:       n.reportDistribution,
 		OnSnapshot:   func(*distribution.Snapshot) { n.views.invalidate() },
 		StoreTimeout: n.settings.Store.Timeout,
-		LoadInterval: loadInterval,
+		LoadInterval: n.loadInterval(), HeartbeatInterval: heartbeatInterval,
+		NoEjections: !n.settings.Ejection.Detector,
 	})
 	n.distributor = d
 	return err
@@ -147,6 +148,21 @@
 // the other targets compare with the counters, so it adds to the detection time.
 const loadInterval = time.Second
 
+// heartbeatInterval is the time between two heartbeats in the records of members. A lost node is avoided by those that fail to
+// reach it; the heartbeats only tell the others.
+const heartbeatInterval = 2 * time.Second
+
+// countersInterval is the least time between two versions of the own record that differ only in counters which no detector
+// compares.
+const countersInterval = 10 * time.Second
+
+func (n *Node) loadInterval() time.Duration {
+	if n.settings.Ejection.Detector {
+		return loadInterval
+	}
+	return countersInterval
+}
+
 // nodeOf returns the node with the ID as the fleet knows it.
 func (n *Node) nodeOf(id model.NodeID) (model.Node, bool) {
 	if id == n.self.ID {
--- a/internal/node/pick.go
+++ b/internal/node/pick.go
@@ -14,7 +14,9 @@
 	if service != nil {
 		pool = service.Pool
 	}
-	return placement.New(pool, tried, rq.idempotent(), rq.objective(), a.clock.now(), rq.rng)
+	return placement.New(pool, tried, placement.Request{
+		Idempotent: rq.idempotent(), Objective: rq.objective(), Bytes: int64(len(rq.body)) + a.sizes.of(rq.head.Route),
+	}, a.clock.now(), rq.rng)
 }
 
 // refusalOf returns what an admission point said about its target.
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -30,6 +30,8 @@
 	shortRun      = 60 * time.Millisecond
 	shortDeadline = 800 * time.Millisecond
 	expireEvery   = 50 * time.Millisecond
+	// modelBytes is the size of a request with its answer.
+	modelBytes = 4 << 10
 	// newsEvery is how often the accepting nodes are told the load of the targets.
 	newsEvery = 200 * time.Millisecond
 	// modelDomains are two in each of two regions, if targets are spread.
@@ -249,7 +251,8 @@
 // offer begins a round over the targets.
 func (c *call) offer() {
 	w := c.world
-	c.plan = placement.New(w.pools[c.domain], new(routing.Tried), c.idempotent, longObjective, w.now, w.random)
+	rq := placement.Request{Idempotent: c.idempotent, Objective: longObjective, Bytes: modelBytes}
+	c.plan = placement.New(w.pools[c.domain], new(routing.Tried), rq, w.now, w.random)
 	c.next()
 }
 
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -31,16 +31,16 @@
 	// slightDoubt is the doubt up to which a doubtful target is asked while others are merely full. It needs one more good
 	// answer, so that a request is more likely to be served there than not.
 	slightDoubt = 1
-	// domainWaitShare is the part of its latency objective that a request waits in its own failure domain rather than to ask
-	// in another one.
+	// domainWaitShare is the part of its latency objective that a request of referenceBytes waits in its own failure domain
+	// rather than to ask in another one.
 	domainWaitShare = 0.15
 	// probeShare is the share of idempotent requests that ask the doubtful targets of their failure domain first. Without
 	// them a target that has recovered stays out, and the targets in use fall below the service's floor.
 	probeShare = 0.25
 )
 
-// crossingShares are the parts of its latency objective that a request rather waits than take the way to a target, by
-// distance. Bytes between failure domains and between regions are paid for.
+// crossingShares are the parts of its latency objective that a request of referenceBytes rather waits than take the way to a
+// target, by distance. Bytes between failure domains and between regions are paid for.
 var crossingShares = [...]float64{routing.SameDomain: 0, routing.SameRegion: 0.05, routing.OtherRegion: 0.3}
 
 // Plan is the order in which one request is offered to targets. It is not safe for concurrent use.
@@ -61,14 +61,14 @@
 
 const none = -1
 
-// New returns the plan for a request with the given latency objective, made at the given time on the node's clock. Targets in
-// tried are left out.
-func New(pool *routing.Pool, tried *routing.Tried, idempotent bool, objective, now time.Duration, random *rand.Rand) *Plan {
-	p := &Plan{last: none, domainWait: time.Duration(domainWaitShare * float64(objective))}
+// New returns the plan for the request, made at the given time on the node's clock. Targets in tried are left out.
+func New(pool *routing.Pool, tried *routing.Tried, rq Request, now time.Duration, random *rand.Rand) *Plan {
+	weight := rq.weight()
+	p := &Plan{last: none, domainWait: time.Duration(weight * domainWaitShare * float64(rq.Objective))}
 	for distance, share := range crossingShares {
-		p.crossing[distance] = time.Duration(share * float64(objective))
+		p.crossing[distance] = time.Duration(weight * share * float64(rq.Objective))
 	}
-	probe := idempotent && random.Float64() < probeShare
+	probe := rq.Idempotent && random.Float64() < probeShare
 	for candidate := range pool.All {
 		if tried.Has(candidate.Target.ID) {
 			continue
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -22,9 +22,14 @@
 	return c
 }
 
+// testRequest is a request of the size for which the costs of crossing hold.
+func testRequest(idempotent bool) Request {
+	return Request{Idempotent: idempotent, Objective: objective, Bytes: referenceBytes}
+}
+
 func newPlan(idempotent bool, candidates ...*routing.Candidate) *Plan {
 	random := rand.New(rand.NewPCG(1, 2))
-	return New(routing.NewPool(candidates), new(routing.Tried), idempotent, objective, 0, random)
+	return New(routing.NewPool(candidates), new(routing.Tried), testRequest(idempotent), 0, random)
 }
 
 // walk answers each choice of the plan by refuse until the plan ends, and returns the choices.
@@ -139,7 +144,7 @@
 
 // Guards against a plan of a service without targets that fails.
 func TestEmptyPlan(t *testing.T) {
-	p := New(nil, new(routing.Tried), true, 0, 0, rand.New(rand.NewPCG(1, 2)))
+	p := New(nil, new(routing.Tried), Request{Idempotent: true}, 0, rand.New(rand.NewPCG(1, 2)))
 	if _, ok := p.Next(); ok || p.Left() != 0 {
 		t.Error("a plan without targets has a choice")
 	}
@@ -159,7 +164,7 @@
 	first := map[bool]map[model.TargetID]int{true: {}, false: {}}
 	for range requests {
 		for _, idempotent := range []bool{true, false} {
-			choice, _ := New(pool, new(routing.Tried), idempotent, objective, 0, random).Next()
+			choice, _ := New(pool, new(routing.Tried), testRequest(idempotent), 0, random).Next()
 			first[idempotent][choice.Candidate.Target.ID]++
 		}
 	}
@@ -217,8 +222,25 @@
 func TestOldNewsDoNotCount(t *testing.T) {
 	c := candidate("near", routing.SameRegion, told(model.TargetLoad{Wait: time.Hour}))
 	random := rand.New(rand.NewPCG(1, 2))
-	p := New(routing.NewPool([]*routing.Candidate{c}), new(routing.Tried), false, objective, 2*newsFor, random)
+	p := New(routing.NewPool([]*routing.Candidate{c}), new(routing.Tried), testRequest(false), 2*newsFor, random)
 	if choice, ok := p.Next(); !ok || choice.Mode != IdleOnly {
 		t.Errorf("choice %+v, want to ask for a free slot", choice)
 	}
 }
+
+// Guards against a large request that leaves its failure domain for a wait that a small one would avoid.
+func TestLargeRequestsStayInTheirDomain(t *testing.T) {
+	for bytes, want := range map[int64]model.TargetID{100: "near", 2 * referenceBytes: "own"} {
+		pool := routing.NewPool([]*routing.Candidate{
+			candidate("own", routing.SameDomain, nil), candidate("near", routing.SameRegion, told(model.TargetLoad{Free: 2})),
+		})
+		rq := testRequest(false)
+		rq.Bytes = bytes
+		p := New(pool, new(routing.Tried), rq, 0, rand.New(rand.NewPCG(1, 2)))
+		p.Next()
+		p.Refused(full(objective / 10))
+		if second, _ := p.Next(); second.Candidate.Target.ID != want {
+			t.Errorf("%d bytes, after a wait of a tenth of the objective: %s, want %s", bytes, second.Candidate.Target.ID, want)
+		}
+	}
+}
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -57,6 +57,7 @@
 window_extra = 60
 statuses = 500, 503
 [ejection]
+detector = no
 permits = no
 floor_share = 0.7
 [shutdown]
@@ -91,7 +92,7 @@
 		},
 		Upstream: settings.Upstream{Service: "proofroom"},
 		Retries:  settings.Retries{Share: 0.25, FleetPerSecond: 6, Burst: 2, WindowExtra: 60, Statuses: []int{500, 503}},
-		Ejection: settings.Ejection{Permits: false, FloorShare: 0.7},
+		Ejection: settings.Ejection{Detector: false, Permits: false, FloorShare: 0.7},
 		Shutdown: settings.Shutdown{Grace: 90 * time.Second, LameDuck: 2 * time.Second},
 	}
 	if !reflect.DeepEqual(got, want) {
--- a/internal/settings/readers.go
+++ b/internal/settings/readers.go
@@ -150,12 +150,12 @@
 	return readStatuses(text, &s.Retries.Statuses)
 }
 
+func ejectionDetector(s *Settings, text string) *problem {
+	return readYesNo(text, &s.Ejection.Detector)
+}
+
 func ejectionPermits(s *Settings, text string) *problem {
-	s.Ejection.Permits = text == "yes"
-	if text == "yes" || text == "no" {
-		return nil
-	}
-	return &problem{fmt.Sprintf("%q is neither yes nor no", text), "yes or no"}
+	return readYesNo(text, &s.Ejection.Permits)
 }
 
 func floorShare(s *Settings, text string) *problem {
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -73,6 +73,7 @@
 		"statuses":         optional("", retryStatuses),
 	},
 	"ejection": {
+		"detector":    optional("yes", ejectionDetector),
 		"permits":     optional("yes", ejectionPermits),
 		"floor_share": optional("0", floorShare),
 	},
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -193,3 +193,11 @@
 	*to = list
 	return nil
 }
+
+func readYesNo(text string, into *bool) *problem {
+	if text != "yes" && text != "no" {
+		return &problem{fmt.Sprintf("%q is neither yes nor no", text), "yes or no"}
+	}
+	*into = text == "yes"
+	return nil
+}
