Let a stopping node finish more work, and leave the region less often

Cause: on SIGTERM a node refused all work for its target at once and then took up to 6 s to end. Ruled out: late probes of doubtful targets (the targets were trusted), lost heartbeats. The process ends at 0.97 of the grace, before it is killed. TestStoppingNodeTakesWhatEndsInTime fails on the code before.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -9,6 +9,9 @@
 // bulkReserve is the number of queue places that bulk requests leave to interactive ones.
 const bulkReserve = 1
 
+// stopFactor is how many times its usual run time a request may take and still end before the node stops.
+const stopFactor = 2.0
+
 // Admit decides on one attempt. A refusal is final for the attempt ID. IDs come from model.NewAttemptID: one of another
 // form has no watermark, so that nothing is known of it once its record was dropped.
 func (p *Point) Admit(now time.Duration, r Request) Decision {
@@ -48,7 +51,22 @@
 	case r.Deadline <= now:
 		return verdict.DeadlineExceeded
 	}
-	return p.reasonAgainst(t)
+	if reason := p.reasonAgainst(t); reason != "" {
+		return reason
+	}
+	if p.endsTooLate(t, r) {
+		return verdict.NodeStopping
+	}
+	return ""
+}
+
+// endsTooLate reports whether a run that began now might not end before the node stops.
+func (p *Point) endsTooLate(t *target, r *Request) bool {
+	if p.stopBy == 0 {
+		return false
+	}
+	expected := t.runTimes.expected(r.Route, r.Objective, t.coldUntil > p.active())
+	return expected == 0 || p.now+time.Duration(stopFactor*float64(expected)) > p.stopBy
 }
 
 // reasonAgainstQueueing returns "" or the reason for which the request does not wait for a slot of the target.
@@ -131,6 +149,10 @@
 			p.refuseQueued(w, verdict.QueueDeadline)
 			continue
 		}
+		if p.endsTooLate(t, &w.request) {
+			p.refuseQueued(w, verdict.NodeStopping)
+			continue
+		}
 		t.dequeue(w)
 		p.start(w)
 		grants = append(grants, Grant{Attempt: w.request.Attempt, Target: t.Target, Address: t.Address, Load: p.load(t)})
--- a/internal/admission/announce.go
+++ b/internal/admission/announce.go
@@ -139,6 +139,15 @@
 	}
 }
 
+// StopBy lets only those requests in from now on that are likely to end before the time. A node that is to stop would otherwise
+// leave its target idle for most of the grace, while the runs in flight end.
+func (p *Point) StopBy(end time.Duration) {
+	p.stopBy = end
+	for _, t := range p.sorted() {
+		p.settle(t)
+	}
+}
+
 // StopAll refuses all new and queued work for good. Work in flight ends as usual.
 func (p *Point) StopAll() {
 	p.stopping = true
--- a/internal/admission/health_test.go
+++ b/internal/admission/health_test.go
@@ -271,3 +271,29 @@
 		t.Error("an announcement from before has displaced the target that has the address now")
 	}
 }
+
+// Guards against a node that leaves its target idle from the signal to stop on, and against one that lets in what cannot end
+// before it stops, also from the queue.
+func TestStoppingNodeTakesWhatEndsInTime(t *testing.T) {
+	p, now := newReadyPoint(t, DefaultLimits(), 1)
+	now = learn(t, p, now)
+	running, waiting := routeRequest(now, 1, "/r", false), routeRequest(now, 2, "/r", false)
+	p.Admit(now, running)
+	p.Admit(now, waiting)
+	p.StopBy(now + 250*time.Millisecond)
+	if grants := p.Finish(now, running.Attempt, Result{Outcome: Answered}); len(grants) != 1 {
+		t.Fatalf("grants %v, want the one that waits: its usual run of 100 ms fits twice", grants)
+	}
+	p.Admit(now, routeRequest(now, 3, "/r", false))
+	now += 100 * time.Millisecond
+	if grants := p.Finish(now, waiting.Attempt, Result{Outcome: Answered}); len(grants) != 0 {
+		t.Errorf("grants %v, want none 150 ms before the stop", grants)
+	}
+	events := p.Events()
+	if len(events) != 1 || events[0].Kind != EventRefused || events[0].Err.Reason != verdict.NodeStopping {
+		t.Errorf("events %+v, want the queued request refused", events)
+	}
+	if d := p.Admit(now, routeRequest(now, 4, "/r", false)); d.Kind != Refused || d.Err.Reason != verdict.NodeStopping {
+		t.Errorf("a new request: %+v, want refused", d)
+	}
+}
--- a/internal/admission/point.go
+++ b/internal/admission/point.go
@@ -28,7 +28,9 @@
 	drained  map[model.TargetID]bool
 	departed map[model.TargetID]departure
 	stopping bool
-	records  map[model.AttemptID]*record
+	// stopBy is the time by which the runs of a node that is to stop have to end, 0 for none.
+	stopBy  time.Duration
+	records map[model.AttemptID]*record
 	// ended orders the records of ended, refused and fenced attempts by their expiry.
 	ended      fifo[expiry]
 	held       fifo[expiry]
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/admission"
@@ -120,6 +121,14 @@
 	a.handleEvents(a.point.Expire(now))
 }
 
+// stopBy lets only those attempts in from now on that are likely to end before the time.
+func (a *admitter) stopBy(end time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.point.StopBy(end)
+	a.handleEvents(a.point.Expire(a.clock.now()))
+}
+
 // stop refuses all new and queued work.
 func (a *admitter) stop() {
 	a.mu.Lock()
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -14,26 +14,33 @@
 // grace lets the answers leave before the process is killed.
 const answerShare = 0.9
 
+// exitShare is the part of the grace after which the process ends in any case, before it is killed.
+const exitShare = 0.97
+
 // shutdownPoll is the time between two looks at the requests in flight.
 const shutdownPoll = 20 * time.Millisecond
 
-// shutdown ends the node's work without cutting off a request: it takes no new work in either role, finishes what is in
-// flight, and keeps answering other nodes' questions until their answers are collected.
+// shutdown ends the node's work without cutting off a request. Until callers have left, its targets still get what is likely
+// to end in time. Then it takes no new work in either role, finishes what is in flight, and keeps answering other nodes'
+// questions until their answers are collected.
 func (n *Node) shutdown(s servers) {
 	started := time.Now()
 	n.log.Emit(events.NodeStopping, events.NodeField(n.self.ID), events.CountField(n.busy()))
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Shutdown.Grace)
+	grace := n.settings.Shutdown.Grace
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(exitShare*float64(grace)))
 	defer cancel()
-	finalAnswers := time.AfterFunc(time.Duration(answerShare*float64(n.settings.Shutdown.Grace)), n.endRequests)
+	answersBy := time.Duration(answerShare * float64(grace))
+	finalAnswers := time.AfterFunc(answersBy, n.endRequests)
 	defer finalAnswers.Stop()
-	n.admitter.stop()
-	n.distributor.SetStopping()
-	n.views.invalidate()
+	n.admitter.stopBy(n.clock.now() + answersBy)
 	// Connections of callers are closed after their next answer, so that a request that is on its way is still served.
 	s.callers.SetKeepAlivesEnabled(false)
 	n.acceptor.lameDuck.Store(true)
 	// A connection that waits in the system's backlog when the listener closes would be reset.
 	_ = sleep(ctx, n.settings.Shutdown.LameDuck)
+	n.admitter.stop()
+	n.distributor.SetStopping()
+	n.views.invalidate()
 	n.admitter.reportRunning()
 	callers := make(chan error, 1)
 	go func() { callers <- s.callers.Shutdown(ctx) }()
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -41,7 +41,7 @@
 
 // crossingShares are the parts of its latency objective that a request of referenceBytes rather waits than take the way to a
 // target, by distance. Bytes between failure domains and between regions are paid for.
-var crossingShares = [...]float64{routing.SameDomain: 0, routing.SameRegion: 0.05, routing.OtherRegion: 0.3}
+var crossingShares = [...]float64{routing.SameDomain: 0, routing.SameRegion: 0.05, routing.OtherRegion: 0.45}
 
 // Plan is the order in which one request is offered to targets. It is not safe for concurrent use.
 type Plan struct {
