Hedge what a silent path holds, and give up opening a connection after 400 ms

Ruled out: slow targets (their nodes were not reached), the retry budget. A hedge draws on the budget only if there is another target: TestIdleConnectionsGoSilent failed while useless hedges spent it. TestMuteNodeIsHedged fails on the code before.

--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -54,6 +54,7 @@
 	link     *linkBudget
 	budgets  *budgets
 	sizes    *answerSizes
+	times    *usualTimes
 	once     *onceRunner
 	metrics  *metrics.Metrics
 	log      *events.Log
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -61,6 +61,7 @@
 	}
 	if err == nil {
 		a.sizes.add(rq.head.Route, out.received)
+		a.times.add(rq.head.Route, time.Since(started))
 	}
 	a.logAttempt(rq, choice, head, trailer, err, time.Since(started))
 	if err != nil && err.Verdict == verdict.NotRun {
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/placement"
@@ -26,6 +27,8 @@
 	results chan hedgeResult
 	// extra is the number of attempts beyond the first that a target has taken or may still take. Only run uses it.
 	extra int
+	// hedged means that the second attempt was begun. Only run uses it.
+	hedged bool
 }
 
 // hedgeResult is the end of one attempt.
@@ -55,12 +58,17 @@
 		err := h.acceptor.attempt(ctx, h.rq, choice, openGate{}, first)
 		h.results <- hedgeResult{number: 1, out: first, err: err}
 	}()
+	silent := time.NewTimer(h.acceptor.times.overdueAfter(h.rq.head.Route, h.rq.objective()))
+	defer silent.Stop()
 	running := 1
 	var best *hedgeResult
 	for {
 		select {
+		case <-silent.C:
+			notify(overdue)
 		case <-overdue:
-			if h.mayHedge() {
+			if running == 1 && !h.hedged && h.mayHedge() {
+				h.hedged = true
 				running++
 				h.extra = 1
 				go h.second(ctx, choice)
@@ -116,9 +124,13 @@
 	return d
 }
 
-// mayHedge draws a retry for the second attempt.
+// mayHedge draws a retry for the second attempt if there is another target for it.
 func (h *hedge) mayHedge() bool {
 	a := h.acceptor
+	service := a.view.Load().Service(h.rq.service)
+	if service == nil || service.Pool.Len() < 2 {
+		return false
+	}
 	if h.rq.remaining() <= 0 || !h.budget.take(a.clock.now()) {
 		return false
 	}
--- a/internal/node/hedge_test.go
+++ b/internal/node/hedge_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -9,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/admission"
 	"github.com/sardinereach/sardinereach/internal/config"
 	"github.com/sardinereach/sardinereach/internal/core"
@@ -17,6 +20,7 @@
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/membership"
 	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/peer"
 	"github.com/sardinereach/sardinereach/internal/upstream"
 )
 
@@ -126,3 +130,77 @@
 		t.Errorf("%d runs, %d given up", only.runs.Load(), only.ended.Load())
 	}
 }
+
+// mutePeer is a node that takes attempts and says nothing of them.
+type mutePeer struct {
+	peer.Handler
+	taken atomic.Int32
+}
+
+func (m *mutePeer) Hello(*peerv1.HelloRequest) *peerv1.HelloResponse {
+	return &peerv1.HelloResponse{Node: "n2", Incarnation: 1}
+}
+
+func (m *mutePeer) Forward(ctx context.Context, _ *peerv1.ForwardHead, _ peer.Body, _ peer.Sink) *peerv1.AnswerTrailer {
+	m.taken.Add(1)
+	<-ctx.Done()
+	return &peerv1.AnswerTrailer{}
+}
+
+// startMutePeer serves the node and returns its address.
+func startMutePeer(t *testing.T, m *mutePeer) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = peer.NewServer(m, 1<<20, peer.Options{}).Serve(ctx, listener)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return listener.Addr().String()
+}
+
+// addRemoteTarget makes the acceptor know a target beside the node at the address, which is preferred to its own.
+func addRemoteTarget(t *testing.T, a *acceptor, address string) {
+	t.Helper()
+	a.peers = peer.NewClient("n1", peer.Options{})
+	t.Cleanup(a.peers.Close)
+	own := a.admitter.targets()
+	for i := range own {
+		own[i].Cold = true
+	}
+	other := model.Node{ID: "n2", Incarnation: 1, Region: "r", Domain: "d", PeerAddress: address}
+	remote := model.Target{ID: "t2", Service: "s", Address: "127.0.0.1:1", Slots: 1, RampSlots: 1, Phase: model.PhaseReady}
+	service := a.view.Load().Service("s").Service
+	a.view.Store(core.BuildView(core.Inputs{
+		Self:   a.self,
+		Config: &config.Snapshot{Services: map[model.ServiceName]*declaration.Service{"s": service}},
+		Members: &membership.Snapshot{Members: map[model.NodeID]membership.Member{
+			"n1": {Record: &model.NodeRecord{Node: a.self, Targets: own}},
+			"n2": {Record: &model.NodeRecord{Node: other, Targets: []model.Target{remote}}},
+		}},
+		Loads: newLoads().of,
+	}))
+}
+
+// Guards against an idempotent request that waits until its deadline for a node whose frames do not come back.
+func TestMuteNodeIsHedged(t *testing.T) {
+	own := newHeldTarget(t, "own")
+	close(own.released)
+	a, address := startHedging(t, own, nil)
+	mute := new(mutePeer)
+	addRemoteTarget(t, a, startMutePeer(t, mute))
+	if got := get(t, address); got != "200 own" {
+		t.Errorf("answer %q, want that of the own target", got)
+	}
+	if mute.taken.Load() != 1 {
+		t.Errorf("the mute node took %d attempts, want 1", mute.taken.Load())
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -48,7 +48,7 @@
 }
 
 func (c *Client) hello(ctx context.Context, k *conn) (*Session, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.opts.DialTimeout)
 	defer cancel()
 	res, err := k.client.Hello(ctx, &peerv1.HelloRequest{Node: string(c.self)})
 	if err != nil {
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -4,7 +4,8 @@
 
 // Options are the times and sizes of the protocol. The zero value of a field means its default.
 type Options struct {
-	// DialTimeout bounds the opening of a connection. Default 1 s.
+	// DialTimeout bounds the opening of a connection, and the answer to Hello on one. Default 400 ms, several times the round
+	// trip between regions: nothing has been sent by then, so that another target can be asked.
 	DialTimeout time.Duration
 	// CallTimeout bounds a unary call. Default 2 s.
 	CallTimeout time.Duration
@@ -30,7 +31,7 @@
 )
 
 const (
-	defaultDialTimeout = time.Second
+	defaultDialTimeout = 400 * time.Millisecond
 	defaultCallTimeout = 2 * time.Second
 	defaultIdleCheck   = 2 * time.Second
 	defaultSilence     = 2 * time.Second
