--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -53,11 +53,12 @@
 	paths    *paths
 	link     *linkBudget
 	budgets  *budgets
-	sizes    *answerSizes
-	times    *usualTimes
-	once     *onceRunner
-	metrics  *metrics.Metrics
-	log      *events.Log
+	// sizes are the usual sizes of answers in bytes, times the usual times from asking a target to the whole answer.
+	sizes   *routeAverages[int64]
+	times   *routeAverages[time.Duration]
+	once    *onceRunner
+	metrics *metrics.Metrics
+	log     *events.Log
 	// pathChanged is called when a node begins or ceases to be avoided.
 	pathChanged func()
 
--- a/internal/node/detection.go
+++ b/internal/node/detection.go
@@ -122,7 +122,7 @@
 // smoothing is the weight of a new value in a smoothed time.
 const smoothing = 8
 
-func smooth(old, value time.Duration) time.Duration {
+func smooth[T ~int64](old, value T) T {
 	if old == 0 {
 		return value
 	}
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -58,7 +58,7 @@
 		err := h.acceptor.attempt(ctx, h.rq, choice, openGate{}, first)
 		h.results <- hedgeResult{number: 1, out: first, err: err}
 	}()
-	silent := time.NewTimer(h.acceptor.times.overdueAfter(h.rq.head.Route, h.rq.objective()))
+	silent := time.NewTimer(overdueLimit(h.acceptor.times.of(h.rq.head.Route), h.rq.objective()))
 	defer silent.Stop()
 	running := 1
 	var best *hedgeResult
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,7 +113,7 @@
 		dialect: n.ports.Callers, callerService: n.settings.Upstream.Service, retryStatuses: n.settings.Retries.Statuses,
 		ready: n.ready.Load,
 		peers: n.peers, admitter: n.admitter, paths: n.paths, link: newLinkBudget(n.settings.Limits.LinkBytesPerSecond),
-		budgets: newBudgets(n.settings.Retries), sizes: newAnswerSizes(), times: newUsualTimes(), metrics: n.metrics, log: n.log, seed: seed,
+		budgets: newBudgets(n.settings.Retries), sizes: newRouteAverages[int64](), times: newRouteAverages[time.Duration](), metrics: n.metrics, log: n.log, seed: seed,
 	}
 }
 
