Take back the crash mark of a repeat that the budget refuses

Cause: an admission point noted a request as running for the crash quarantine and then asked the retry budget. A refusal left the note, so that a later loss of the target would have been attributed to a request that was never sent to it, and the note was never dropped. Found on reading the change again, not seen in a run. Ruled out: the accepting node's own note, which endRemote takes back. Change: a refusal by the budget finishes the note. Only the refused path changes. TestRefusedRepeatIsNotInFlight fails on the code before (1 noted as running).

--- a/internal/node/admitter_run.go
+++ b/internal/node/admitter_run.go
@@ -60,8 +60,12 @@
 		return refusal
 	}
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.repeats.take(a.clock.now(), head)
+	refusal := a.repeats.take(a.clock.now(), head)
+	a.mu.Unlock()
+	if refusal != nil {
+		a.crashes.finish(head, false)
+	}
+	return refusal
 }
 
 // admit waits for a slot and returns the address of the upstream.
--- a/internal/node/repeats_test.go
+++ b/internal/node/repeats_test.go
@@ -7,6 +7,7 @@
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/admission"
 	"github.com/sardinereach/sardinereach/internal/dialect"
+	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/settings"
 	"github.com/sardinereach/sardinereach/internal/verdict"
@@ -87,3 +88,19 @@
 		t.Errorf("%d repeats beside the calls, want 0", got)
 	}
 }
+
+// Guards against a repeat that the budget refuses staying noted as running, so that a later loss of the target would be
+// attributed to a request that was never sent to it.
+func TestRefusedRepeatIsNotInFlight(t *testing.T) {
+	c := newClock()
+	quarantined := newCrashes(c, model.Node{ID: "n1", Incarnation: 1}, nil, events.New(discardLog{}, time.Now))
+	a := newAdmitter(c, 1, admission.DefaultLimits(), nil, quarantined)
+	a.repeats = newRepeats(settings.Retries{Share: 0.2, WindowExtra: 1})
+	head := &peerv1.ForwardHead{Service: "s", Target: "t1", Fingerprint: 7, Repeat: true}
+	if err := a.begin(head); err == nil || err.Reason != verdict.RepeatsSpent {
+		t.Fatalf("repeat without a budget: %v, want it refused", err)
+	}
+	if running := quarantined.table.Running("t1"); running != 0 {
+		t.Errorf("%d requests are noted as running, want none", running)
+	}
+}
