Write a member record again that a restore of the store has lost

A node that started after the copy was taken was missing from the store for the rest of its life, and a node without a reachable seed found no peers.

The era of the store reaches every node: watchers receive it with their lists and watches, the others with the complete revision of the quarantine table in the pulls. A node that receives a newer era than the one in which its record was last written or read now reads the record once, spread over 2 s or 2 ms a member, with the back-off of other store calls, and writes it if it is missing or of an earlier incarnation. A record of a later incarnation is kept and reported. Watchers list the members after a restore, so that records of dead members that came back are deleted at once instead of after up to ten minutes. Without a restore no call is added.

--- a/internal/distribution/apply.go
+++ b/internal/distribution/apply.go
@@ -53,6 +53,7 @@
 func (d *Distributor) markAdvanced(prefix string) {
 	if auxiliary := d.tables.auxiliary(prefix); auxiliary != nil {
 		auxiliary.recordAdvance(d.tables.members)
+		d.recordStoreEra(auxiliary.table.Complete())
 		return
 	}
 	d.publisher.documentsChanged = true
--- a/internal/distribution/benchmark_documents_test.go
+++ b/internal/distribution/benchmark_documents_test.go
@@ -78,7 +78,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				if err := d.swap(b.Context(), MemberKey(node), 0, value); err != nil {
+				if _, err := d.swap(b.Context(), MemberKey(node), 0, value); err != nil {
 					b.Fatal(err)
 				}
 				size += len(MemberKey(node)) + len(value)
--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -31,9 +31,13 @@
 	viewGeneration uint64
 	watching       bool
 	// synced means that the node has read the complete records of some peer and has been in contact with peers since.
-	synced            bool
-	isolated          bool
-	registered        bool
+	synced   bool
+	isolated bool
+	// registered means that the member record was written to the store or found there, in registeredEra.
+	registered    bool
+	registeredEra int64
+	// era is the newest era of the store that this node has received.
+	era               int64
 	lastStoreResponse time.Duration
 	lastPeerResponse  time.Duration
 	// reportedRejections holds, by key, the revisions of invalid documents that were already reported.
@@ -47,6 +51,8 @@
 	ready     atomic.Bool
 	// firstJoinDone is closed after the first attempt to register and list the members.
 	firstJoinDone chan struct{}
+	// newEra has a message while a restore of the store requires a check of the own member record.
+	newEra chan struct{}
 	// earlyRound has a message while the own record has a change that has to reach the peers before the next regular
 	// round.
 	earlyRound chan struct{}
@@ -84,6 +90,7 @@
 
 		propagation:    newPropagation(),
 		firstJoinDone:  make(chan struct{}),
+		newEra:         make(chan struct{}, 1),
 		earlyRound:     make(chan struct{}, 1),
 		publishPending: make(chan struct{}, 1),
 	}
@@ -106,7 +113,7 @@
 		Ready:      d.ready.Load(),
 		Isolated:   d.isolated,
 		Watcher:    d.watching,
-		Registered: d.registered,
+		Registered: d.isRegistered(),
 		Complete:   d.tables.config.Complete(),
 		StoreAge:   age(now, d.lastStoreResponse),
 		PeerAge:    age(now, d.lastPeerResponse),
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -24,6 +24,8 @@
 	MemberChanged
 	// MemberRegistered means that the node's own member record is in the store.
 	MemberRegistered
+	// MemberRecordLost means that a restore of the store lost the node's own member record, so it is written again.
+	MemberRecordLost
 	// MemberDeleted means that this node deleted the member record of the dead Node.
 	MemberDeleted
 	// WatchStarted and WatchStopped mean that this node became a watcher of its domain, or stopped being one.
@@ -38,12 +40,15 @@
 	Reconnected
 	// IdentityConflict means that another process uses this node's ID; Address is its peer address.
 	IdentityConflict
+	// StoreRestored means that the store is in a new era: it came back from an older copy, or this node has just
+	// received its era. Revision is in the new era.
+	StoreRestored
 )
 
 var eventNames = [...]string{
 	"store_failed", "store_compacted", "pull_failed", "document_applied", "document_rejected", "member_changed",
-	"member_registered", "member_deleted", "watch_started", "watch_stopped", "ready", "isolated", "reconnected",
-	"identity_conflict",
+	"member_registered", "member_record_lost", "member_deleted", "watch_started", "watch_stopped", "ready", "isolated", "reconnected",
+	"identity_conflict", "store_restored",
 }
 
 // String returns the name of the kind for counters and logs.
--- a/internal/distribution/fleet_test.go
+++ b/internal/distribution/fleet_test.go
@@ -32,8 +32,10 @@
 	partitioned  func(from, to model.Node) bool
 	pulls, bytes atomic.Int64
 	remoteBytes  atomic.Int64
-	incarnation  model.Incarnation
-	options      func(*distribution.Options)
+	// reads counts the reads of the store by the test itself.
+	reads       int
+	incarnation model.Incarnation
+	options     func(*distribution.Options)
 }
 
 type testNode struct {
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -1,10 +1,10 @@
 package distribution
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -18,78 +18,62 @@
 	return MemberPrefix + string(node.Domain) + "/" + string(node.ID)
 }
 
-// runMembers registers the node and lists the members once. From then on it lists them every RelistInterval while the
-// node is a watcher.
+// runMembers registers the node and lists the members once. From then on it confirms the member record after each restore
+// of the store. While the node is a watcher, it also lists the members every RelistInterval and after each restore.
 //
-// The list comes after the write, so that of two nodes that start at the same time at least one finds the other.
+// The first list comes after the write, so that of two nodes that start at the same time at least one finds the other.
 func (d *Distributor) runMembers(ctx context.Context) {
 	if !sleep(ctx, d.randomBelow(d.options.RegisterJitter)) {
 		return
 	}
 	err := d.join(ctx)
 	close(d.firstJoinDone)
-	for pause := d.newBackoff(d.options.BackoffMax); err != nil; err = d.join(ctx) {
-		if !sleep(ctx, pause.next()) {
+	if !d.retryUntilDone(ctx, err, d.join) {
+		return
+	}
+	for d.awaitMemberCheck(ctx) {
+		if !d.retryUntilDone(ctx, d.confirmRegistration(ctx), d.confirmRegistration) {
 			return
 		}
-	}
-	for sleep(ctx, d.jitter(d.options.RelistInterval, jitterFraction)) {
 		if d.isWatching() && d.listMembers(ctx) == nil {
 			d.deleteDeadMembers(ctx)
 		}
 	}
 }
 
-// join registers the node if it is not registered yet, and lists the members.
-func (d *Distributor) join(ctx context.Context) error {
-	if !d.Status().Registered {
-		if err := d.register(ctx); err != nil {
-			return err
+// retryUntilDone repeats a call, whose last result is err, until it succeeds. It returns false if ctx ended first.
+func (d *Distributor) retryUntilDone(ctx context.Context, err error, call func(context.Context) error) bool {
+	for pause := d.newBackoff(d.options.BackoffMax); err != nil; err = call(ctx) {
+		if !sleep(ctx, pause.next()) {
+			return false
 		}
 	}
-	return d.listMembers(ctx)
+	return true
 }
 
-// register writes the member record. A second write is needed if an earlier incarnation of the node is registered. A
-// write with an unknown outcome is retried: if the first one took effect, the retry conflicts with the node's own
-// record.
-func (d *Distributor) register(ctx context.Context) error {
-	self := d.options.Self
-	key := MemberKey(self)
-	value, err := json.Marshal(self)
-	if err != nil {
-		return errors.Wrap(err, "member record")
+// awaitMemberCheck waits for RelistInterval, or for a restore of the store and then for a random time, so that the nodes
+// do not check their member records at the same time. It returns false if ctx ended.
+func (d *Distributor) awaitMemberCheck(ctx context.Context) bool {
+	timer := time.NewTimer(d.jitter(d.options.RelistInterval, jitterFraction))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-d.newEra:
+		return sleep(ctx, d.randomBelow(d.confirmJitter()))
+	case <-ctx.Done():
+		return false
 	}
-	expectedRevision := int64(0)
-	for {
-		err := d.swap(ctx, key, expectedRevision, value)
-		var conflict *store.ConflictError
-		if !errors.As(err, &conflict) {
-			if d.recordStoreResult(ctx, key, err) == nil {
-				d.setRegistered()
-			}
+}
+
+// join registers the node if it is not registered yet, and lists the members.
+func (d *Distributor) join(ctx context.Context) error {
+	if !d.Status().Registered {
+		if err := d.register(ctx); err != nil {
 			return err
 		}
-		if bytes.Equal(conflict.Current.Value, value) {
-			d.setRegistered()
-			return nil
-		}
-		expectedRevision = conflict.Current.Revision
 	}
-}
-
-func (d *Distributor) swap(ctx context.Context, key string, expectedRevision int64, value []byte) error {
-	callCtx, cancel := context.WithTimeout(ctx, d.options.StoreTimeout)
-	defer cancel()
-	_, err := d.options.Store.CompareAndSwap(callCtx, key, expectedRevision, value, 0)
-	return err
-}
-
-func (d *Distributor) setRegistered() {
-	d.mu.Lock()
-	d.registered = true
-	d.mu.Unlock()
-	d.options.Report(Event{Kind: MemberRegistered, Node: d.options.Self.ID})
+	return d.listMembers(ctx)
 }
 
 // listMembers merges the member records of the store into the member table.
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -22,6 +22,7 @@
 	ConfigStale         = &Event{207, "config_stale", Warning, "neither the store nor a peer confirms the configuration in force", []Key{Revision, Duration}, 0}
 	WatcherStarted      = &Event{208, "watcher_started", Info, "this node watches the store for its failure domain", []Key{Domain}, 0}
 	WatcherStopped      = &Event{209, "watcher_stopped", Info, "another node watches the store for the failure domain", []Key{Domain}, 0}
+	StoreRestored       = &Event{212, "store_restored", Warning, "the store has come back from an older copy; the records of the fleet are checked and written again if they are lost", []Key{Era, Revision}, 0}
 )
 
 // Events about members and connections.
@@ -36,6 +37,7 @@
 	RegionUnreachable = &Event{308, "region_unreachable", Error, "no node of a region responds", []Key{Region, Duration}, 0}
 	RegionReachable   = &Event{309, "region_reachable", Info, "a region responds again", []Key{Region, Duration}, 0}
 	LoadDigestFailed  = &Event{311, "load_digest_failed", Warning, "a load digest could not be sent or read", []Key{Operation, Address, Cause}, 0}
+	MemberRecordLost  = &Event{313, "member_record_lost", Warning, "the store has lost this node's member record; it is written again", []Key{Node, Incarnation}, 0}
 	LinkBudgetSpent   = &Event{310, "link_budget_spent", Warning, "the byte budget to other regions is exhausted", []Key{Region, Bytes}, 0}
 )
 
@@ -100,7 +102,7 @@
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, GraceExceeded,
 	ListenerFailed, PanicRecovered, SettingsRead, StoreUnavailable, StoreRecovered,
 	StoreOutcomeUnknown, ConfigApplied, ConfigInvalid, ConfigStale,
-	WatcherStarted, WatcherStopped, NodeJoined, NodeLeft, NodeSilent,
+	WatcherStarted, WatcherStopped, StoreRestored, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
 	RegionReachable, LinkBudgetSpent, LoadDigestFailed, TargetAnnounced, TargetPhaseChanged,
 	TargetMissing, TargetSuspected, TargetEjected, TargetAvoided, TargetReturned,
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -56,6 +56,9 @@
 // RevisionField is a store revision.
 func RevisionField(revision int64) Field { return number(Revision, revision) }
 
+// EraField is the number of times that the store has come back from an older copy.
+func EraField(era int64) Field { return number(Era, era) }
+
 // PhaseField is the phase of an upstream.
 func PhaseField(phase model.Phase) Field { return text(Phase, phase.String()) }
 
--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -14,6 +14,7 @@
 	Attempt     Key = "attempt"
 	Address     Key = "address"
 	Revision    Key = "revision"
+	Era         Key = "era"
 	Phase       Key = "phase"
 	Outcome     Key = "outcome"
 	Fingerprint Key = "fingerprint"
--- a/internal/events/sink_test.go
+++ b/internal/events/sink_test.go
@@ -49,6 +49,7 @@
 		`attempt="a"`:         events.AttemptField("a"),
 		`address="192.0.2.1"`: events.AddressField("192.0.2.1"),
 		`revision="9"`:        events.RevisionField(9),
+		`era="3"`:             events.EraField(3),
 		`phase="draining"`:    events.PhaseField(model.PhaseDraining),
 		`outcome="retried"`:   events.OutcomeField(events.Retried),
 		`fingerprint="9f"`:    events.FingerprintField("9f"),
--- a/internal/node/event_log.go
+++ b/internal/node/event_log.go
@@ -10,6 +10,7 @@
 	"github.com/sardinereach/sardinereach/internal/distribution"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/store"
 )
 
 // logBreakerEvent logs that the circuit breaker of a local target has tripped or closed.
@@ -50,6 +51,10 @@
 	case distribution.BecameReady:
 		n.views.invalidate()
 		n.log.Emit(events.NodeReady, events.NodeField(n.self.ID), events.RevisionField(e.Revision), events.DurationField(n.clock.now()))
+	case distribution.StoreRestored:
+		n.log.Emit(events.StoreRestored, events.EraField(store.Era(e.Revision)), events.RevisionField(store.WithinEra(e.Revision)))
+	case distribution.MemberRecordLost:
+		n.log.Emit(events.MemberRecordLost, events.NodeField(n.self.ID), events.IncarnationField(n.self.Incarnation))
 	case distribution.Isolated:
 		n.log.Emit(events.ConfigStale, events.RevisionField(e.Revision))
 	}
