Keep an expired quarantine expired when the store is restored

After the store has come back from a copy, every document has a newer position, also those that are unchanged. A node merged each document with a newer position, and a quarantine document carries its age as of the time of the write. A quarantine that had ended came back in force on every node that had already removed its expired entry, for up to 30 minutes, and callers of that request were refused with 503.

A document whose content was merged before is now only noted with its new position.

--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"sync"
@@ -8,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/config"
 	"github.com/sardinereach/sardinereach/internal/distribution"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
@@ -29,8 +31,8 @@
 	mu     sync.Mutex
 	table  *quarantine.Table
 	serial uint64
-	// mergedRevisions are the store revisions of the merged entries, by key.
-	mergedRevisions map[string]int64
+	// mergedDocuments are the merged documents, by fingerprint.
+	mergedDocuments map[string]config.Document
 	writes          chan quarantine.Entry
 }
 
@@ -44,7 +46,7 @@
 		notify: func(model.ServiceName, []byte) {},
 		// The serials of two incarnations differ, so that a loss after a restart is not mistaken for an earlier one.
 		serial:          uint64(self.Incarnation),
-		mergedRevisions: make(map[string]int64), writes: make(chan quarantine.Entry, maxPendingEntries),
+		mergedDocuments: make(map[string]config.Document), writes: make(chan quarantine.Entry, maxPendingEntries),
 	}
 }
 
@@ -161,18 +163,23 @@
 	c.notify(service, value)
 }
 
-// mergeSnapshot merges the entries received from the store or by gossip.
+// mergeSnapshot merges the entries received from the store or by gossip. A document that only has a new revision, as all
+// have after a restore of the store, is not merged again: its age is from the time of the write, so an expired entry would
+// return.
 func (c *crashTracker) mergeSnapshot(snapshot *distribution.Snapshot) {
 	for key, document := range snapshot.Quarantine {
-		if c.mergedRevisions[key] >= document.Revision {
+		merged := c.mergedDocuments[key]
+		if merged.Revision >= document.Revision {
 			continue
 		}
-		c.mergedRevisions[key] = document.Revision
-		c.merge(document.Value)
+		c.mergedDocuments[key] = document
+		if !bytes.Equal(merged.Value, document.Value) {
+			c.merge(document.Value)
+		}
 	}
-	for key := range c.mergedRevisions {
+	for key := range c.mergedDocuments {
 		if _, ok := snapshot.Quarantine[key]; !ok {
-			delete(c.mergedRevisions, key)
+			delete(c.mergedDocuments, key)
 		}
 	}
 }
