Write quarantine entries again that a restore of the store has lost

A quarantine is in force on the nodes that hold it, and reaches the nodes that start later only through the store. After the store had come back from a copy from before the write, nothing wrote the entry again: a node that started then let the request run and lost its targets too.

A stored entry of a greater epoch wins.

--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -88,6 +88,7 @@
 		next.Config = d.tables.config.Snapshot()
 		next.Ejections = documentsByName(d.tables.ejections.table, EjectionPrefix)
 		next.Quarantine = documentsByName(d.tables.quarantine.table, QuarantinePrefix)
+		next.StoreEra = d.era
 		d.publisher.documentsChanged = false
 	}
 	return &next
--- a/internal/distribution/restore_test.go
+++ b/internal/distribution/restore_test.go
@@ -36,6 +36,20 @@
 	return node.Status().Registered && f.storedIncarnation(node.self) == node.self.Incarnation
 }
 
+// Guards against nodes that do not receive the era of the store, so that they write nothing again that a restore has lost.
+func TestEveryNodeReceivesTheEra(t *testing.T) {
+	runInFleet(t, func(f *fleet) {
+		f.options = func(o *distribution.Options) { o.NoEjections = true }
+		f.declare("ledger", "/v1")
+		nodes := f.startMany(24)
+		f.waitFor(time.Minute, "the members", nodes, hasLiveMembers(24))
+		for era := int64(1); era <= 2; era++ {
+			f.restore(f.store.Copy())
+			f.waitFor(activationLimit, "the era", nodes, func(n *testNode) bool { return n.Snapshot().StoreEra == era })
+		}
+	})
+}
+
 // Guards against member records that stay lost after the store came back from an older copy, so that a node without
 // seeds finds no peers.
 func TestMemberRecordsLostInARestoreAreWrittenAgain(t *testing.T) {
--- a/internal/distribution/snapshot.go
+++ b/internal/distribution/snapshot.go
@@ -13,6 +13,9 @@
 	// Deleted ones are omitted.
 	Ejections  map[string]config.Document
 	Quarantine map[string]config.Document
+	// StoreEra is the newest era of the store that the node has received. It grows when the store comes back from an
+	// older copy.
+	StoreEra int64
 }
 
 // documentsByName returns the existing documents of a table without the prefix of their keys.
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -28,12 +28,21 @@
 	// short timeout.
 	notify func(service model.ServiceName, entry []byte)
 
+	// isWatching reports whether this node watches the store.
+	isWatching func() bool
+
 	mu     sync.Mutex
 	table  *quarantine.Table
 	serial uint64
+	// documents are the stored entries as the last snapshot has them, by fingerprint.
+	documents map[string]config.Document
 	// mergedDocuments are the merged documents, by fingerprint.
 	mergedDocuments map[string]config.Document
 	writes          chan quarantine.Entry
+	// storeEra is the era of the store in the last snapshot.
+	storeEra int64
+	// restored has a message while a restore of the store requires a check of its entries.
+	restored chan struct{}
 }
 
 // maxPendingEntries limits the entries that wait to be written to the store. Further entries are dropped; each
@@ -43,10 +52,12 @@
 func newCrashTracker(c clock, self model.Node, s store.Store, log *events.Log) *crashTracker {
 	return &crashTracker{
 		clock: c, store: s, log: log, table: quarantine.New(),
-		notify: func(model.ServiceName, []byte) {},
+		notify:     func(model.ServiceName, []byte) {},
+		isWatching: func() bool { return false },
 		// The serials of two incarnations differ, so that a loss after a restart is not mistaken for an earlier one.
 		serial:          uint64(self.Incarnation),
 		mergedDocuments: make(map[string]config.Document), writes: make(chan quarantine.Entry, maxPendingEntries),
+		restored: make(chan struct{}, 1),
 	}
 }
 
@@ -182,6 +193,7 @@
 			delete(c.mergedDocuments, key)
 		}
 	}
+	c.recordDocuments(snapshot)
 }
 
 // entries returns the cached entries of all fingerprints.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,6 +142,7 @@
 		NoEjections: !n.settings.Ejection.Detector,
 	})
 	n.distributor = d
+	n.crashes.isWatching = func() bool { return d.Status().Watcher }
 	return err
 }
 
--- a/internal/node/quarantine_restore_test.go
+++ b/internal/node/quarantine_restore_test.go
@@ -12,6 +12,7 @@
 	"github.com/sardinereach/sardinereach/internal/fakestore"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/quarantine"
+	"github.com/sardinereach/sardinereach/internal/store"
 )
 
 // crashFleet is a store and the crash trackers of several nodes that receive its changes.
@@ -40,11 +41,11 @@
 
 // sync gives the tracker a snapshot of the store, as the distribution does.
 func (f *crashFleet) sync(c *crashTracker) {
-	kvs, _, err := f.store.List(f.t.Context(), distribution.QuarantinePrefix)
+	kvs, revision, err := f.store.List(f.t.Context(), distribution.QuarantinePrefix)
 	if err != nil {
 		return
 	}
-	snapshot := &distribution.Snapshot{Quarantine: make(map[string]config.Document)}
+	snapshot := &distribution.Snapshot{Quarantine: make(map[string]config.Document), StoreEra: store.Era(revision)}
 	for _, kv := range kvs {
 		name := kv.Key[len(distribution.QuarantinePrefix):]
 		snapshot.Quarantine[name] = config.Document{Key: kv.Key, Value: kv.Value, Revision: kv.Revision}
--- a/internal/node/quarantine_writes.go
+++ b/internal/node/quarantine_writes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,8 +24,12 @@
 	}
 }
 
-// run writes queued entries to the store, from which they propagate to all nodes, until ctx ends.
+// run writes queued entries to the store, from which they propagate to all nodes, until ctx ends. After a restore of the
+// store it writes the lost ones again.
 func (c *crashTracker) run(ctx context.Context) {
+	var rewrites sync.WaitGroup
+	defer rewrites.Wait()
+	rewrites.Go(func() { c.runRewrites(ctx) })
 	for {
 		select {
 		case entry := <-c.writes:
@@ -46,30 +51,49 @@
 	_ = c.save(ctx, entry)
 }
 
-// save merges the entry with the one in the store and writes the result. After a conflict it
-// reads the entry again and retries.
+// save merges the entry with the one in the store and writes the result. After a conflict it reads the entry again and
+// retries.
 func (c *crashTracker) save(ctx context.Context, entry quarantine.Entry) error {
+	_, err := c.saveUnless(ctx, entry, func([]byte, quarantine.Entry) bool { return false })
+	return err
+}
+
+// saveUnless is save, except that it writes nothing and returns false if isStored reports that the stored value has the
+// merged entry already.
+func (c *crashTracker) saveUnless(
+	ctx context.Context, entry quarantine.Entry, isStored func([]byte, quarantine.Entry) bool,
+) (written bool, err error) {
 	key := quarantineKey(entry.Fingerprint)
 	for {
 		current, err := c.store.Get(ctx, key)
 		if err != nil && !errors.Is(err, store.ErrNotFound) {
-			return err
+			return false, err
 		}
 		if err == nil {
 			c.merge(current.Value)
 		}
-		value, err := json.Marshal(c.currentEntry(entry))
+		newest := c.currentEntry(entry)
+		if isStored(current.Value, newest) {
+			return false, nil
+		}
+		value, err := json.Marshal(newest)
 		if err != nil {
-			return errors.Wrap(err, "quarantine entry")
+			return false, errors.Wrap(err, "quarantine entry")
 		}
 		_, err = c.store.CompareAndSwap(ctx, key, current.Revision, value, 0)
 		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) {
-			return err
+			return err == nil, err
 		}
 	}
 }
 
+// covers reports whether a stored value is an entry with everything that the given one has.
+func covers(value []byte, entry quarantine.Entry) bool {
+	var stored quarantine.Entry
+	return json.Unmarshal(value, &stored) == nil && stored.Fingerprint == entry.Fingerprint && stored.Covers(entry)
+}
+
 // currentEntry returns the current entry of the fingerprint, or the given one if the table no longer has one.
 func (c *crashTracker) currentEntry(fallback quarantine.Entry) quarantine.Entry {
 	c.mu.Lock()
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Entry is the form in which nodes propagate and store the losses of one fingerprint.
 type Entry struct {
@@ -17,3 +20,12 @@
 
 // Quarantined reports whether the fingerprint of the entry is quarantined.
 func (e Entry) Quarantined() bool { return len(e.Losses) >= LossLimit }
+
+// Covers reports whether the entry has everything that another entry of the same fingerprint has, so that merging the other
+// one into it does not change how requests are handled.
+func (e Entry) Covers(other Entry) bool {
+	if e.Epoch != other.Epoch {
+		return e.Epoch > other.Epoch
+	}
+	return e.Quarantined() || !slices.ContainsFunc(other.Losses, func(l Loss) bool { return !slices.Contains(e.Losses, l) })
+}
