--- a/internal/daemon/ports.go
+++ b/internal/daemon/ports.go
@@ -15,10 +15,15 @@
 	if s.Node.Interface == settings.InterfaceOwn {
 		return node.OwnPorts(s, m)
 	}
-	count := func(kind string) { m.StoreCall(metrics.StoreCall(kind)) }
-	rejected := func(err error) { log.Emit(events.ConfigInvalid, events.CauseField(err)) }
+	observer := platform.Observer{
+		Call:    func(kind string) { m.StoreCall(metrics.StoreCall(kind)) },
+		Invalid: func(err error) { log.Emit(events.ConfigInvalid, events.CauseField(err)) },
+		Restored: func(previous, era int64) {
+			log.Emit(events.StoreRestored, events.EraField(era), events.PreviousEraField(previous))
+		},
+	}
 	return node.Ports{
-		Store:         platform.NewStore(s.Store.Address.String(), count, rejected),
+		Store:         platform.NewStore(s.Store.Address.String(), observer),
 		Callers:       platform.CallerDialect(),
 		Upstreams:     platform.UpstreamDialect(),
 		Announcements: platform.HeartbeatHandler,
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -12,8 +12,11 @@
 	// StoreFailed means that a call to the store failed; Key is the prefix or key, Err the error.
 	StoreFailed EventKind = iota
 	// StoreCompacted means that the store no longer has the changes under the prefix Key, so the keys are listed
-	// again.
+	// again. Revision is the one to continue from.
 	StoreCompacted
+	// ListOutdated means that a list of the keys under the prefix Key has a lower revision than the one up to which this
+	// node's documents are complete. Revision is that of the list, Complete that of the node.
+	ListOutdated
 	// PullFailed means that a Pull failed; Address is the peer, Err the error.
 	PullFailed
 	// DocumentApplied means that a newer document was merged; Key and Revision identify it.
@@ -41,7 +44,7 @@
 )
 
 var eventNames = [...]string{
-	"store_failed", "store_compacted", "pull_failed", "document_applied", "document_rejected", "member_changed",
+	"store_failed", "store_compacted", "list_outdated", "pull_failed", "document_applied", "document_rejected", "member_changed",
 	"member_registered", "member_deleted", "watch_started", "watch_stopped", "ready", "isolated", "reconnected",
 	"identity_conflict",
 }
@@ -61,6 +64,7 @@
 	Address  string
 	Key      string
 	Revision int64
+	Complete int64
 	From, To membership.State
 	Err      error
 }
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -46,7 +46,7 @@
 	}
 	err := d.watch(ctx, prefix, d.jitter(d.options.WatchWait, jitterFraction))
 	if errors.Is(err, store.ErrCompacted) {
-		d.options.Report(Event{Kind: StoreCompacted, Key: prefix})
+		d.options.Report(Event{Kind: StoreCompacted, Key: prefix, Revision: complete})
 		return d.list(ctx, prefix)
 	}
 	return err
@@ -66,6 +66,9 @@
 		documents = append(documents, config.Document{Key: kv.Key, Value: kv.Value, Revision: kv.Revision})
 	}
 	d.mu.Lock()
+	if complete := d.tables.table(prefix).Complete(); revision < complete {
+		d.options.Report(Event{Kind: ListOutdated, Key: prefix, Revision: revision, Complete: complete})
+	}
 	previousRevision := d.tables.config.Revision()
 	d.applyList(prefix, documents, revision)
 	d.recordPermitAges(documents, startedAt)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -22,6 +22,9 @@
 	ConfigStale         = &Event{207, "config_stale", Warning, "neither the store nor a peer confirms the configuration in force", []Key{Revision, Duration}, 0}
 	WatcherStarted      = &Event{208, "watcher_started", Info, "this node watches the store for its failure domain", []Key{Domain}, 0}
 	WatcherStopped      = &Event{209, "watcher_stopped", Info, "another node watches the store for the failure domain", []Key{Domain}, 0}
+	StoreRestored       = &Event{210, "store_restored", Warning, "the store was restored from an older copy; what was written since the copy may be gone", []Key{Era, PreviousEra}, 0}
+	StoreHistoryLost    = &Event{211, "store_history_lost", Info, "the store does not have the changes after the last revision; the keys are listed again", []Key{Operation, Revision}, 0}
+	ListOutdated        = &Event{212, "list_outdated", Warning, "a list of the store is older than what this node has; it replaces nothing", []Key{Operation, Revision, Complete}, 0}
 )
 
 // Events about members and connections.
@@ -99,7 +102,7 @@
 var nonReasonEvents = []*Event{
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, GraceExceeded,
 	ListenerFailed, PanicRecovered, SettingsRead, StoreUnavailable, StoreRecovered,
-	StoreOutcomeUnknown, ConfigApplied, ConfigInvalid, ConfigStale,
+	StoreOutcomeUnknown, StoreRestored, StoreHistoryLost, ListOutdated, ConfigApplied, ConfigInvalid, ConfigStale,
 	WatcherStarted, WatcherStopped, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
 	RegionReachable, LinkBudgetSpent, LoadDigestFailed, TargetAnnounced, TargetPhaseChanged,
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -56,6 +56,15 @@
 // RevisionField is a store revision.
 func RevisionField(revision int64) Field { return number(Revision, revision) }
 
+// CompleteField is the revision up to which the documents of a node are complete.
+func CompleteField(revision int64) Field { return number(Complete, revision) }
+
+// EraField is the number of the store's era, which rises with each restore from an older copy.
+func EraField(era int64) Field { return number(Era, era) }
+
+// PreviousEraField is the number of the store's era before a restore.
+func PreviousEraField(era int64) Field { return number(PreviousEra, era) }
+
 // PhaseField is the phase of an upstream.
 func PhaseField(phase model.Phase) Field { return text(Phase, phase.String()) }
 
--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -31,4 +31,7 @@
 	Status      Key = "status"
 	Route       Key = "route"
 	Bytes       Key = "bytes"
+	Complete    Key = "complete_revision"
+	Era         Key = "era"
+	PreviousEra Key = "previous_era"
 )
--- a/internal/node/event_log.go
+++ b/internal/node/event_log.go
@@ -37,6 +37,10 @@
 	case distribution.StoreFailed:
 		n.storeFailing.Store(true)
 		n.log.Emit(events.StoreUnavailable, events.OperationField(e.Key), events.CauseField(e.Err))
+	case distribution.StoreCompacted:
+		n.log.Emit(events.StoreHistoryLost, events.OperationField(e.Key), events.RevisionField(e.Revision))
+	case distribution.ListOutdated:
+		n.log.Emit(events.ListOutdated, events.OperationField(e.Key), events.RevisionField(e.Revision), events.CompleteField(e.Complete))
 	case distribution.DocumentApplied:
 		if strings.HasPrefix(e.Key, config.ServicePrefix) {
 			n.log.Emit(events.ConfigApplied, events.ServiceField(service), events.RevisionField(e.Revision))
