--- a/internal/distribution/era.go
+++ b/internal/distribution/era.go
@@ -18,5 +18,5 @@
 	d.era = era
 	d.publisher.documentsChanged = true
 	signal(d.newEra)
-	d.options.Report(Event{Kind: StoreRestored, Revision: revision})
+	d.options.Report(Event{Kind: EraReceived, Revision: revision})
 }
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -12,8 +12,11 @@
 	// StoreFailed means that a call to the store failed; Key is the prefix or key, Err the error.
 	StoreFailed EventKind = iota
 	// StoreCompacted means that the store no longer has the changes under the prefix Key, so the keys are listed
-	// again.
+	// again. Revision is the one to continue from.
 	StoreCompacted
+	// ListOutdated means that a list of the keys under the prefix Key has a lower revision than the one up to which this
+	// node's documents are complete. Revision is that of the list, Complete that of the node.
+	ListOutdated
 	// PullFailed means that a Pull failed; Address is the peer, Err the error.
 	PullFailed
 	// DocumentApplied means that a newer document was merged; Key and Revision identify it.
@@ -40,15 +43,15 @@
 	Reconnected
 	// IdentityConflict means that another process uses this node's ID; Address is its peer address.
 	IdentityConflict
-	// StoreRestored means that the store is in a new era: it came back from an older copy, or this node has just
-	// received its era. Revision is in the new era.
-	StoreRestored
+	// EraReceived means that this node has received a newer era of the store, so that it checks what the store may have
+	// lost. Revision is in that era.
+	EraReceived
 )
 
 var eventNames = [...]string{
-	"store_failed", "store_compacted", "pull_failed", "document_applied", "document_rejected", "member_changed",
-	"member_registered", "member_record_lost", "member_deleted", "watch_started", "watch_stopped", "ready", "isolated", "reconnected",
-	"identity_conflict", "store_restored",
+	"store_failed", "store_compacted", "list_outdated", "pull_failed", "document_applied", "document_rejected",
+	"member_changed", "member_registered", "member_record_lost", "member_deleted", "watch_started", "watch_stopped",
+	"ready", "isolated", "reconnected", "identity_conflict", "era_received",
 }
 
 // String returns the name of the kind for counters and logs.
@@ -66,6 +69,7 @@
 	Address  string
 	Key      string
 	Revision int64
+	Complete int64
 	From, To membership.State
 	Err      error
 }
--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -14,7 +14,6 @@
 	Attempt     Key = "attempt"
 	Address     Key = "address"
 	Revision    Key = "revision"
-	Era         Key = "era"
 	Phase       Key = "phase"
 	Outcome     Key = "outcome"
 	Fingerprint Key = "fingerprint"
@@ -32,4 +31,7 @@
 	Status      Key = "status"
 	Route       Key = "route"
 	Bytes       Key = "bytes"
+	Complete    Key = "complete_revision"
+	Era         Key = "era"
+	PreviousEra Key = "previous_era"
 )
--- a/internal/node/event_log.go
+++ b/internal/node/event_log.go
@@ -38,6 +38,10 @@
 	case distribution.StoreFailed:
 		n.storeFailing.Store(true)
 		n.log.Emit(events.StoreUnavailable, events.OperationField(e.Key), events.CauseField(e.Err))
+	case distribution.StoreCompacted:
+		n.log.Emit(events.StoreHistoryLost, events.OperationField(e.Key), events.RevisionField(e.Revision))
+	case distribution.ListOutdated:
+		n.log.Emit(events.ListOutdated, events.OperationField(e.Key), events.RevisionField(e.Revision), events.CompleteField(e.Complete))
 	case distribution.DocumentApplied:
 		if strings.HasPrefix(e.Key, config.ServicePrefix) {
 			n.log.Emit(events.ConfigApplied, events.ServiceField(service), events.RevisionField(e.Revision))
@@ -51,8 +55,8 @@
 	case distribution.BecameReady:
 		n.views.invalidate()
 		n.log.Emit(events.NodeReady, events.NodeField(n.self.ID), events.RevisionField(e.Revision), events.DurationField(n.clock.now()))
-	case distribution.StoreRestored:
-		n.log.Emit(events.StoreRestored, events.EraField(store.Era(e.Revision)), events.RevisionField(store.WithinEra(e.Revision)))
+	case distribution.EraReceived:
+		n.log.Emit(events.StoreEraReceived, events.EraField(store.Era(e.Revision)), events.RevisionField(store.WithinEra(e.Revision)))
 	case distribution.MemberRecordLost:
 		n.log.Emit(events.MemberRecordLost, events.NodeField(n.self.ID), events.IncarnationField(n.self.Incarnation))
 	case distribution.Isolated:
