Keep the capacity floor when a restore of the store loses ejection permits

An entry of a permit document occupies its share of the capacity floor until no node enforces it any more.

A view now has the era of the store. In a new era a node enforces only what it enforced before, up to the former end, until TTL and the drift allowance have passed since it received the era. By then no node enforces a lost entry. Observations of generations start anew, so that nothing is retired or collected on account of the earlier era. A lost permit needs no re-write: its holder requests it with the next renewal, by the same floor check.

--- a/internal/eject/limits.go
+++ b/internal/eject/limits.go
@@ -14,6 +14,9 @@
 	retireAfter = TTL + driftAllowance
 	// collectAfter is the time for which a node must have cached the mark before it garbage-collects the entry.
 	collectAfter = TTL + driftAllowance
+	// settleAfter is the time after the receipt of a new era of the store in which other nodes may still enforce entries
+	// that the restore has lost.
+	settleAfter = TTL + driftAllowance
 	// maxShare limits the share of a service's targets that are ejected at a time. One target may always be ejected if
 	// the capacity floor allows it.
 	maxShare = 0.3
--- a/internal/node/ejector.go
+++ b/internal/node/ejector.go
@@ -37,6 +37,9 @@
 	// ownPermits are the permits that this incarnation has requested for its local targets.
 	ownPermits map[model.TargetID]*ownPermit
 	lastGC     time.Duration
+	// storeEra is the newest era of the store that the node has received, and eraReceivedAt the time when it received it.
+	storeEra      int64
+	eraReceivedAt time.Duration
 }
 
 // ownPermit is a permit of this node.
@@ -98,6 +101,7 @@
 	now := e.node.clock.now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.receiveEra(snapshot.StoreEra, now)
 	changed := false
 	for _, document := range snapshot.Ejections {
 		changed = e.mergeDocument(document, now) || changed
@@ -107,6 +111,17 @@
 	}
 }
 
+// receiveEra records a new era of the store for all views. e.mu is held.
+func (e *ejector) receiveEra(era int64, now time.Duration) {
+	if era <= e.storeEra {
+		return
+	}
+	e.storeEra, e.eraReceivedAt = era, now
+	for _, v := range e.views {
+		v.ReceiveEra(era, now)
+	}
+}
+
 // mergeDocument merges one document and reports whether it was new. e.mu is held.
 func (e *ejector) mergeDocument(document config.Document, now time.Duration) bool {
 	service := model.ServiceName(document.Key[len(eject.Key("")):])
@@ -122,6 +137,7 @@
 	v := e.views[service]
 	if v == nil {
 		v = new(eject.View)
+		v.ReceiveEra(e.storeEra, e.eraReceivedAt)
 		e.views[service] = v
 	}
 	return v
