Order the platform store's revisions by era

The cause is the assumption that a revision only grows and names one state for good.

A watch from an earlier era is compacted whatever the store answers. An expected revision of an earlier era is not sent and conflicts with the current value, as another value may have that number now.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,7 +16,7 @@
 type KV struct {
 	Key   string
 	Value []byte
-	// Revision is the store revision of the key's last change.
+	// Revision is the position of the key's last change, see the function Revision.
 	Revision int64
 	Lease    LeaseID
 }
@@ -57,7 +57,10 @@
 	return fmt.Sprintf("store: conflict: key %s is at revision %d", e.Current.Key, e.Current.Revision)
 }
 
-// Store is the platform's key-value service. Every mutation takes the next revision from one counter for all keys.
+// Store is the platform's key-value service. Every mutation takes the next revision from one counter for all keys. A store
+// may be restored from an older copy: later changes and all leases are gone then, and a new era begins. All revisions of this
+// interface are positions, which are ordered by era first. An expected revision of an earlier era conflicts, and a watch after
+// one is compacted.
 // Methods are safe for concurrent use. Every call counts towards the store's rate limits. A Watch counts as one call,
 // however long it waits.
 type Store interface {
