Refuse watches of the fake store after a revision that it does not have

The platform's store answers 410 to a watch from a revision that it does not have; the fake store waited for it.

--- a/internal/fakestore/watch.go
+++ b/internal/fakestore/watch.go
@@ -43,7 +43,7 @@
 		return nil, 0, nil, store.ErrUnavailable
 	}
 	changes, complete := s.state.history.after(prefix, after)
-	if !complete {
+	if !complete || after > s.state.revision {
 		return nil, 0, nil, store.ErrCompacted
 	}
 	return changes, s.state.revision, s.state.changed, nil
