--- a/internal/eject/restore_test.go
+++ b/internal/eject/restore_test.go
@@ -27,6 +27,15 @@
 
 func (f *restorableFleet) saveCopy() { f.copies = append(f.copies, f.register) }
 
+// requestAtOnce reads the document from the store, requests an entry and writes it, as the ejector does.
+func (f *restorableFleet) requestAtOnce(t *rapid.T) {
+	n := rapid.SampledFrom(f.nodes[:]).Draw(t, "node")
+	if doc, err := Request(f.register.doc, service(8), f.floor, n.request); err == nil {
+		n.swap = &pendingSwap{doc, f.register.revision, f.clock(n)}
+		f.swap(t, n)
+	}
+}
+
 // checkUnion fails if the targets that any node excludes now exceed what the floor or the maximum share allows.
 func (f *restorableFleet) checkUnion(t *rapid.T) {
 	var union Document
@@ -50,6 +59,7 @@
 		f.saveCopy()
 		actions := f.actions()
 		actions["restore"] = f.restore
+		actions["request at once"] = f.requestAtOnce
 		actions["save copy"] = func(*rapid.T) { f.saveCopy() }
 		actions["receive era"] = func(t *rapid.T) {
 			n := rapid.SampledFrom(f.nodes[:]).Draw(t, "node")
