Do not take the first era that a node receives for a restore

The platform's store starts in era 1. A node that starts there reported a restore, listed the members once more if it was a watcher, and would have read its member record again if it had registered before it received the era. Only an era after the first one counts now, or one after that of the registration. A finished check counts for the era that was known when it was sent, so that an answer without an era cannot make it repeat for ever.

--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -36,7 +36,8 @@
 	// registered means that the member record was written to the store or found there, in registeredEra.
 	registered    bool
 	registeredEra int64
-	// era is the newest era of the store that this node has received.
+	// era is the newest era of the store that this node has received, if eraKnown.
+	eraKnown          bool
 	era               int64
 	lastStoreResponse time.Duration
 	lastPeerResponse  time.Duration
--- a/internal/distribution/era.go
+++ b/internal/distribution/era.go
@@ -8,15 +8,28 @@
 	return max(store.Era(t.ejections.table.Complete()), store.Era(t.quarantine.table.Complete()))
 }
 
-// recordStoreEra reports a new era of the store, schedules it for the next snapshot and triggers the check of the own
-// member record. The caller holds d.mu.
+// recordStoreEra records the era of the store for the next snapshot. If it is not the first one that this node receives, the
+// store was restored: this is reported and triggers a check of the own member record. The caller holds d.mu.
 func (d *Distributor) recordStoreEra(revision int64) {
-	era := d.tables.storeEra()
+	era, first := d.tables.storeEra(), !d.eraKnown
+	d.eraKnown = true
 	if era == d.era {
 		return
 	}
 	d.era = era
 	d.publisher.documentsChanged = true
-	signal(d.newEra)
-	d.options.Report(Event{Kind: EraReceived, Revision: revision})
+	if !first {
+		signal(d.newEra)
+		d.options.Report(Event{Kind: EraReceived, Revision: revision})
+		return
+	}
+	d.checkRegistrationEra()
+}
+
+// checkRegistrationEra triggers a check of the own member record if it was last written or read before a restore of the
+// store that this node has received. The caller holds d.mu.
+func (d *Distributor) checkRegistrationEra() {
+	if d.registered && d.registeredEra < d.era {
+		signal(d.newEra)
+	}
 }
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -43,8 +43,8 @@
 	Reconnected
 	// IdentityConflict means that another process uses this node's ID; Address is its peer address.
 	IdentityConflict
-	// EraReceived means that this node has received a newer era of the store, so that it checks what the store may have
-	// lost. Revision is in that era.
+	// EraReceived means that this node has received a newer era of the store than the one before, so that it checks what
+	// the store may have lost. Revision is in that era.
 	EraReceived
 )
 
--- a/internal/distribution/register.go
+++ b/internal/distribution/register.go
@@ -35,16 +35,17 @@
 		return err
 	}
 	for {
+		era := d.currentEra()
 		kv, err := d.swap(ctx, key, expectedRevision, value)
 		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) {
 			if d.recordStoreResult(ctx, key, err) == nil {
-				d.setRegistered(kv.Revision)
+				d.setRegistered(max(era, store.Era(kv.Revision)))
 			}
 			return err
 		}
 		if bytes.Equal(conflict.Current.Value, value) {
-			d.setRegistered(conflict.Current.Revision)
+			d.setRegistered(max(era, store.Era(conflict.Current.Revision)))
 			return nil
 		}
 		expectedRevision = conflict.Current.Revision
@@ -63,17 +64,26 @@
 	return d.options.Store.CompareAndSwap(callCtx, key, expectedRevision, value, 0)
 }
 
-func (d *Distributor) setRegistered(revision int64) {
-	d.recordRegistration(revision)
+func (d *Distributor) setRegistered(era int64) {
+	d.recordRegistration(era)
 	d.options.Report(Event{Kind: MemberRegistered, Node: d.options.Self.ID})
 }
 
-// recordRegistration records that the member record was in the store at the revision.
-func (d *Distributor) recordRegistration(revision int64) {
+// recordRegistration records that the member record was in the store in the era.
+func (d *Distributor) recordRegistration(era int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.registered = true
-	d.registeredEra = store.Era(revision)
+	d.registeredEra = era
+	d.checkRegistrationEra()
+}
+
+// currentEra returns the newest era of the store that this node has received. The store executes calls that are sent after
+// that in this era or a later one.
+func (d *Distributor) currentEra() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.era
 }
 
 // isRegistered reports whether the member record is in the store, as far as this node has received its restores. The
@@ -86,7 +96,7 @@
 	if d.Status().Registered {
 		return nil
 	}
-	key := MemberKey(d.options.Self)
+	key, era := MemberKey(d.options.Self), d.currentEra()
 	kv, err := d.get(ctx, key)
 	lost := errors.Is(err, store.ErrNotFound)
 	if !lost && d.recordStoreResult(ctx, key, err) != nil {
@@ -97,11 +107,11 @@
 		return err
 	}
 	if bytes.Equal(kv.Value, value) {
-		d.recordRegistration(kv.Revision)
+		d.recordRegistration(max(era, store.Era(kv.Revision)))
 		return nil
 	}
 	if stored, ok := decodeMember(kv); ok && stored.Incarnation > d.options.Self.Incarnation {
-		d.recordRegistration(kv.Revision)
+		d.recordRegistration(max(era, store.Era(kv.Revision)))
 		d.options.Report(Event{Kind: IdentityConflict, Node: stored.ID, Address: stored.PeerAddress})
 		return nil
 	}
--- a/internal/distribution/restore_test.go
+++ b/internal/distribution/restore_test.go
@@ -50,6 +50,27 @@
 	})
 }
 
+// Guards against a fleet that treats the era in which it starts as a restore.
+func TestFirstEraIsNoRestore(t *testing.T) {
+	runInFleet(t, func(f *fleet) {
+		f.declare("ledger", "/v1")
+		f.restore(f.store.Copy())
+		nodes := f.startMany(8)
+		f.waitFor(time.Minute, "the members", nodes, hasLiveMembers(8))
+		f.waitFor(activationLimit, "the era", nodes, func(n *testNode) bool { return n.Snapshot().StoreEra == 1 })
+		time.Sleep(rewriteLimit)
+		counts := f.store.Counts()
+		if counts[store.KindGet] != 1 || counts[store.KindCompareAndSwap] != 9 {
+			t.Errorf("calls by 8 nodes and the operator: %v", counts)
+		}
+		for _, node := range nodes {
+			if node.events.count(distribution.EraReceived) != 0 {
+				t.Errorf("%s reported a restore", node.self.ID)
+			}
+		}
+	})
+}
+
 // Guards against member records that stay lost after the store came back from an older copy, so that a node without
 // seeds finds no peers.
 func TestMemberRecordsLostInARestoreAreWrittenAgain(t *testing.T) {
