--- a/internal/node/quarantine_rewrites_test.go
+++ b/internal/node/quarantine_rewrites_test.go
@@ -75,6 +75,24 @@
 	})
 }
 
+// Guards against losses that are never stored because the store was away when they were recorded.
+func TestLossesOfAnOutageAreWrittenAfterTheRestore(t *testing.T) {
+	runCrashFleet(t, func(f *crashFleet) {
+		c := f.start()
+		from := f.store.Copy()
+		f.store.SetFaults(fakestore.Faults{Down: true})
+		f.crash(c, "t1")
+		f.crash(c, "t2")
+		f.pass(5 * time.Second)
+		f.store.Restore(from)
+		f.store.SetFaults(fakestore.Faults{})
+		f.pass(crashRewriteLimit)
+		if allows(f.start()) {
+			t.Error("a node that started after the restore runs the request")
+		}
+	})
+}
+
 // Guards against a restore that undoes a release: the restored copy still has the quarantine.
 func TestReleaseLostInARestoreIsWrittenAgain(t *testing.T) {
 	runCrashFleet(t, func(f *crashFleet) {
--- a/internal/once/claims.go
+++ b/internal/once/claims.go
@@ -1,6 +1,9 @@
 // Package once runs non-idempotent requests at most once. It claims idempotency keys in the platform store, and issues
 // operation tickets for use while the store is unavailable.
 //
+// Claims need a store that keeps every write that it has acknowledged: a claim that a restore from an older copy loses allows
+// a second run. They are not used in a dialect with unique request IDs, where callers never send a request again.
+//
 // The state machines (write, classify, dispatch, operations, Tickets) do no I/O. Claims drives them over a store.Store.
 package once
 
