--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -22,25 +22,30 @@
 func (d *Distributor) runStart(ctx context.Context) {
 	pause := d.newBackoff(d.options.BackoffMax)
 	for ctx.Err() == nil {
-		if d.start(ctx) {
+		ready, storeResponded := d.start(ctx)
+		if ready {
 			d.becomeReady()
 			return
 		}
+		if storeResponded {
+			// There is no configuration yet. It may be written at any moment.
+			pause.reset()
+		}
 		if !sleep(ctx, pause.next()) {
 			return
 		}
 	}
 }
 
-func (d *Distributor) start(ctx context.Context) bool {
+func (d *Distributor) start(ctx context.Context) (ready, storeResponded bool) {
 	if !d.syncFromAny(ctx, d.options.Seeds) {
 		d.awaitFirstJoin(ctx)
 		d.syncFromAny(ctx, d.gossipPeerAddresses())
 	}
 	if d.readConfig(ctx) == nil {
-		return true
+		return d.complete(ConfigPrefix) > 0, true
 	}
-	return d.syncFromAll(ctx)
+	return d.syncFromAll(ctx), false
 }
 
 // awaitFirstJoin waits for the first attempt to register and to list the members.
@@ -52,9 +57,7 @@
 }
 
 func (d *Distributor) becomeReady() {
-	d.mu.Lock()
-	revision := d.tables.config.Complete()
-	d.mu.Unlock()
+	revision := d.complete(ConfigPrefix)
 	// What was read at the start must be in the snapshot before the node accepts callers.
 	d.publishNow()
 	d.ready.Store(true)
@@ -102,10 +105,7 @@
 
 // readConfig reads from the store the documents that the peers did not have.
 func (d *Distributor) readConfig(ctx context.Context) error {
-	d.mu.Lock()
-	complete := d.tables.config.Complete()
-	d.mu.Unlock()
-	if complete == 0 {
+	if d.complete(ConfigPrefix) == 0 {
 		return d.list(ctx, ConfigPrefix)
 	}
 	err := d.watch(ctx, ConfigPrefix, 0)
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -36,14 +36,14 @@
 }
 
 // syncPrefix updates the table of the prefix with one call: a watch, or a list if there is no revision to continue
-// from. A watch whose start revision was compacted is followed by a list.
+// from. A watch whose start revision was compacted is followed by a list, and a list without a revision by a watch.
 func (d *Distributor) syncPrefix(ctx context.Context, prefix string) error {
-	d.mu.Lock()
-	complete := d.tables.table(prefix).Complete()
-	d.mu.Unlock()
-	if complete == 0 {
-		return d.list(ctx, prefix)
+	if d.complete(prefix) == 0 {
+		if err := d.list(ctx, prefix); err != nil || d.complete(prefix) > 0 {
+			return err
+		}
 	}
+	complete := d.complete(prefix)
 	err := d.watch(ctx, prefix, d.jitter(d.options.WatchWait, jitterFraction))
 	if errors.Is(err, store.ErrCompacted) {
 		d.options.Report(Event{Kind: StoreCompacted, Key: prefix, Revision: complete})
@@ -52,6 +52,13 @@
 	return err
 }
 
+// complete returns the revision up to which the documents of the prefix are complete.
+func (d *Distributor) complete(prefix string) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.tables.table(prefix).Complete()
+}
+
 // list reads all documents of the prefix.
 func (d *Distributor) list(ctx context.Context, prefix string) error {
 	callCtx, cancel := context.WithTimeout(ctx, d.options.StoreTimeout)
@@ -80,9 +87,7 @@
 
 // watch waits for changes of the prefix and applies them.
 func (d *Distributor) watch(ctx context.Context, prefix string, wait time.Duration) error {
-	d.mu.Lock()
-	after := d.tables.table(prefix).Complete()
-	d.mu.Unlock()
+	after := d.complete(prefix)
 	callCtx, cancel := context.WithTimeout(ctx, wait+d.options.StoreTimeout)
 	defer cancel()
 	startedAt := d.options.Now()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -24,7 +24,8 @@
 // Change is one change that a watch reports.
 type Change struct {
 	KV
-	// Deleted means that the key was deleted at Revision.
+	// Deleted means that the key was deleted at Revision. A key that ends in "/" stands for all deletions under it, see
+	// config.Document.
 	Deleted bool
 }
 
