Write revisions with the era of the store in the log

Log lines now show era:revision. Versions of the configuration and revisions of a store without restores look as before.

--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/store"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
@@ -23,7 +24,7 @@
 stable. Each number is limited to bursts of 10 and 1 event/s, those of every attempt and request to 100 events/s;
 ` + "`held_back`" + ` counts the events that were not written since the last one with this number. The log goes to standard output
 and never blocks a request: lines that cannot be written in time are dropped and counted. A field that the table does not list for an event is never written, and neither
-bodies, headers nor tokens are fields. ` + "`go test ./internal/events -update`" + ` writes this page.
+bodies, headers nor tokens are fields. A revision of a store with eras is written as era:revision. ` + "`go test ./internal/events -update`" + ` writes this page.
 
 `
 
@@ -84,6 +85,16 @@
 	r.lines = append(r.lines, severity.String()+" "+line)
 }
 
+// Guards against revisions of two eras of the store that look alike in the log.
+func TestRevisionShowsItsEra(t *testing.T) {
+	sink := new(recordingSink)
+	log := events.New(sink, time.Now)
+	log.Emit(events.StoreHistoryLost, events.OperationField("quarantine/"), events.RevisionField(store.Revision(2, 31)))
+	if len(sink.lines) != 1 || !strings.Contains(sink.lines[0], `revision="2:31"`) {
+		t.Errorf("lines %q, want revision 2:31", sink.lines)
+	}
+}
+
 // Guards against a burst of one event that floods the log, suppresses other events, or is not counted.
 func TestRateLimit(t *testing.T) {
 	now := time.Unix(0, 0)
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -1,10 +1,12 @@
 package events
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
 	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/store"
 )
 
 // Field is one key of an event with its formatted value.
@@ -27,6 +29,14 @@
 	return Field{key: key, value: strconv.FormatInt(value, 10)}
 }
 
+// position is a position of the store. One of a later era than 0 is written as era:revision.
+func position(key Key, position int64) Field {
+	if era := store.Era(position); era > 0 {
+		return Field{key: key, value: fmt.Sprintf("%d:%d", era, store.WithinEra(position))}
+	}
+	return number(key, position)
+}
+
 // NodeField is the ID of a node.
 func NodeField(id model.NodeID) Field { return text(Node, string(id)) }
 
@@ -53,11 +63,11 @@
 // AddressField is host:port of a listener or a remote endpoint.
 func AddressField(address string) Field { return text(Address, address) }
 
-// RevisionField is a store revision.
-func RevisionField(revision int64) Field { return number(Revision, revision) }
+// RevisionField is a store revision or the number of a configuration's version.
+func RevisionField(revision int64) Field { return position(Revision, revision) }
 
 // CompleteField is the revision up to which the documents of a node are complete.
-func CompleteField(revision int64) Field { return number(Complete, revision) }
+func CompleteField(revision int64) Field { return position(Complete, revision) }
 
 // EraField is the number of the store's era, which rises with each restore from an older copy.
 func EraField(era int64) Field { return number(Era, era) }
