--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -12,8 +12,11 @@
 	// StoreFailed means that a call to the store failed; Key is the prefix or key, Err the error.
 	StoreFailed EventKind = iota
 	// StoreCompacted means that the store no longer has the changes under the prefix Key, so the keys are listed
-	// again.
+	// again. Revision is the one to continue from.
 	StoreCompacted
+	// ListOutdated means that a list of the keys under the prefix Key has a lower revision than the one up to which this
+	// node's documents are complete. Revision is that of the list, Complete that of the node.
+	ListOutdated
 	// PullFailed means that a Pull failed; Address is the peer, Err the error.
 	PullFailed
 	// DocumentApplied means that a newer document was merged; Key and Revision identify it.
@@ -24,6 +27,8 @@
 	MemberChanged
 	// MemberRegistered means that the node's own member record is in the store.
 	MemberRegistered
+	// MemberRecordLost means that a restore of the store lost the node's own member record, so it is written again.
+	MemberRecordLost
 	// MemberDeleted means that this node deleted the member record of the dead Node.
 	MemberDeleted
 	// WatchStarted and WatchStopped mean that this node became a watcher of its domain, or stopped being one.
@@ -38,12 +43,15 @@
 	Reconnected
 	// IdentityConflict means that another process uses this node's ID; Address is its peer address.
 	IdentityConflict
+	// EraReceived means that this node has received a newer era of the store than the one before, so that it checks what
+	// the store may have lost. Revision is in that era.
+	EraReceived
 )
 
 var eventNames = [...]string{
-	"store_failed", "store_compacted", "pull_failed", "document_applied", "document_rejected", "member_changed",
-	"member_registered", "member_deleted", "watch_started", "watch_stopped", "ready", "isolated", "reconnected",
-	"identity_conflict",
+	"store_failed", "store_compacted", "list_outdated", "pull_failed", "document_applied", "document_rejected",
+	"member_changed", "member_registered", "member_record_lost", "member_deleted", "watch_started", "watch_stopped",
+	"ready", "isolated", "reconnected", "identity_conflict", "era_received",
 }
 
 // String returns the name of the kind for counters and logs.
@@ -61,6 +69,7 @@
 	Address  string
 	Key      string
 	Revision int64
+	Complete int64
 	From, To membership.State
 	Err      error
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -22,6 +22,10 @@
 	ConfigStale         = &Event{207, "config_stale", Warning, "neither the store nor a peer confirms the configuration in force", []Key{Revision, Duration}, 0}
 	WatcherStarted      = &Event{208, "watcher_started", Info, "this node watches the store for its failure domain", []Key{Domain}, 0}
 	WatcherStopped      = &Event{209, "watcher_stopped", Info, "another node watches the store for the failure domain", []Key{Domain}, 0}
+	StoreRestored       = &Event{210, "store_restored", Warning, "the store was restored from an older copy; what was written since the copy may be gone", []Key{Era, PreviousEra}, 0}
+	StoreHistoryLost    = &Event{211, "store_history_lost", Info, "the store does not have the changes after the last revision; the keys are listed again", []Key{Operation, Revision}, 0}
+	ListOutdated        = &Event{212, "list_outdated", Warning, "a list of the store is older than what this node has; it replaces nothing", []Key{Operation, Revision, Complete}, 0}
+	StoreEraReceived    = &Event{213, "store_era_received", Info, "the records of the fleet in a restored store are checked, and written again if they are lost", []Key{Era, Revision}, 0}
 )
 
 // Events about members and connections.
@@ -36,6 +40,7 @@
 	RegionUnreachable = &Event{308, "region_unreachable", Error, "no node of a region responds", []Key{Region, Duration}, 0}
 	RegionReachable   = &Event{309, "region_reachable", Info, "a region responds again", []Key{Region, Duration}, 0}
 	LoadDigestFailed  = &Event{311, "load_digest_failed", Warning, "a load digest could not be sent or read", []Key{Operation, Address, Cause}, 0}
+	MemberRecordLost  = &Event{313, "member_record_lost", Warning, "the store has lost this node's member record; it is written again", []Key{Node, Incarnation}, 0}
 	LinkBudgetSpent   = &Event{310, "link_budget_spent", Warning, "the byte budget to other regions is exhausted", []Key{Region, Bytes}, 0}
 )
 
@@ -66,6 +71,7 @@
 	CrashAttributed        = &Event{501, "crash_attributed", Warning, "the loss of an upstream is attributed to requests in flight", []Key{Service, Target, Fingerprint, Count}, 0}
 	FingerprintQuarantined = &Event{502, "fingerprint_quarantined", Error, "a request is quarantined on all nodes", []Key{Service, Fingerprint, Count}, 0}
 	FingerprintReleased    = &Event{503, "fingerprint_released", Info, "a request is no longer quarantined", []Key{Fingerprint}, 0}
+	QuarantineRewritten    = &Event{504, "quarantine_rewritten", Warning, "the store has lost the losses of a request; they are written again", []Key{Fingerprint, Count}, 0}
 )
 
 // requestLinesPerSecond is the rate limit of the events that are written for every request and attempt, successful or
@@ -99,14 +105,14 @@
 var nonReasonEvents = []*Event{
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, GraceExceeded,
 	ListenerFailed, PanicRecovered, SettingsRead, StoreUnavailable, StoreRecovered,
-	StoreOutcomeUnknown, ConfigApplied, ConfigInvalid, ConfigStale,
-	WatcherStarted, WatcherStopped, NodeJoined, NodeLeft, NodeSilent,
+	StoreOutcomeUnknown, StoreRestored, StoreHistoryLost, ListOutdated, StoreEraReceived, ConfigApplied, ConfigInvalid, ConfigStale,
+	WatcherStarted, WatcherStopped, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
 	RegionReachable, LinkBudgetSpent, LoadDigestFailed, TargetAnnounced, TargetPhaseChanged,
 	TargetMissing, TargetSuspected, TargetEjected, TargetAvoided, TargetReturned,
 	TargetHeldDown, EjectionAtFloor, EjectionWithdrawn, DrainStarted, DrainForced,
 	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, RequestHedged, CrashAttributed, FingerprintQuarantined,
-	FingerprintReleased, ApplyAccepted, ApplyConflict, ApplyInForce, ApplyBehind,
+	FingerprintReleased, QuarantineRewritten, ApplyAccepted, ApplyConflict, ApplyInForce, ApplyBehind,
 	OperatorDenied, OperatorCommand, ClaimOutcomeUnwritten, ClaimsCollected,
 	AnswersDropped, AttemptEnded, RequestEnded,
 }
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"sync"
@@ -8,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/config"
 	"github.com/sardinereach/sardinereach/internal/distribution"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
@@ -26,12 +28,21 @@
 	// short timeout.
 	notify func(service model.ServiceName, entry []byte)
 
+	// isWatching reports whether this node watches the store.
+	isWatching func() bool
+
 	mu     sync.Mutex
 	table  *quarantine.Table
 	serial uint64
-	// mergedRevisions are the store revisions of the merged entries, by key.
-	mergedRevisions map[string]int64
+	// documents are the stored entries as the last snapshot has them, by fingerprint.
+	documents map[string]config.Document
+	// mergedDocuments are the merged documents, by fingerprint.
+	mergedDocuments map[string]config.Document
 	writes          chan quarantine.Entry
+	// storeEra is the era of the store in the last snapshot.
+	storeEra int64
+	// restored has a message while a restore of the store requires a check of its entries.
+	restored chan struct{}
 }
 
 // maxPendingEntries limits the entries that wait to be written to the store. Further entries are dropped; each
@@ -41,10 +52,12 @@
 func newCrashTracker(c clock, self model.Node, s store.Store, log *events.Log) *crashTracker {
 	return &crashTracker{
 		clock: c, store: s, log: log, table: quarantine.New(),
-		notify: func(model.ServiceName, []byte) {},
+		notify:     func(model.ServiceName, []byte) {},
+		isWatching: func() bool { return false },
 		// The serials of two incarnations differ, so that a loss after a restart is not mistaken for an earlier one.
 		serial:          uint64(self.Incarnation),
-		mergedRevisions: make(map[string]int64), writes: make(chan quarantine.Entry, maxPendingEntries),
+		mergedDocuments: make(map[string]config.Document), writes: make(chan quarantine.Entry, maxPendingEntries),
+		restored: make(chan struct{}, 1),
 	}
 }
 
@@ -161,20 +174,26 @@
 	c.notify(service, value)
 }
 
-// mergeSnapshot merges the entries received from the store or by gossip.
+// mergeSnapshot merges the entries received from the store or by gossip. A document that only has a new revision, as all
+// have after a restore of the store, is not merged again: its age is from the time of the write, so an expired entry would
+// return.
 func (c *crashTracker) mergeSnapshot(snapshot *distribution.Snapshot) {
 	for key, document := range snapshot.Quarantine {
-		if c.mergedRevisions[key] >= document.Revision {
+		merged := c.mergedDocuments[key]
+		if merged.Revision >= document.Revision {
 			continue
 		}
-		c.mergedRevisions[key] = document.Revision
-		c.merge(document.Value)
+		c.mergedDocuments[key] = document
+		if !bytes.Equal(merged.Value, document.Value) {
+			c.merge(document.Value)
+		}
 	}
-	for key := range c.mergedRevisions {
+	for key := range c.mergedDocuments {
 		if _, ok := snapshot.Quarantine[key]; !ok {
-			delete(c.mergedRevisions, key)
+			delete(c.mergedDocuments, key)
 		}
 	}
+	c.recordDocuments(snapshot)
 }
 
 // entries returns the cached entries of all fingerprints.
--- a/internal/node/event_log.go
+++ b/internal/node/event_log.go
@@ -10,6 +10,7 @@
 	"github.com/sardinereach/sardinereach/internal/distribution"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/store"
 )
 
 // logBreakerEvent logs that the circuit breaker of a local target has tripped or closed.
@@ -37,6 +38,10 @@
 	case distribution.StoreFailed:
 		n.storeFailing.Store(true)
 		n.log.Emit(events.StoreUnavailable, events.OperationField(e.Key), events.CauseField(e.Err))
+	case distribution.StoreCompacted:
+		n.log.Emit(events.StoreHistoryLost, events.OperationField(e.Key), events.RevisionField(e.Revision))
+	case distribution.ListOutdated:
+		n.log.Emit(events.ListOutdated, events.OperationField(e.Key), events.RevisionField(e.Revision), events.CompleteField(e.Complete))
 	case distribution.DocumentApplied:
 		if strings.HasPrefix(e.Key, config.ServicePrefix) {
 			n.log.Emit(events.ConfigApplied, events.ServiceField(service), events.RevisionField(e.Revision))
@@ -50,6 +55,10 @@
 	case distribution.BecameReady:
 		n.views.invalidate()
 		n.log.Emit(events.NodeReady, events.NodeField(n.self.ID), events.RevisionField(e.Revision), events.DurationField(n.clock.now()))
+	case distribution.EraReceived:
+		n.log.Emit(events.StoreEraReceived, events.EraField(store.Era(e.Revision)), events.RevisionField(store.WithinEra(e.Revision)))
+	case distribution.MemberRecordLost:
+		n.log.Emit(events.MemberRecordLost, events.NodeField(n.self.ID), events.IncarnationField(n.self.Incarnation))
 	case distribution.Isolated:
 		n.log.Emit(events.ConfigStale, events.RevisionField(e.Revision))
 	}
