Log each signal to stop and the requests that the shutdown cuts off

Only the first signal left a trace, and a request that the cutoff of the shutdown ended was logged and counted as caller_cancelled, as if its caller had left.

Each SIGTERM and SIGINT is now logged with its number and the time since the first (SR0110), the cutoff with the number of requests that are still open (SR0111), and such a request ends with the reason shutdown_cutoff (SR1111) if it may have run and with node_stopping if it has not. The statuses are the same as before, 504 and 503. The handling of signals is unchanged: the first one starts the shutdown.

go test -race of internal/node, internal/daemon, internal/events, internal/verdict, internal/metrics and platform passes. TestFleetOnThePlatform checks the three events.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/metrics"
+	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/node"
 	"github.com/sardinereach/sardinereach/internal/settings"
 )
@@ -36,17 +37,28 @@
 	if prepare != nil {
 		prepare(s)
 	}
-	go shutDownOnSignal(n)
+	go shutDownOnSignal(n, s.Node.ID, log)
 	go checkSettingsOnSignal(config, s, log)
 	return n.Run()
 }
 
-// shutDownOnSignal starts the graceful shutdown on SIGTERM or SIGINT.
-func shutDownOnSignal(n *node.Node) {
-	signals := make(chan os.Signal, 1)
+// stopSignalBuffer is the number of signals to stop that can arrive before the first one is logged.
+const stopSignalBuffer = 4
+
+// shutDownOnSignal starts the graceful shutdown on the first SIGTERM or SIGINT. Later signals are only logged: the process
+// is killed one grace period after the first.
+func shutDownOnSignal(n *node.Node, id model.NodeID, log *events.Log) {
+	signals := make(chan os.Signal, stopSignalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
-	n.Shutdown()
+	first := time.Time{}
+	for count := 1; ; count++ {
+		received := <-signals
+		if count == 1 {
+			first = time.Now()
+		}
+		log.Emit(events.SignalReceived, events.NodeField(id), events.OperationField(received.String()), events.CountField(count), events.DurationField(time.Since(first)))
+		n.Shutdown()
+	}
 }
 
 // checkSettingsOnSignal validates the settings file on SIGHUP and logs whether it has changed. It does not apply changes:
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -9,6 +9,8 @@
 	GraceExceeded  = &Event{105, "grace_exceeded", Error, "the shutdown grace period has ended with requests in flight", []Key{Node, Count, Duration}, 0}
 	ListenerFailed = &Event{107, "listener_failed", Error, "a listener could not be opened or has failed", []Key{Address, Operation, Cause}, 0}
 	SettingsRead   = &Event{109, "settings_read", Info, "the settings file was read again; changes take effect at the next start", []Key{Node, Outcome, Cause}, 0}
+	SignalReceived = &Event{110, "signal_received", Info, "the process has received a signal to stop; the grace period runs from the first one", []Key{Node, Operation, Count, Duration}, 0}
+	RequestsCutOff = &Event{111, "requests_cut_off", Warning, "the grace period ends; the requests that are still open receive their final response", []Key{Node, Count, Duration}, 0}
 	PanicRecovered = &Event{108, "panic_recovered", Error, "a panic was recovered; the affected request failed", []Key{Operation, Cause}, 0}
 )
 
@@ -98,7 +100,7 @@
 // nonReasonEvents lists the events that belong to no verdict.Reason, grouped by topic.
 var nonReasonEvents = []*Event{
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, GraceExceeded,
-	ListenerFailed, PanicRecovered, SettingsRead, StoreUnavailable, StoreRecovered,
+	ListenerFailed, PanicRecovered, SettingsRead, SignalReceived, RequestsCutOff, StoreUnavailable, StoreRecovered,
 	StoreOutcomeUnknown, ConfigApplied, ConfigInvalid, ConfigStale,
 	WatcherStarted, WatcherStopped, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
--- a/internal/events/reason_numbers.go
+++ b/internal/events/reason_numbers.go
@@ -46,6 +46,7 @@
 	verdict.TicketLost:          1108,
 	verdict.TicketUnreachable:   1109,
 	verdict.CallerCancelled:     1110,
+	verdict.ShutdownCutoff:      1111,
 	verdict.RetryBudget:         1201,
 	verdict.UpstreamStatus:      1203,
 	verdict.RetryAttempts:       1202,
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/dialect"
@@ -136,6 +138,7 @@
 		out = newDelivery(sink, nonIdempotentBufferBytes)
 		err = a.serveNonIdempotent(r, rq, out)
 	}
+	err = cutoffOutcome(r.Context(), err)
 	a.logRequest(rq, out, err)
 	if err != nil || out.status() >= http.StatusInternalServerError {
 		a.callFailures.record(a.clock.now())
@@ -184,6 +187,18 @@
 	return commitError(out.commit())
 }
 
+// cutoffOutcome returns the outcome of a request that may have been ended by the cutoff of a shutdown instead of by its
+// caller.
+func cutoffOutcome(ctx context.Context, err *verdict.Error) *verdict.Error {
+	if err == nil || !errors.Is(context.Cause(ctx), errShutdownCutoff) {
+		return err
+	}
+	if err.Verdict == verdict.NotRun {
+		return verdict.Refused(verdict.NodeStopping, errShutdownCutoff)
+	}
+	return verdict.Uncertain(verdict.ShutdownCutoff, errShutdownCutoff)
+}
+
 // commitError classifies a failure to write the response to the caller.
 func commitError(err error) *verdict.Error {
 	if err == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,7 +56,7 @@
 	// requestsCtx is the context of all callers' requests. cancelRequests ends those that are still open near the end of
 	// the grace period.
 	requestsCtx    context.Context
-	cancelRequests context.CancelFunc
+	cancelRequests context.CancelCauseFunc
 	stopOnce       sync.Once
 	stop           chan struct{}
 }
@@ -75,7 +75,7 @@
 		settings: s, ports: ports, self: s.Identity(incarnation), clock: newClock(), metrics: m, log: log,
 		paths: newPaths(), loads: newLoads(), heartbeats: newHeartbeats(), stop: make(chan struct{}),
 	}
-	n.requestsCtx, n.cancelRequests = context.WithCancel(context.Background())
+	n.requestsCtx, n.cancelRequests = context.WithCancelCause(context.Background())
 	n.store = ports.Store
 	n.peers = peer.NewClient(n.self.ID, peer.Options{OnBytes: n.countPeerBytes})
 	n.upstreams = upstream.NewClient(s.Limits.MaxHeaderBytes, ports.Upstreams)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sardinereach/sardinereach/internal/events"
 )
 
@@ -31,7 +33,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(exitShare*float64(grace)))
 	defer cancel()
 	cutoff := time.Duration(requestCutoffShare * float64(grace))
-	cutoffTimer := time.AfterFunc(cutoff, n.cancelRequests)
+	cutoffTimer := time.AfterFunc(cutoff, func() { n.cutOffRequests(started) })
 	defer cutoffTimer.Stop()
 	n.admitter.admitUntil(n.clock.now() + cutoff)
 	// Callers' connections close after their next response, so that a request already sent is still served.
@@ -60,6 +62,17 @@
 	n.log.Emit(events.NodeStopped, events.NodeField(n.self.ID), events.DurationField(time.Since(started)))
 }
 
+// errShutdownCutoff is the cause of the end of the requests that are still open at the end of the grace period.
+var errShutdownCutoff = errors.New("node: the grace period has ended")
+
+// cutOffRequests makes the requests that are still open end with their final response.
+func (n *Node) cutOffRequests(started time.Time) {
+	if open := n.acceptor.inFlight.Load(); open > 0 {
+		n.log.Emit(events.RequestsCutOff, events.NodeField(n.self.ID), events.CountField(int(open)), events.DurationField(time.Since(started)))
+	}
+	n.cancelRequests(errShutdownCutoff)
+}
+
 // pendingWork returns the number of requests in flight, as accepting and as admitting node, and of open calls of other
 // nodes, plus 1 if any retained response is not yet acknowledged.
 func (n *Node) pendingWork() int {
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -94,6 +94,8 @@
 	TicketUnreachable Reason = "ticket_unreachable"
 	// CallerCancelled means that the caller closed its connection while the request may have been running.
 	CallerCancelled Reason = "caller_cancelled"
+	// ShutdownCutoff means that the accepting node reached the end of its grace period while the request may have been running.
+	ShutdownCutoff Reason = "shutdown_cutoff"
 )
 
 // Reasons for which the accepting node stops or limits retries.
@@ -115,7 +117,7 @@
 		NodeStopping, NotReady, Overloaded, DeadlineExceeded, BodyTooLarge, BodyIncomplete, BadRequest, KeyMissing, KeyInvalid,
 		KeyReused, StoreUnavailable, Quarantined, LinkBudget, RepeatsSpent, CallerGone,
 		UpstreamLost, UpstreamTimeout, NodeLost, AnswerIncomplete, AnswerDropped, ClaimRunning, ClaimHolderLost,
-		TicketLost, TicketUnreachable, CallerCancelled,
+		TicketLost, TicketUnreachable, CallerCancelled, ShutdownCutoff,
 		RetryBudget, UpstreamStatus, RetryAttempts,
 	}
 }
