Hedge the requests of a stopping node while another target can still answer

Cause: the cutoff of a shutdown shortens the time that a request has left, but what was computed from the caller's deadline stayed. The delay of the hedge was computed once, when the attempt started; a hedge that all targets refused was never made again. A run that hung was left alone until the cutoff although another target would have answered in the grace. The class: a limit that is set at a first event and that a later event does not renew.

A stopping node now announces its cutoff to the requests that are open and to those that it still accepts. Each of them is hedged while the hedge has the time after which an attempt counts as overdue. If that is not left, the first attempt gets its baseline duration, but at most half of the time. A refused hedge is made again every 0.3 s until the cutoff, because nodes that stop at the same time refuse it until they have restarted. The bounds on attempts and the retry budget are the same as before.

Ruled out: counting the grace from a later SIGTERM.

TestHedgeBeforeCutoff and TestRefusedHedgeIsTriedAgainBeforeTheCutoff check the delay and the repetition. go test -race of internal/node, internal/admission and internal/events passes.

What stays: a request whose two attempts both hang, and one that is not idempotent, still end at the cutoff.

--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -47,6 +47,8 @@
 	view          atomic.Pointer[core.View]
 	ready         func() bool
 	stopping      atomic.Bool
+	// cutoff is the time at which open requests receive their final response during a shutdown.
+	cutoff *shutdownCutoff
 	// lameDuck means that the node still serves requests but fails health checks, so that load balancers stop using it.
 	lameDuck atomic.Bool
 
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -60,14 +60,25 @@
 		err := h.acceptor.runAttempt(ctx, h.rq, choice, openGate{}, first)
 		h.results <- hedgeResult{number: 1, out: first, err: err}
 	}()
-	overdueTimer := time.NewTimer(hedgeDelay(h.acceptor.attemptDurations.of(h.rq.head.Route), h.rq.objective()))
+	started := time.Now()
+	baseline := baselineOrDefault(h.acceptor.attemptDurations.of(h.rq.head.Route), h.rq.objective())
+	overdueTimer := time.NewTimer(hedgeDelay(baseline))
 	defer overdueTimer.Stop()
+	shutdown := h.acceptor.cutoff.announced
+	var beforeCutoff <-chan time.Time
 	running := 1
 	var best *hedgeResult
 	for {
 		select {
 		case <-overdueTimer.C:
 			signal(overdue)
+		case <-shutdown:
+			shutdown = nil
+			beforeCutoff = time.After(hedgeDelayBeforeCutoff(baseline, time.Since(started), h.acceptor.cutoff.remaining()))
+		case <-beforeCutoff:
+			// Targets may have become free since a second attempt was refused.
+			h.hedged = h.extraAttempts > 0
+			signal(overdue)
 		case <-overdue:
 			if running == 1 && !h.hedged && h.takeHedgeBudget() {
 				h.hedged = true
@@ -79,6 +90,7 @@
 			running--
 			if r.number != 1 && r.wasRefused() {
 				h.extraAttempts = 0
+				beforeCutoff = h.retryBeforeCutoff()
 			}
 			best = betterResult(best, &r)
 			if running == 0 || !best.failed() {
@@ -88,6 +100,17 @@
 	}
 }
 
+// retryBeforeCutoff returns a channel that delivers when a second attempt that was refused is made again. It returns nil if
+// the node is not stopping.
+func (h *hedge) retryBeforeCutoff() <-chan time.Time {
+	select {
+	case <-h.acceptor.cutoff.announced:
+		return time.After(refusedHedgeInterval)
+	default:
+		return nil
+	}
+}
+
 // signal sends on the channel without blocking.
 func signal(channel chan<- struct{}) {
 	select {
--- a/internal/node/hedge_delay.go
+++ b/internal/node/hedge_delay.go
@@ -10,13 +10,29 @@
 	minHedgeDelay = 150 * time.Millisecond
 	// noBaselineShare is the share of the latency objective that is assumed as the baseline of a route without one.
 	noBaselineShare = 0.2
+	// refusedHedgeInterval is the time after which a stopping node tries a refused hedge again. Other nodes that stop at the
+	// same time refuse it until they have restarted.
+	refusedHedgeInterval = 300 * time.Millisecond
 )
 
-// hedgeDelay returns how long an attempt may take before its request is hedged. baseline is the average time of the
-// route's attempts from the admission request to the complete response, 0 if there is none.
-func hedgeDelay(baseline, objective time.Duration) time.Duration {
-	if baseline == 0 {
-		baseline = time.Duration(noBaselineShare * float64(objective))
+// baselineOrDefault returns the baseline duration of a route's attempts, from the admission request to the complete
+// response. average is the average of these durations, 0 if there is none.
+func baselineOrDefault(average, objective time.Duration) time.Duration {
+	if average == 0 {
+		return time.Duration(noBaselineShare * float64(objective))
 	}
+	return average
+}
+
+// hedgeDelay returns how long an attempt may take before its request is hedged.
+func hedgeDelay(baseline time.Duration) time.Duration {
 	return max(hedgeDelayFactor*baseline, minHedgeDelay)
 }
+
+// hedgeDelayBeforeCutoff returns how much longer an attempt may take before its request is hedged, because its node is
+// stopping. elapsed is the time that the attempt has taken, remaining the time until the cutoff of the shutdown. The hedge
+// gets the time after which an attempt is overdue. If that is not left, the first attempt gets its baseline duration, but
+// at most half of the remaining time.
+func hedgeDelayBeforeCutoff(baseline, elapsed, remaining time.Duration) time.Duration {
+	return max(remaining-hedgeDelay(baseline), min(baseline-elapsed, remaining/2), 0)
+}
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -35,6 +35,7 @@
 	cutoff := time.Duration(requestCutoffShare * float64(grace))
 	cutoffTimer := time.AfterFunc(cutoff, func() { n.cutOffRequests(started) })
 	defer cutoffTimer.Stop()
+	n.acceptor.cutoff.announce(started.Add(cutoff))
 	n.admitter.admitUntil(n.clock.now() + cutoff)
 	// Callers' connections close after their next response, so that a request already sent is still served.
 	s.callers.SetKeepAlivesEnabled(false)
