Answer the non-idempotent requests that outlast the grace of a stopping node

Callers of a stopping node saw their connection closed without an answer, for non-idempotent requests that were still open at the end of its grace.

Cause: the cutoff cancels the contexts of the callers' requests, but a non-idempotent run is detached from its request on purpose, so that it continues when the caller leaves. Two of the paths then waited for the run itself, until the process ended:

- a run at a local target of the accepting node, on the platform too;
- every request with a key or a ticket in the product's own interface, whose context was made without the cancellation of its request.

A request no longer waits for its local run once it is canceled; the run continues, and what it still responds is dropped. An attempt that is still queued ends as not run, as before. A request with a key or a ticket ends at the cutoff and records its outcome as uncertain, so that a client retry learns that it may have run. The cutoff, its time and the context that it ends are one type now.

--- a/internal/fleettest/shutdown_test.go
+++ b/internal/fleettest/shutdown_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/fakeupstream"
 )
 
 // drainLimit is the time after which a draining upstream receives no new requests (design 2.1).
@@ -136,3 +138,24 @@
 	<-done
 	s.readAll(others, "after", 40)
 }
+
+// Guards against a stopping node that closes the connection of an operation that outlasts the grace period, without an
+// answer. The caller must learn that the operation may have run, and a client retry may not run it again.
+func TestOperationOutlastingTheGracePeriodIsAnswered(t *testing.T) {
+	s := startWith(t, Options{
+		Layout:   layoutOf(1, 1),
+		Settings: map[string]map[string]string{"shutdown": {"grace": "3s", "lame_duck": "100ms"}},
+	})
+	accepting := s.nodesOf("reads")[0]
+	s.setFaults(s.Targets("ops"), fakeupstream.Faults{Hang: true})
+	first := s.startOperation(accepting, operation("op-1"))
+	s.awaitInFlight("ops")
+	s.must(accepting.Terminate())
+	answer := <-first
+	if answer.Err != nil || answer.Verdict != MayHaveRun {
+		t.Errorf("the running operation has outcome %s, error %v; want %s", answer.Outcome(), answer.Err, MayHaveRun)
+	}
+	s.setFaults(s.Targets("ops"), fakeupstream.Faults{})
+	retried := s.retryUntilResolved(s.nodesOf("ops")[0], operation("op-1"))
+	s.checkAtMostOnce("op-1", answer, retried)
+}
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -271,11 +271,10 @@
 func (a *acceptor) forwardLocal(ctx context.Context, head *peerv1.ForwardHead, body []byte, out peer.Sink) *peerv1.AnswerTrailer {
 	head.Incarnation = uint64(a.self.Incarnation)
 	head.AdmitBeforeMs = (a.clock.now() + maxLocalAdmitAhead).Milliseconds()
-	trailer := a.admitter.run(ctx, head, peer.Bytes(body), out)
 	if !head.Idempotent {
-		a.admitter.acknowledgeResponse(head.Attempt)
+		return a.runLocalOnce(ctx, head, body, out)
 	}
-	return trailer
+	return a.admitter.run(ctx, head, peer.Bytes(body), out)
 }
 
 // maxLocalAdmitAhead is the time after dispatch until which an attempt at a local target may be admitted.
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -217,6 +217,13 @@
 	return false
 }
 
+// isRunning reports whether the attempt runs at a local target.
+func (a *admitter) isRunning(attempt model.AttemptID) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.running[attempt] != nil
+}
+
 // inFlightAt returns the attempts that run at a target, as input of the failure detector.
 func (a *admitter) inFlightAt(target model.TargetID) []detect.InFlight {
 	a.mu.Lock()
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -29,13 +29,13 @@
 
 // Forward implements peer.Handler.
 func (h *handler) Forward(ctx context.Context, head *peerv1.ForwardHead, body peer.Body, sink peer.Sink) (trailer *peerv1.AnswerTrailer) {
-	defer h.recoverPanic("forward", &trailer)
+	defer recoverPanic(h.node.log, "forward", &trailer)
 	return h.node.admitter.run(ctx, head, body, sink)
 }
 
 // Redeem implements peer.Handler.
 func (h *handler) Redeem(ctx context.Context, head *peerv1.ForwardHead, body peer.Body, sink peer.Sink) (trailer *peerv1.AnswerTrailer) {
-	defer h.recoverPanic("redeem", &trailer)
+	defer recoverPanic(h.node.log, "redeem", &trailer)
 	data, err := body()
 	if err != nil {
 		return &peerv1.AnswerTrailer{Verdict: int32(verdict.NotRun), Reason: string(verdict.BodyIncomplete)}
@@ -45,12 +45,12 @@
 
 // recoverPanic keeps a panic in the handling of one request from terminating the daemon, as the HTTP server does for
 // callers' requests. The outcome is reported as may-have-run.
-func (h *handler) recoverPanic(operation string, trailer **peerv1.AnswerTrailer) {
+func recoverPanic(log *events.Log, operation string, trailer **peerv1.AnswerTrailer) {
 	cause := recover()
 	if cause == nil {
 		return
 	}
-	h.node.log.Emit(events.PanicRecovered, events.OperationField(operation),
+	log.Emit(events.PanicRecovered, events.OperationField(operation),
 		events.CauseField(errors.Errorf("%v\n%s", cause, debug.Stack())))
 	*trailer = &peerv1.AnswerTrailer{Verdict: int32(verdict.MayHaveRun), Reason: string(verdict.NodeLost)}
 }
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -76,7 +76,7 @@
 		operators: n.httpServer(n.operatorHandler()),
 		upstreams: n.httpServer(n.ports.Announcements(n.handleAnnouncement, n.handleDeregistration)),
 	}
-	s.callers.BaseContext = func(net.Listener) context.Context { return n.requestsCtx }
+	s.callers.BaseContext = func(net.Listener) context.Context { return n.acceptor.cutoff.requests }
 	group.Go(func() error {
 		return serveHTTP(s.callers, newLimitListener(l.callers, n.settings.Limits.MaxConnections))
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,13 +52,9 @@
 	// remoteAddresses holds the peer addresses of the nodes in other regions.
 	remoteAddresses atomic.Pointer[map[string]bool]
 	// ready is set once a view with the complete configuration is active.
-	ready atomic.Bool
-	// requestsCtx is the context of all callers' requests. cancelRequests ends those that are still open near the end of
-	// the grace period.
-	requestsCtx    context.Context
-	cancelRequests context.CancelCauseFunc
-	stopOnce       sync.Once
-	stop           chan struct{}
+	ready    atomic.Bool
+	stopOnce sync.Once
+	stop     chan struct{}
 }
 
 // secretBytes is the length of the key that signs operation tickets.
@@ -75,7 +71,6 @@
 		settings: s, ports: ports, self: s.Identity(incarnation), clock: newClock(), metrics: m, log: log,
 		paths: newPaths(), loads: newLoads(), heartbeats: newHeartbeats(), stop: make(chan struct{}),
 	}
-	n.requestsCtx, n.cancelRequests = context.WithCancelCause(context.Background())
 	n.store = ports.Store
 	n.peers = peer.NewClient(n.self.ID, peer.Options{OnBytes: n.countPeerBytes})
 	n.upstreams = upstream.NewClient(s.Limits.MaxHeaderBytes, ports.Upstreams)
--- a/internal/node/once_runner.go
+++ b/internal/node/once_runner.go
@@ -43,8 +43,11 @@
 	if r.Context().Err() != nil {
 		return verdict.Refused(verdict.CallerGone, r.Context().Err())
 	}
-	// A dispatched request continues after its caller has disconnected: its outcome is recorded for a client retry.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), rq.deadline)
+	// A dispatched request continues after its caller has disconnected: its outcome is recorded for a client retry. It ends at
+	// the cutoff of a shutdown.
+	ctx, cancelAtCutoff := context.WithCancelCause(context.WithoutCancel(r.Context()))
+	defer context.AfterFunc(o.acceptor.cutoff.requests, func() { cancelAtCutoff(errShutdownCutoff) })()
+	ctx, cancel := context.WithDeadline(ctx, rq.deadline)
 	defer cancel()
 	switch {
 	case ticket != "":
@@ -79,7 +82,7 @@
 
 // runWithClaim runs the request under a claim of this node. It records the outcome before it responds to the caller.
 func (o *onceRunner) runWithClaim(ctx context.Context, rq *request, grant *once.Grant, out *delivery) *verdict.Error {
-	err := o.acceptor.serveWithRetries(ctx, rq, &grantGate{grant: grant}, out)
+	err := cutoffOutcome(ctx, o.acceptor.serveWithRetries(ctx, rq, &grantGate{grant: grant}, out))
 	recordCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
 	defer cancel()
 	var recordErr error
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -71,7 +71,7 @@
 	if open := n.acceptor.inFlight.Load(); open > 0 {
 		n.log.Emit(events.RequestsCutOff, events.NodeField(n.self.ID), events.CountField(int(open)), events.DurationField(time.Since(started)))
 	}
-	n.cancelRequests(errShutdownCutoff)
+	n.acceptor.cutoff.pass()
 }
 
 // pendingWork returns the number of requests in flight, as accepting and as admitting node, and of open calls of other
