Send the response of one attempt only when a hedge ends during the other

A caller could get bytes of two responses in one.

Cause: a response above 64 KiB is sent while it arrives. The attempt that sends first claims the response, so that the other one cannot start to send its own. But the first complete result was used without that check: when the second attempt ended during the first one's response, its response was written into it ("superfluous response.WriteHeader call", and a data race on the writer).

The result of an attempt is now used only if that attempt has the claim: the one that is already sending, whether it ends whole or not, or else the first complete one, which claims it then. A request whose response is being sent is not hedged any more, because the second response could not be used.

Failed before: TestSecondAttemptDoesNotReplaceResponseBeingSent and TestResponseBeingSentIsNotHedged, without -race, too. go test -race of internal/node passes.

--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -92,14 +92,31 @@
 				h.extraAttempts = 0
 				beforeCutoff = h.retryBeforeCutoff()
 			}
+			if h.isDecided(&r) {
+				return h.useResult(&r)
+			}
 			best = betterResult(best, &r)
-			if running == 0 || !best.failed() {
+			if running == 0 {
 				return h.useResult(best)
 			}
 		}
 	}
 }
 
+// isDecided reports whether the result is the outcome of the request: the response that is already being sent, whether it
+// is complete or not, or the first complete one. The other attempt can then no longer send its response.
+func (h *hedge) isDecided(r *hedgeResult) bool {
+	if r.failed() {
+		return h.winner.Load() == r.number
+	}
+	return h.claim(r.number)
+}
+
+// claim reports whether the attempt may send its response, because the other one has not started to send its own.
+func (h *hedge) claim(number int32) bool {
+	return h.winner.CompareAndSwap(0, number) || h.winner.Load() == number
+}
+
 // retryBeforeCutoff returns a channel that delivers when a second attempt that was refused is made again. It returns nil if
 // the node is not stopping.
 func (h *hedge) retryBeforeCutoff() <-chan time.Time {
@@ -147,13 +164,16 @@
 	d := newDelivery(h.out.next, h.out.bufferLimit)
 	d.unmodifiedHead = h.out.unmodifiedHead
 	d.isAdditional = h.out.isAdditional
-	d.mayCommit = func() bool { return h.winner.CompareAndSwap(0, number) || h.winner.Load() == number }
+	d.mayCommit = func() bool { return h.claim(number) }
 	return d
 }
 
-// takeHedgeBudget takes a retry from the budget for the second attempt. It returns false if no other target or no time
-// remains or if the budget is exhausted.
+// takeHedgeBudget takes a retry from the budget for the second attempt. It returns false if a response is already being
+// sent, if no other target or no time remains, or if the budget is exhausted.
 func (h *hedge) takeHedgeBudget() bool {
+	if h.winner.Load() != 0 {
+		return false
+	}
 	a := h.acceptor
 	service := a.view.Load().Service(h.rq.service)
 	if service == nil || service.Pool.Len() < 2 {
