--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -29,7 +29,8 @@
 	// extraAttempts is the number of attempts after the first that a target has admitted or may still admit. Only run
 	// uses it.
 	extraAttempts int
-	// hedged means that the second attempt was started. Only run uses it.
+	// hedged means that the second attempt was started. A stopping node resets it to repeat one that was refused. Only run
+	// uses it.
 	hedged bool
 }
 
