--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/dialect"
@@ -45,6 +47,8 @@
 	view          atomic.Pointer[core.View]
 	ready         func() bool
 	stopping      atomic.Bool
+	// cutoff is the time at which open requests receive their final response during a shutdown.
+	cutoff *shutdownCutoff
 	// lameDuck means that the node still serves requests but fails health checks, so that load balancers stop using it.
 	lameDuck atomic.Bool
 
@@ -136,6 +140,7 @@
 		out = newDelivery(sink, nonIdempotentBufferBytes)
 		err = a.serveNonIdempotent(r, rq, out)
 	}
+	err = cutoffOutcome(r.Context(), err)
 	a.logRequest(rq, out, err)
 	if err != nil || out.status() >= http.StatusInternalServerError {
 		a.callFailures.record(a.clock.now())
@@ -184,6 +189,18 @@
 	return commitError(out.commit())
 }
 
+// cutoffOutcome returns the outcome of a request that may have been ended by the cutoff of a shutdown instead of by its
+// caller.
+func cutoffOutcome(ctx context.Context, err *verdict.Error) *verdict.Error {
+	if err == nil || !errors.Is(context.Cause(ctx), errShutdownCutoff) {
+		return err
+	}
+	if err.Verdict == verdict.NotRun {
+		return verdict.Refused(verdict.NodeStopping, errShutdownCutoff)
+	}
+	return verdict.Uncertain(verdict.ShutdownCutoff, errShutdownCutoff)
+}
+
 // commitError classifies a failure to write the response to the caller.
 func commitError(err error) *verdict.Error {
 	if err == nil {
@@ -254,11 +271,10 @@
 func (a *acceptor) forwardLocal(ctx context.Context, head *peerv1.ForwardHead, body []byte, out peer.Sink) *peerv1.AnswerTrailer {
 	head.Incarnation = uint64(a.self.Incarnation)
 	head.AdmitBeforeMs = (a.clock.now() + maxLocalAdmitAhead).Milliseconds()
-	trailer := a.admitter.run(ctx, head, peer.Bytes(body), out)
 	if !head.Idempotent {
-		a.admitter.acknowledgeResponse(head.Attempt)
+		return a.runLocalOnce(ctx, head, body, out)
 	}
-	return trailer
+	return a.admitter.run(ctx, head, peer.Bytes(body), out)
 }
 
 // maxLocalAdmitAhead is the time after dispatch until which an attempt at a local target may be admitted.
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -29,7 +29,8 @@
 	// extraAttempts is the number of attempts after the first that a target has admitted or may still admit. Only run
 	// uses it.
 	extraAttempts int
-	// hedged means that the second attempt was started. Only run uses it.
+	// hedged means that the second attempt was started. A stopping node resets it to repeat one that was refused. Only run
+	// uses it.
 	hedged bool
 }
 
@@ -60,14 +61,25 @@
 		err := h.acceptor.runAttempt(ctx, h.rq, choice, openGate{}, first)
 		h.results <- hedgeResult{number: 1, out: first, err: err}
 	}()
-	overdueTimer := time.NewTimer(hedgeDelay(h.acceptor.attemptDurations.of(h.rq.head.Route), h.rq.objective()))
+	started := time.Now()
+	baseline := baselineOrDefault(h.acceptor.attemptDurations.of(h.rq.head.Route), h.rq.objective())
+	overdueTimer := time.NewTimer(hedgeDelay(baseline))
 	defer overdueTimer.Stop()
+	shutdown := h.acceptor.cutoff.announced
+	var beforeCutoff <-chan time.Time
 	running := 1
 	var best *hedgeResult
 	for {
 		select {
 		case <-overdueTimer.C:
 			signal(overdue)
+		case <-shutdown:
+			shutdown = nil
+			beforeCutoff = time.After(hedgeDelayBeforeCutoff(baseline, time.Since(started), h.acceptor.cutoff.remaining()))
+		case <-beforeCutoff:
+			// Targets may have become free since a second attempt was refused.
+			h.hedged = h.extraAttempts > 0
+			signal(overdue)
 		case <-overdue:
 			if running == 1 && !h.hedged && h.takeHedgeBudget() {
 				h.hedged = true
@@ -79,15 +91,44 @@
 			running--
 			if r.number != 1 && r.wasRefused() {
 				h.extraAttempts = 0
+				beforeCutoff = h.retryBeforeCutoff()
+			}
+			if h.isDecided(&r) {
+				return h.useResult(&r)
 			}
 			best = betterResult(best, &r)
-			if running == 0 || !best.failed() {
+			if running == 0 {
 				return h.useResult(best)
 			}
 		}
 	}
 }
 
+// isDecided reports whether the result is the outcome of the request: the response that is already being sent, whether it
+// is complete or not, or the first complete one. The other attempt can then no longer send its response.
+func (h *hedge) isDecided(r *hedgeResult) bool {
+	if r.failed() {
+		return h.winner.Load() == r.number
+	}
+	return h.claim(r.number)
+}
+
+// claim reports whether the attempt may send its response, because the other one has not started to send its own.
+func (h *hedge) claim(number int32) bool {
+	return h.winner.CompareAndSwap(0, number) || h.winner.Load() == number
+}
+
+// retryBeforeCutoff returns a channel that delivers when a second attempt that was refused is made again. It returns nil if
+// the node is not stopping.
+func (h *hedge) retryBeforeCutoff() <-chan time.Time {
+	select {
+	case <-h.acceptor.cutoff.announced:
+		return time.After(refusedHedgeInterval)
+	default:
+		return nil
+	}
+}
+
 // signal sends on the channel without blocking.
 func signal(channel chan<- struct{}) {
 	select {
@@ -124,13 +165,16 @@
 	d := newDelivery(h.out.next, h.out.bufferLimit)
 	d.unmodifiedHead = h.out.unmodifiedHead
 	d.isAdditional = h.out.isAdditional
-	d.mayCommit = func() bool { return h.winner.CompareAndSwap(0, number) || h.winner.Load() == number }
+	d.mayCommit = func() bool { return h.claim(number) }
 	return d
 }
 
-// takeHedgeBudget takes a retry from the budget for the second attempt. It returns false if no other target or no time
-// remains or if the budget is exhausted.
+// takeHedgeBudget takes a retry from the budget for the second attempt. It returns false if a response is already being
+// sent, if no other target or no time remains, or if the budget is exhausted.
 func (h *hedge) takeHedgeBudget() bool {
+	if h.winner.Load() != 0 {
+		return false
+	}
 	a := h.acceptor
 	service := a.view.Load().Service(h.rq.service)
 	if service == nil || service.Pool.Len() < 2 {
