Take an answer only for the request that was sent before it

Cause: http.Transport returns the connection of a response without a body to its pool before the client sees the head. Cancelling the request after a refusal, or after an answer with another request's ID, left that connection in use, and bytes that stood buffered behind a response were taken for the response to the next request. An upstream that wrote an earlier refusal once more on a kept connection made a running request count as not run: a retry of the same request (same echoed ID), and any idempotent request at an upstream that echoes no ID. The caller got 503, "not run". A second answer behind the first went to the caller of the next request where no ID is echoed.

Ruled out: non-idempotent requests, which have a connection of their own; other request IDs, which were detected.

Change: connections are of a type of the client. A refusal, a foreign answer and an unsigned answer close their connection. An answer whose first byte was received before the request was written counts as lost. A request that obtained a connection that was being closed was not sent and uses another one.

Open: a late second answer that arrives after the next request was sent, from an upstream that echoes no ID, cannot be told from the answer. Each refusal now costs a new connection.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -46,7 +46,7 @@
 func NewClient(maxHeaderBytes int64, names dialect.Upstream) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	pooled := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialConn(dialer),
 		MaxIdleConnsPerHost:    maxIdlePerUpstream,
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true,
@@ -67,16 +67,13 @@
 func (c *Client) Run(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink peer.Sink) Result {
 	started := time.Now()
 	state := new(connState)
+	defer state.release()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	progressTimer := watchdog.New(time.Duration(head.ProgressTimeoutMs)*time.Millisecond, func() { cancel(errNoProgress) })
 	defer progressTimer.Stop()
-	req, err := c.newRequest(ctx, state, address, head, body)
-	if err != nil {
-		return Result{Outcome: Unreachable, Err: err}
-	}
 	progressTimer.Start()
-	res, err := c.transport(head).RoundTrip(req)
+	req, res, err := c.send(ctx, state, address, head, body)
 	progressTimer.Stop()
 	if err != nil {
 		return c.classifyError(ctx, state, err)
@@ -84,26 +81,49 @@
 	defer res.Body.Close()
 	result := Result{Status: res.StatusCode, FirstByte: time.Since(started), Reused: state.reused}
 	result.RetryAfter = ParseRetryAfter(res.Header.Get("Retry-After"), time.Now())
-	if c.belongsToOtherRequest(req, res) {
+	if state.premature.Load() || c.belongsToOtherRequest(req, res) {
 		result.Outcome = Lost
 		result.Err = errors.New("upstream: the answer belongs to another request")
-		// The connection carries a response that belongs to no request on it, so it is not reused.
-		cancel(nil)
+		state.discard()
 		return result
 	}
 	if c.declaresNotRun(res) {
 		result.Outcome = Shed
+		// A faulty upstream may write the refusal once more in place of a later answer on the connection.
+		state.discard()
 		return result
 	}
 	if res.StatusCode < http.StatusMultipleChoices && c.lacksSignature(res) {
 		result.Outcome = Incomplete
 		result.Err = errors.New("upstream: the answer is not signed by the upstream")
+		state.discard()
 		return result
 	}
+	state.release()
 	c.copyResponse(ctx, res, sink, progressTimer, &result)
 	return result
 }
 
+// send sends the request and returns it with the response. If it obtained a connection that was discarded meanwhile, the
+// request was not sent, and send uses another connection.
+func (c *Client) send(ctx context.Context, state *connState, address string, head *peerv1.ForwardHead, body []byte) (*http.Request, *http.Response, error) {
+	for {
+		req, err := c.newRequest(ctx, state, address, head, body)
+		if err != nil {
+			return nil, nil, err
+		}
+		res, err := c.transport(head).RoundTrip(req)
+		if !state.discarded || ctx.Err() != nil {
+			return req, res, err
+		}
+		if err == nil {
+			// The connection is closed already.
+			_ = res.Body.Close()
+		}
+		state.reset()
+	}
+}
+
 func (c *Client) transport(head *peerv1.ForwardHead) *http.Transport {
 	if head.Idempotent {
 		return c.pooled
@@ -111,19 +131,8 @@
 	return c.singleUse
 }
 
-// connState records whether the request obtained a connection. Without one it was not sent.
-type connState struct {
-	obtained bool
-	reused   bool
-}
-
 func (c *Client) newRequest(ctx context.Context, state *connState, address string, head *peerv1.ForwardHead, body []byte) (*http.Request, error) {
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			state.obtained = true
-			state.reused = info.Reused
-		},
-	})
+	ctx = httptrace.WithClientTrace(ctx, state.trace())
 	// The request has no GetBody, and the body of a non-idempotent request is never nil. Otherwise http.Transport would
 	// retry a request with an Idempotency-Key header itself when its connection fails.
 	var reader io.Reader
--- /dev/null
+++ b/internal/upstream/conn_state.go
@@ -0,0 +1,62 @@
+package upstream
+
+import (
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// connState tracks the connection of a request. Without one the request was not sent.
+type connState struct {
+	obtained bool
+	reused   bool
+	// discarded means that the connection had been discarded before the request obtained it, so the request was not sent.
+	discarded bool
+	// premature means that the first byte of the response was received before the request was sent.
+	premature atomic.Bool
+	conn      atomic.Pointer[conn]
+	locked    bool
+}
+
+func (s *connState) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: s.gotConn, GotFirstResponseByte: s.gotFirstByte}
+}
+
+// gotConn is called again if http.Transport sends the request on another connection because the pooled one was closed.
+func (s *connState) gotConn(info httptrace.GotConnInfo) {
+	s.release()
+	c := info.Conn.(*conn)
+	c.exchange.Lock()
+	c.readsBeforeRequest.Store(notSent)
+	s.locked = true
+	s.conn.Store(c)
+	s.premature.Store(false)
+	s.obtained, s.reused, s.discarded = true, info.Reused, c.discarded
+}
+
+func (s *connState) gotFirstByte() {
+	if !s.conn.Load().receivedSinceRequest() {
+		s.premature.Store(true)
+	}
+}
+
+// release lets the next request use the connection.
+func (s *connState) release() {
+	if s.locked {
+		s.locked = false
+		s.conn.Load().exchange.Unlock()
+	}
+}
+
+// discard closes the connection, so that it carries no further request. It must be called before release.
+func (s *connState) discard() {
+	c := s.conn.Load()
+	c.discarded = true
+	// The connection carries no further request, so an error from closing it needs no handling.
+	_ = c.Close()
+}
+
+// reset prepares the state for sending the request again.
+func (s *connState) reset() {
+	s.release()
+	s.obtained, s.reused, s.discarded = false, false, false
+}
