Forward no status that promises "not run" unless the target declares it

Cause: on the platform the statuses 408, 421, 429 and 503 tell a client that its request did not run and never will. A target declares that with a header of its own. A response with such a status and without the header was forwarded as an ordinary answer, so a faulty target made the client take a request that ran for one that did not.

Ruled out: refusals of the node itself, which follow from the verdict, and the project's own interface, whose callers go by the verdict header.

Change: the dialect of upstreams names the statuses that callers take for a refusal. An answer with one of them and without the declaration counts as incomplete: the request may have run, and the caller gets 504.

--- a/internal/dialect/upstream.go
+++ b/internal/dialect/upstream.go
@@ -10,6 +10,9 @@
 	InstanceHeader string
 	// NotRunHeader marks the response of an upstream that did not run the request.
 	NotRunHeader string
+	// RefusalStatuses are the statuses that callers take for a declaration that the request did not run. A response with
+	// such a status and without NotRunHeader is not forwarded.
+	RefusalStatuses []int
 	// EchoHeader has the same value in a response as in its request, so that a response to another request is detected.
 	// Empty means that upstreams do not echo a header.
 	EchoHeader string
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -99,6 +100,11 @@
 		state.discard()
 		return result
 	}
+	if slices.Contains(c.dialect.RefusalStatuses, res.StatusCode) {
+		result.Outcome = Incomplete
+		result.Err = errors.Errorf("upstream: status %d without the declaration that the request did not run", res.StatusCode)
+		return result
+	}
 	state.release()
 	c.copyResponse(ctx, res, sink, progressTimer, &result)
 	return result
