Take only a final status for an answer of an upstream

Cause: an answer with status 101 makes http.Transport hand over the connection itself as the body. Its reads end neither with the deadline nor with the cancellation of the request, so that an upstream which sends bytes without end, or none at all, held the slot, the goroutine and the connection for good, and the caller got no answer. A status below 100, which http.Transport accepts, makes the callers' HTTP server panic; in an idempotent request whose answer is larger than the buffer this happens in a goroutine of the hedge and ended the daemon.

Ruled out, each by a row of TestEndlessAnswers that passed on the code before: endless bytes in the status line, in a header, in header lines and in informational heads (the bound of the head holds for all heads of an answer together), in chunks, chunk sizes, chunk extensions and trailers, until close, and behind a complete answer or a refusal. Each ends at the bound of the head or at the deadline, and the connection is closed.

Change: an answer with a status below 200 counts as incomplete and its connection is closed.

Measured: before, TestEndlessAnswers/other_protocol and TestOnlyFinalStatusesAreAnswers hung until the time limit of the test run (20 s and 600 s), and TestInvalidStatusDoesNotEndTheDaemon ended the test process with "panic: invalid WriteHeader code 99". After, they pass, with -race.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -100,6 +100,13 @@
 		state.discard()
 		return result
 	}
+	if res.StatusCode < http.StatusOK {
+		// The transport hands over the connection of status 101 as the body, whose reads do not end with the context.
+		result.Outcome = Incomplete
+		result.Err = errors.Errorf("upstream: status %d is not that of a final answer", res.StatusCode)
+		state.discard()
+		return result
+	}
 	if slices.Contains(c.dialect.RefusalStatuses, res.StatusCode) {
 		result.Outcome = Incomplete
 		result.Err = errors.Errorf("upstream: status %d without the declaration that the request did not run", res.StatusCode)
