Count wrong bytes on a reused connection as failures of the target

Cause: a failed answer on a reused connection was never counted, because the target may have closed the connection while it was idle. A target that answers with bytes that are no answer, or truncates its answers, on kept connections therefore stayed in use: only the request after each new connection could count.

Ruled out: an idle close. It shows no byte of a response, and still counts as nothing.

Change: the result of a request says whether a byte of a response was received. If so, a lost or incomplete answer counts.

--- a/internal/node/detection.go
+++ b/internal/node/detection.go
@@ -85,7 +85,7 @@
 		return dt.isFailStatus(o)
 	case upstream.Lost, upstream.Incomplete:
 		// A reused connection may have been closed while idle; the next attempt gets a new one.
-		return !o.result.Reused
+		return !o.result.Reused || o.result.Received
 	case upstream.Unreachable, upstream.TimedOut:
 		return o.result.Err != nil
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -80,7 +80,7 @@
 		return c.classifyError(ctx, state, err)
 	}
 	defer res.Body.Close()
-	result := Result{Status: res.StatusCode, FirstByte: time.Since(started), Reused: state.reused}
+	result := Result{Status: res.StatusCode, FirstByte: time.Since(started), Reused: state.reused, Received: true}
 	result.RetryAfter = ParseRetryAfter(res.Header.Get("Retry-After"), time.Now())
 	if state.premature.Load() || c.belongsToOtherRequest(req, res) {
 		result.Outcome = Lost
@@ -183,7 +183,7 @@
 
 // classifyError classifies an error that occurred before the head of the response was received.
 func (c *Client) classifyError(ctx context.Context, state *connState, err error) Result {
-	result := Result{Reused: state.reused, Err: err}
+	result := Result{Reused: state.reused, Received: state.received.Load(), Err: err}
 	switch {
 	case !state.obtained && ctx.Err() == nil:
 		result.Outcome = Unreachable
--- a/internal/upstream/conn_state.go
+++ b/internal/upstream/conn_state.go
@@ -13,6 +13,8 @@
 	discarded bool
 	// premature means that the first byte of the response was received before the request was sent.
 	premature atomic.Bool
+	// received means that a byte of the response was received.
+	received atomic.Bool
 	conn      atomic.Pointer[conn]
 	locked    bool
 }
@@ -30,10 +32,12 @@
 	s.locked = true
 	s.conn.Store(c)
 	s.premature.Store(false)
+	s.received.Store(false)
 	s.obtained, s.reused, s.discarded = true, info.Reused, c.discarded
 }
 
 func (s *connState) gotFirstByte() {
+	s.received.Store(true)
 	if !s.conn.Load().receivedSinceRequest() {
 		s.premature.Store(true)
 	}
--- a/internal/upstream/result.go
+++ b/internal/upstream/result.go
@@ -43,6 +43,8 @@
 	Bytes     int64
 	// Reused means that the request was sent on a connection that had carried other requests.
 	Reused bool
+	// Received means that at least one byte of a response was received, so the connection had not been closed while idle.
+	Received bool
 	// ConnectionRefused means that the connection was refused, because nothing listens at the upstream's address.
 	ConnectionRefused bool
 	Err               error
