Send heads and details between nodes that are not valid UTF-8

Cause: strings of the protocol between nodes must be valid UTF-8, and HTTP allows other bytes in header values and paths. A message with such a string is not sent. A caller's request with one reached only targets beside its own node. A target's answer with one was lost on its way to another node, although the request had run. The detail of a trailer quotes what an upstream sent, so a malformed header line with such bytes cost the outcome of the attempt: the accepting node saw a failed connection in place of a failed target.

Ruled out: addresses, services and targets of announcements, which are checked; reports and documents, which are JSON.

Change: package peer encodes URI, host, request ID and header values that are not valid UTF-8, and decodes them on arrival, in Forward, Redeem, Lookup and Operation. The detail is cut to 1 KiB and its invalid bytes are replaced.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -90,6 +90,7 @@
 		res, err = k.client.Lookup(ctx, req)
 		return err
 	})
+	decodeAnswerHead(res.GetHead())
 	return res, err
 }
 
@@ -100,6 +101,7 @@
 		res, err = k.client.Operation(ctx, req)
 		return err
 	})
+	decodeAnswerHead(res.GetHead())
 	return res, err
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -23,6 +23,8 @@
 type echoHandler struct {
 	run          func(ctx context.Context, head *peerv1.ForwardHead, body []byte, sink Sink) *peerv1.AnswerTrailer
 	acknowledged chan string
+	// answer is the head in the responses to Lookup and Operation.
+	answer *peerv1.AnswerHead
 }
 
 func (h *echoHandler) Hello(*peerv1.HelloRequest) *peerv1.HelloResponse {
@@ -48,11 +50,11 @@
 func (h *echoHandler) ResponseAcknowledged(attempt string) { h.acknowledged <- attempt }
 
 func (h *echoHandler) Lookup(*peerv1.LookupRequest) *peerv1.LookupResponse {
-	return &peerv1.LookupResponse{State: peerv1.AttemptState_ATTEMPT_STATE_RUNNING}
+	return &peerv1.LookupResponse{State: peerv1.AttemptState_ATTEMPT_STATE_RUNNING, Head: h.answer}
 }
 
 func (h *echoHandler) Operation(*peerv1.OperationRequest) *peerv1.OperationResponse {
-	return &peerv1.OperationResponse{}
+	return &peerv1.OperationResponse{Head: h.answer}
 }
 
 func (h *echoHandler) Pull(*peerv1.PullRequest) *peerv1.PullResponse { return &peerv1.PullResponse{} }
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -32,12 +32,16 @@
 
 // Lookup implements the generated interface.
 func (s *service) Lookup(_ context.Context, req *peerv1.LookupRequest) (*peerv1.LookupResponse, error) {
-	return s.handler.Lookup(req), nil
+	res := s.handler.Lookup(req)
+	res.Head = encodeAnswerHead(res.Head)
+	return res, nil
 }
 
 // Operation implements the generated interface.
 func (s *service) Operation(_ context.Context, req *peerv1.OperationRequest) (*peerv1.OperationResponse, error) {
-	return s.handler.Operation(req), nil
+	res := s.handler.Operation(req)
+	res.Head = encodeAnswerHead(res.Head)
+	return res, nil
 }
 
 // Pull implements the generated interface.
@@ -84,6 +88,7 @@
 		source = func() ([]byte, error) { return s.requestBody(stream, sink) }
 	}
 	trailer := run(stream.Context(), head, source, sink)
+	trailer.Detail = boundDetail(trailer.Detail)
 	if err := sink.end(&peerv1.AnswerFrame{Trailer: trailer}); err != nil {
 		return err
 	}
@@ -122,6 +127,7 @@
 	if frame.Head == nil {
 		return nil, nil, errNoHead
 	}
+	decodeForwardHead(frame.Head)
 	if frame.Head.BodyOnAdmission {
 		return frame.Head, nil, nil
 	}
--- a/internal/peer/stream_call.go
+++ b/internal/peer/stream_call.go
@@ -65,9 +65,9 @@
 	if head.BodyOnAdmission {
 		c.watchdog.Start()
 		defer c.watchdog.Stop()
-		return c.stream.Send(&peerv1.ForwardFrame{Head: head})
+		return c.stream.Send(&peerv1.ForwardFrame{Head: encodeForwardHead(head)})
 	}
-	return c.sendFrom(&peerv1.ForwardFrame{Head: head}, body)
+	return c.sendFrom(&peerv1.ForwardFrame{Head: encodeForwardHead(head)}, body)
 }
 
 // sendFrom sends the frame with the first piece of the body, and the other pieces in frames of their own.
@@ -92,6 +92,7 @@
 	}
 	if frame.Head != nil {
 		c.headReceived = true
+		decodeAnswerHead(frame.Head)
 		if err := c.sink.Head(frame.Head); err != nil {
 			return err
 		}
--- a/internal/peer/stream_sink.go
+++ b/internal/peer/stream_sink.go
@@ -116,7 +116,7 @@
 
 // Head implements Sink.
 func (s *streamSink) Head(head *peerv1.AnswerHead) error {
-	return s.send(&peerv1.AnswerFrame{Head: head})
+	return s.send(&peerv1.AnswerFrame{Head: encodeAnswerHead(head)})
 }
 
 // Body implements Sink.
