Reject announcements whose numbers or address name no target

Cause: an address with a port out of range, zero or not a number was accepted, and so was an unspecified or multicast address. A sequence number or a start time that is too large was accepted as well and made the node ignore every later announcement of that target; at the same address it also ignored all other targets. A leave call with such a start time rejected the target for ten minutes, and a leave call for any ID took memory. A cold start of 1e300 s overflowed when it became a duration, with a result that depends on the processor.

Ruled out, by rows that were rejected on the code before: deep nesting, wrong types, numbers beyond their type, values that are not valid UTF-8, duplicate fields whose last value is odd, several values in one body. None ended the handler.

Open: a writer that sends well-formed heartbeats under the ID of a target cannot be told from the target.

--- a/internal/upstream/announcement.go
+++ b/internal/upstream/announcement.go
@@ -3,8 +3,6 @@
 package upstream
 
 import (
-	"net"
-	"regexp"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,22 +34,26 @@
 	StartTimeMS int64 `json:"-"`
 }
 
-// MaxSlots is the largest number of slots that a target may announce.
-const MaxSlots = 100_000
-
-var idPattern = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]{0,126}[A-Za-z0-9])?$`)
+const (
+	// MaxSlots is the largest number of slots that a target may announce.
+	MaxSlots = 100_000
+	// MaxColdRemaining is the longest cold start that a target may announce.
+	MaxColdRemaining = time.Hour
+	// MaxSequence is the largest sequence number, the limit up to which JSON numbers are exact. A greater one would make the
+	// node ignore all later announcements.
+	MaxSequence = 1 << 53
+)
 
 // Validate returns an error that names the first invalid field and its valid values, or nil.
 func (a *Announcement) Validate() error {
 	if !idPattern.MatchString(string(a.Service)) {
 		return errors.Errorf("service %q: use 1 to 128 letters, digits, '.', '_' or '-'", a.Service)
 	}
-	if !idPattern.MatchString(string(a.Target)) {
-		return errors.Errorf("target %q: use 1 to 128 letters, digits, '.', '_' or '-'", a.Target)
+	if err := validateTarget(a.Target); err != nil {
+		return err
 	}
-	host, port, err := net.SplitHostPort(a.Address)
-	if err != nil || net.ParseIP(host) == nil || port == "" {
-		return errors.Errorf("address %q: use IP:port", a.Address)
+	if err := validateAddress(a.Address); err != nil {
+		return err
 	}
 	if a.Slots < 1 || a.Slots > MaxSlots {
 		return errors.Errorf("slots %d: use 1 to %d", a.Slots, MaxSlots)
@@ -62,5 +64,11 @@
 	if a.Load < 0 || a.Load > 1 {
 		return errors.Errorf("load %g: use 0 to 1", a.Load)
 	}
+	if a.ColdRemaining < 0 || a.ColdRemaining > MaxColdRemaining {
+		return errors.Errorf("remaining cold start %s: use 0 to %s", a.ColdRemaining, MaxColdRemaining)
+	}
+	if a.Sequence > MaxSequence {
+		return errors.Errorf("sequence %d: use 0 to %d", a.Sequence, uint64(MaxSequence))
+	}
 	return nil
 }
