Reject member records whose addresses or incarnation name no node

Cause: a member record in the store was accepted with any peer address: a port out of range, no port, or a host name, which the sender of load digests looks up while the digests of all other nodes wait. An incarnation of 2^64-1 made nodes ignore all later records of that node, which are older by comparison.

Ruled out, by rows that were rejected on the code before: deep nesting, numbers beyond their type, wrong types, values that are not valid UTF-8, and records under the key of another node. One odd record never made the others unread.

Change: a record needs an IP address and a port of 1 to 65535 in each address that it has, and an incarnation up to 2^53, which is the year 2255.

--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -131,7 +131,7 @@
 	if err := json.Unmarshal(kv.Value, &node); err != nil {
 		return node, false
 	}
-	valid := node.ID != "" && node.PeerAddress != "" && strings.HasPrefix(kv.Key, MemberPrefix)
+	valid := validateNode(node) == nil && strings.HasPrefix(kv.Key, MemberPrefix)
 	return node, valid && kv.Key == MemberKey(node)
 }
 
