Send load digests only to IP addresses, and take no negative loads

Cause: the sender of load digests resolved the address of each receiver, so that a host name in a member record caused a name lookup for each datagram, during which no digest was sent to any node. A received entry with a negative wait, or a negative number of free slots or required successes, was used as it was.

Ruled out: a datagram that ends the receiver (10 s of FuzzHandleDatagram found none), and loads of unknown targets, which are ignored.

Measured: before, TestDigestsGoOnlyToAddresses (localhost) and TestLoadsAreNotNegative failed; after, they pass with the tests of internal/loadexchange, with -race.

--- a/internal/loadexchange/exchange.go
+++ b/internal/loadexchange/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -154,7 +155,10 @@
 
 func decodeEntry(now time.Duration, entry *peerv1.LoadEntry) model.TargetLoad {
 	return model.TargetLoad{
-		Free: int(entry.Free), Wait: time.Duration(entry.WaitMs) * time.Millisecond, RequiredSuccesses: int(entry.Doubt),
+		Free:              int(max(entry.Free, 0)),
+		Wait:              time.Duration(max(entry.WaitMs, 0)) * time.Millisecond,
+		RequiredSuccesses: int(max(entry.Doubt, 0)),
+
 		At: now - max(time.Duration(entry.AgeMs)*time.Millisecond, 0),
 	}
 }
@@ -174,12 +178,12 @@
 		x.options.OnError("encode", address, err)
 		return
 	}
-	to, err := net.ResolveUDPAddr("udp", address)
+	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		x.options.OnError("send", address, err)
 		return
 	}
-	n, err := x.options.Conn.WriteTo(datagram, to)
+	n, err := x.options.Conn.WriteTo(datagram, net.UDPAddrFromAddrPort(to))
 	if err != nil {
 		x.options.OnError("send", address, err)
 		return
