Reject timeouts and weights of routes that overflow

Cause: a timeout, first-byte timeout or objective above 2^63 ns was accepted and became a negative duration, so that every request of the route had expired on arrival. Weights whose sum is infinite, or that are no number, were accepted too.

Ruled out: negative numbers, wrong types and deep nesting, which were rejected before.

Change: times are at most a year, weights at most 1e12.

--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -11,6 +11,13 @@
 // maxDocumentBytes is the size limit of the store for one value.
 const maxDocumentBytes = 1 << 20
 
+const (
+	// maxTimeoutMS is a year. Much longer times overflow when they become durations.
+	maxTimeoutMS = 365 * 24 * 60 * 60 * 1000
+	// maxWeight bounds a weight, so that the sum of the weights is finite.
+	maxWeight = 1e12
+)
+
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
 
 // Validate returns nil, or an error that names the invalid field and the values that are valid.
@@ -68,15 +75,18 @@
 	default:
 		return errors.Errorf("priority %q: use %q or %q", r.Priority, Interactive, Bulk)
 	}
-	if r.TimeoutMS < 0 || r.FirstByteMS < 0 || r.ObjectiveMS < 0 {
-		return errors.New("timeouts: use 0 or more milliseconds")
+	for _, ms := range []int64{r.TimeoutMS, r.FirstByteMS, r.ObjectiveMS} {
+		if ms < 0 || ms > maxTimeoutMS {
+			return errors.Errorf("timeout %d: use 0 to %d milliseconds", ms, int64(maxTimeoutMS))
+		}
 	}
 	if r.Rank < 0 || r.MaxAttempts < 0 {
 		return errors.New("rank and attempts: use 0 or more")
 	}
 	for _, share := range r.Split {
-		if share.Weight < 0 || share.Service == "" {
-			return errors.Errorf("split: service %q with weight %g: use a name and a weight of 0 or more", share.Service, share.Weight)
+		// The comparison is false for NaN.
+		if !(share.Weight >= 0 && share.Weight <= maxWeight) || share.Service == "" {
+			return errors.Errorf("split: service %q with weight %g: use a name and a weight of 0 to %g", share.Service, share.Weight, maxWeight)
 		}
 	}
 	for _, method := range r.Methods {
