Wait until a paused process of a test has stopped

Cause: SIGSTOP reaches threads that run on other processors only after the signal was sent. Process.Pause returned before, and TestOperationOnFrozenUpstream once saw an operation run 2.6 ms after the pause.

Change: Pause waits until all threads of the process are in the stopped state. The checks of the tests stay as they are.

--- a/internal/fleettest/process.go
+++ b/internal/fleettest/process.go
@@ -70,8 +70,13 @@
 	}
 }
 
-// Pause stops the process with SIGSTOP.
-func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
+// Pause stops the process with SIGSTOP. It returns when all threads of the process have stopped.
+func (p *Process) Pause() error {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return p.awaitStopped()
+}
 
 // Resume continues a paused process.
 func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
