Close connections on which an announcement is not completed

Cause: the listener for announcements bounded the time for the head of a request and not for its body. An upstream that began a body and did not end it held a connection, a descriptor and a goroutine of the node for good.

Ruled out: callers, whose bodies are bounded by size and by the deadline of the request (TestEndlessBodyIsRefused and TestSlowBodyEndsAtTheDeadline pass on the code before), and unfinished heads.

Change: an announcement has to arrive within 10 s.

Measured: before, three rows of TestUnfinishedAnnouncementEnds still had their connection after 60 s; after, all five are closed, with -race.

--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -74,7 +75,7 @@
 	s := servers{
 		callers:   n.httpServer(n.acceptor),
 		operators: n.httpServer(n.operatorHandler()),
-		upstreams: n.httpServer(n.ports.Announcements(n.handleAnnouncement, n.handleDeregistration)),
+		upstreams: n.upstreamServer(),
 	}
 	s.callers.BaseContext = func(net.Listener) context.Context { return n.requestsCtx }
 	group.Go(func() error {
@@ -97,6 +98,15 @@
 	return s
 }
 
+// announcementTimeout bounds the time in which an upstream sends an announcement, which fits into one packet.
+const announcementTimeout = 10 * time.Second
+
+func (n *Node) upstreamServer() *http.Server {
+	server := n.httpServer(n.ports.Announcements(n.handleAnnouncement, n.handleDeregistration))
+	server.ReadTimeout = announcementTimeout
+	return server
+}
+
 func (n *Node) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
