Probe the store while watching it, to learn that it answers again

Watchers waited up to 7 s for watches that the store had forgotten, or were in their pause of up to 8 s, and nothing told them that the store was back.

A watcher now sends a short read every 0.6 s. When one is answered after one that was not, all pending watches are sent again and all pauses end. Watches stay pending while probes fail, so that a store slower than the timeout of a probe still delivers changes. After a minute of failed probes a watcher probes every 1.8 s and pauses for up to 30 s between its watches, which keeps the limit of TestStoreOutageOfHours.

TestChangeAfterOutageIsActiveWithinTheBound and TestChangeAfterSilentOutageIsActiveWithinTheBound failed before. The fake silent store of the latter now also leaves probes unanswered.

--- a/internal/distribution/activation_bound_test.go
+++ b/internal/distribution/activation_bound_test.go
@@ -60,6 +60,14 @@
 	return s.Store.Watch(ctx, prefix, after, wait)
 }
 
+func (s *silentStore) Ping(ctx context.Context, key string) error {
+	if s.silent.Load() {
+		<-ctx.Done()
+		return store.ErrUnavailable
+	}
+	return s.Store.Ping(ctx, key)
+}
+
 // Guards against watchers that wait for an answer to a watch that the store has forgotten.
 func TestChangeAfterSilentOutageIsActiveWithinTheBound(t *testing.T) {
 	runInFleet(t, func(f *fleet) {
--- a/internal/distribution/backoff.go
+++ b/internal/distribution/backoff.go
@@ -21,5 +21,8 @@
 	return pause
 }
 
+// limit bounds the next pause.
+func (b *backoff) limit(bound time.Duration) { b.current = min(b.current, bound) }
+
 // reset returns to the shortest pause.
 func (b *backoff) reset() { b.current = b.distributor.options.BackoffMin }
--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -39,6 +39,7 @@
 	// era is the newest era of the store that this node has received, if eraKnown.
 	eraKnown          bool
 	era               int64
+	probe             storeProbe
 	lastStoreResponse time.Duration
 	lastPeerResponse  time.Duration
 	// reportedRejections holds, by key, the revisions of invalid documents that were already reported.
@@ -85,6 +86,7 @@
 		peers:              map[string]*peerState{},
 		ages:               permitAges{},
 		self:               own,
+		probe:              newStoreProbe(),
 		lastStoreResponse:  noResponseYet,
 		lastPeerResponse:   noResponseYet,
 		reportedRejections: map[string]int64{},
@@ -179,6 +181,7 @@
 	tasks.Go(func() { d.runMembers(ctx) })
 	tasks.Go(func() { d.runPublish(ctx) })
 	tasks.Go(func() { d.runPropagation(ctx) })
+	tasks.Go(func() { d.runProbes(ctx) })
 	for _, prefix := range d.prefixes() {
 		tasks.Go(func() { d.runWatch(ctx, prefix) })
 	}
--- a/internal/distribution/faulty_store_test.go
+++ b/internal/distribution/faulty_store_test.go
@@ -50,6 +50,13 @@
 	return changes, revision, err
 }
 
+func (s *faultyStore) Ping(ctx context.Context, key string) error {
+	if s.unavailable.Load() {
+		return store.ErrUnavailable
+	}
+	return s.Store.Ping(ctx, key)
+}
+
 // swapTimeoutStore cancels each swap after a timeout, so that slow swaps take effect after the caller has stopped
 // waiting.
 type swapTimeoutStore struct {
--- a/internal/distribution/options.go
+++ b/internal/distribution/options.go
@@ -38,17 +38,23 @@
 	PullTimeout time.Duration
 	// StoreTimeout limits one store call, in addition to the wait time of a watch.
 	StoreTimeout time.Duration
-	// WatchWait is how long a watch waits for changes. An unresponsive store connection is detected only after
-	// WatchWait plus StoreTimeout, so WatchWait adds to the time until a change is active.
+	// WatchWait is how long a watch waits for changes. An unresponsive connection under a watch is detected only after
+	// WatchWait plus StoreTimeout, unless the store was silent as a whole.
 	WatchWait time.Duration
 	// WatchPause is the minimum time between two watches of a prefix, so that one call returns many changes.
 	WatchPause time.Duration
 	// BackoffMin and BackoffMax bound the pause after a failed store call. The pause doubles with each failure, with
 	// jitter.
 	BackoffMin, BackoffMax time.Duration
-	// WatchBackoffMax bounds the pause of a watcher. It is shorter than BackoffMax, because a change right after a
-	// store outage waits for the watchers, and few nodes are watchers.
+	// WatchBackoffMax bounds the pause of a watcher after a failed watch. The pause ends early when a probe shows that the
+	// store answers again.
 	WatchBackoffMax time.Duration
+	// ProbeInterval is the time between two probes of the store by a watcher. Together with ProbeTimeout it bounds the time
+	// until a watcher learns that the store answers again, which has to stay within about a second: a change must be active
+	// everywhere 2.5 s after it was acknowledged.
+	ProbeInterval time.Duration
+	// ProbeTimeout is the time after which a probe counts as not answered.
+	ProbeTimeout time.Duration
 	// RegisterJitter spreads out the writes of member records when many nodes start at the same time.
 	RegisterJitter time.Duration
 	// RelistInterval is how often a watcher lists the members, to find members that gossip did not deliver and to
@@ -106,6 +112,8 @@
 	setDefault(&o.BackoffMin, 500*time.Millisecond)
 	setDefault(&o.BackoffMax, 30*time.Second)
 	setDefault(&o.WatchBackoffMax, 8*time.Second)
+	setDefault(&o.ProbeInterval, 600*time.Millisecond)
+	setDefault(&o.ProbeTimeout, time.Second)
 	setDefault(&o.RegisterJitter, 2*time.Second)
 	setDefault(&o.RelistInterval, 10*time.Minute)
 	setDefault(&o.LoadInterval, 5*time.Second)
--- /dev/null
+++ b/internal/distribution/store_probe.go
@@ -0,0 +1,139 @@
+package distribution
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// probeJitterFraction spreads out the probes of the watchers.
+	probeJitterFraction = 0.15
+	// minProbePause is the pause after a probe that took as long as ProbeInterval or longer.
+	minProbePause = 100 * time.Millisecond
+	// longOutage is the time of failed probes from which a watcher probes every longOutageProbeInterval and pauses for up to
+	// BackoffMax between its watches: a refused call costs as much as another one, and outages can last hours. A watcher
+	// that learns of the end of an outage after two seconds still has a change 2.5 s after its acknowledgement, as the bound
+	// for changes begins only some time after the outage.
+	longOutage              = time.Minute
+	longOutageProbeInterval = 1800 * time.Millisecond
+	// recoveryJitter bounds the random delay after which a watcher calls a store that answers again.
+	recoveryJitter = 100 * time.Millisecond
+	// recoveryBackoff bounds the pause of a watcher if its first watch after an outage fails.
+	recoveryBackoff = time.Second
+)
+
+// errStoreRecovered is the error of a watch that was sent before the store began to answer again.
+var errStoreRecovered = errors.New("distribution: the store may have lost this watch during an outage")
+
+// storeProbe holds what the probes of a watcher have shown. Distributor.mu guards it.
+//
+// A watch without an answer does not show whether the store is silent or has no change, and a store that was silent may
+// have forgotten it. So a watcher sends short reads next to its watches. When one is answered after one that was not, all
+// pending watches are cancelled and all pauses after failed calls end. Watches stay pending while probes fail, because a
+// store that is slower than ProbeTimeout still answers them.
+type storeProbe struct {
+	// failing means that the last probe was not answered. The first one that was not answered ended at failingSince.
+	failing      bool
+	failingSince time.Duration
+	// period ends when the store answers again.
+	period    context.Context
+	endPeriod context.CancelFunc
+}
+
+func newStoreProbe() storeProbe {
+	period, end := context.WithCancel(context.Background())
+	return storeProbe{period: period, endPeriod: end}
+}
+
+// runProbes probes the store while this node is a watcher.
+func (d *Distributor) runProbes(ctx context.Context) {
+	for pause := d.probePause(0); sleep(ctx, pause); {
+		startedAt := d.options.Now()
+		if d.isWatching() {
+			d.probeStore(ctx)
+		} else {
+			d.forgetProbes()
+		}
+		pause = d.probePause(d.options.Now() - startedAt)
+	}
+}
+
+// probePause returns the pause after a probe that took the given time.
+func (d *Distributor) probePause(took time.Duration) time.Duration {
+	interval := d.options.ProbeInterval
+	if d.isLongOutage() {
+		interval = max(interval, longOutageProbeInterval)
+	}
+	return max(minProbePause, d.jitter(interval, probeJitterFraction)-took)
+}
+
+// isLongOutage reports whether the probes of this node have failed for longOutage.
+func (d *Distributor) isLongOutage() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.probe.failing && d.options.Now()-d.probe.failingSince >= longOutage
+}
+
+// watchBackoffMax bounds the pause of a watcher after a failed watch.
+func (d *Distributor) watchBackoffMax() time.Duration {
+	if d.isLongOutage() {
+		return d.options.BackoffMax
+	}
+	return d.options.WatchBackoffMax
+}
+
+// probeStore sends one probe. It reports only the first one that fails.
+func (d *Distributor) probeStore(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, d.options.ProbeTimeout)
+	defer cancel()
+	key := MemberKey(d.options.Self)
+	err := d.options.Store.Ping(callCtx, key)
+	if ctx.Err() != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	failed := err != nil
+	if failed && !d.probe.failing {
+		d.probe.failingSince = d.options.Now()
+		d.options.Report(Event{Kind: StoreFailed, Key: key, Err: err})
+	}
+	if !failed {
+		d.lastStoreResponse = d.options.Now()
+	}
+	if !failed && d.probe.failing {
+		d.probe.endPeriod()
+		d.probe = newStoreProbe()
+	}
+	d.probe.failing = failed
+}
+
+// forgetProbes removes the result of the last probe when the node is not a watcher any more.
+func (d *Distributor) forgetProbes() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.probe.failing = false
+}
+
+// storePeriod returns a context that ends when the store answers again after an outage.
+func (d *Distributor) storePeriod() context.Context {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.probe.period
+}
+
+// sleepInPeriod sleeps until the pause or the period of the store ends. It returns false if ctx ended first.
+func (d *Distributor) sleepInPeriod(ctx, period context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-period.Done():
+		return sleep(ctx, d.randomBelow(recoveryJitter))
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -14,18 +14,23 @@
 func (d *Distributor) runWatch(ctx context.Context, prefix string) {
 	pause := d.newBackoff(d.options.WatchBackoffMax)
 	for {
+		period := d.storePeriod()
 		wait := d.options.RoundInterval
 		if d.isWatching() {
 			wait = d.options.WatchPause
 			if err := d.syncPrefix(ctx, prefix); err != nil {
+				pause.maximum = d.watchBackoffMax()
 				wait = pause.next()
 			} else {
 				pause.reset()
 			}
 		}
-		if !sleep(ctx, wait) {
+		if !d.sleepInPeriod(ctx, period, wait) {
 			return
 		}
+		if period.Err() != nil {
+			pause.limit(recoveryBackoff)
+		}
 	}
 }
 
@@ -85,16 +90,22 @@
 	return nil
 }
 
-// watch waits for changes of the prefix and applies them.
+// watch waits for changes of the prefix and applies them. It returns errStoreRecovered without a report if the store began
+// to answer again meanwhile.
 func (d *Distributor) watch(ctx context.Context, prefix string, wait time.Duration) error {
 	after := d.complete(prefix)
 	callCtx, cancel := context.WithTimeout(ctx, wait+d.options.StoreTimeout)
 	defer cancel()
+	period := d.storePeriod()
+	defer context.AfterFunc(period, cancel)()
 	startedAt := d.options.Now()
 	changes, revision, err := d.options.Store.Watch(callCtx, prefix, after, wait)
 	if errors.Is(err, store.ErrCompacted) {
 		return err
 	}
+	if err != nil && period.Err() != nil {
+		return errStoreRecovered
+	}
 	if d.recordStoreResult(ctx, prefix, err) != nil {
 		return err
 	}
--- a/internal/fakestore/store.go
+++ b/internal/fakestore/store.go
@@ -94,6 +94,11 @@
 	return kv, err
 }
 
+// Ping implements store.Store.
+func (s *Store) Ping(ctx context.Context, _ string) error {
+	return s.read(ctx, store.KindPing, func() error { return nil })
+}
+
 // List implements store.Store.
 func (s *Store) List(ctx context.Context, prefix string) (kvs []store.KV, revision int64, err error) {
 	err = s.read(ctx, store.KindList, func() error {
--- a/internal/metrics/store_call.go
+++ b/internal/metrics/store_call.go
@@ -13,12 +13,13 @@
 	StoreKeepAlive        StoreCall = "keep_alive"
 	StoreRevokeLease      StoreCall = "revoke_lease"
 	StoreWatch            StoreCall = "watch"
+	StorePing             StoreCall = "ping"
 )
 
 // StoreCalls returns every kind of call.
 func StoreCalls() []StoreCall {
 	return []StoreCall{
 		StoreGet, StoreList, StoreCompareAndSwap, StoreCompareAndDelete, StoreGrantLease, StoreKeepAlive,
-		StoreRevokeLease, StoreWatch,
+		StoreRevokeLease, StoreWatch, StorePing,
 	}
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -121,3 +121,12 @@
 	}
 	return changesOf(response.Msg.Changes), response.Msg.Revision, nil
 }
+
+// Ping implements Store.
+func (c *client) Ping(ctx context.Context, key string) error {
+	c.observe(KindPing)
+	if _, err := c.rpc.Get(ctx, connect.NewRequest(&storev1.GetRequest{Key: key})); err != nil {
+		return readError(err)
+	}
+	return nil
+}
--- a/internal/store/kind.go
+++ b/internal/store/kind.go
@@ -10,12 +10,13 @@
 	KindKeepAlive        = "keep_alive"
 	KindRevokeLease      = "revoke_lease"
 	KindWatch            = "watch"
+	KindPing             = "ping"
 )
 
 // Kinds returns every kind of call, in the order of the methods of Store.
 func Kinds() []string {
 	return []string{
 		KindGet, KindList, KindCompareAndSwap, KindCompareAndDelete, KindGrantLease, KindKeepAlive, KindRevokeLease,
-		KindWatch,
+		KindWatch, KindPing,
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -84,4 +84,7 @@
 	// revision up to which they are complete. It returns no changes if there were none within wait, and ErrCompacted if
 	// the store no longer retains all of them.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Change, int64, error)
+	// Ping returns nil if the store answers a read of the key, which need not exist. The read is as cheap as the store
+	// allows and may be answered from outdated data.
+	Ping(ctx context.Context, key string) error
 }
