Keep a panic in a hedged attempt from ending the daemon

The hedge now starts both attempts through one function that logs the panic (SR0108) and ends the attempt as may-have-run, so that the request is retried as after a lost node.

--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -50,9 +50,14 @@
 	if cause == nil {
 		return
 	}
+	logPanic(log, operation, cause)
+	*trailer = &peerv1.AnswerTrailer{Verdict: int32(verdict.MayHaveRun), Reason: string(verdict.NodeLost)}
+}
+
+// logPanic logs a recovered panic with its stack.
+func logPanic(log *events.Log, operation string, cause any) {
 	log.Emit(events.PanicRecovered, events.OperationField(operation),
 		events.CauseField(errors.Errorf("%v\n%s", cause, debug.Stack())))
-	*trailer = &peerv1.AnswerTrailer{Verdict: int32(verdict.MayHaveRun), Reason: string(verdict.NodeLost)}
 }
 
 // ResponseAcknowledged implements peer.Handler.
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -57,10 +57,7 @@
 	overdue := make(chan struct{}, 1)
 	first := h.newAttemptDelivery(1)
 	first.onOverdue = func() { signal(overdue) }
-	go func() {
-		err := h.acceptor.runAttempt(ctx, h.rq, choice, openGate{}, first)
-		h.results <- hedgeResult{number: 1, out: first, err: err}
-	}()
+	h.start(1, first, func() *verdict.Error { return h.acceptor.runAttempt(ctx, h.rq, choice, openGate{}, first) })
 	started := time.Now()
 	baseline := baselineOrDefault(h.acceptor.attemptDurations.of(h.rq.head.Route), h.rq.objective())
 	overdueTimer := time.NewTimer(hedgeDelay(baseline))
@@ -85,7 +82,7 @@
 				h.hedged = true
 				running++
 				h.extraAttempts = 1
-				go h.runSecondAttempt(ctx, choice)
+				h.startSecondAttempt(ctx, choice)
 			}
 		case r := <-h.results:
 			running--
@@ -188,15 +185,29 @@
 	return true
 }
 
-// runSecondAttempt tries the other targets until one admits the request. It also waits in their queues: at high load no
+// start runs an attempt in the background and sends its result. A panic ends only the attempt: its request may have run.
+func (h *hedge) start(number int32, out *delivery, attempt func() *verdict.Error) {
+	go func() {
+		result := hedgeResult{number: number, out: out}
+		defer func() { h.results <- result }()
+		defer func() {
+			if cause := recover(); cause != nil {
+				logPanic(h.acceptor.log, "attempt", cause)
+				result.err = verdict.Uncertain(verdict.NodeLost, nil)
+			}
+		}()
+		result.err = attempt()
+	}()
+}
+
+// startSecondAttempt tries the other targets until one admits the request. It also waits in their queues: at high load no
 // slot is free, and the first run may hang until the deadline.
-func (h *hedge) runSecondAttempt(ctx context.Context, first placement.Choice) {
+func (h *hedge) startSecondAttempt(ctx context.Context, first placement.Choice) {
 	var tried routing.Tried
 	tried.Add(first.Candidate.Target.ID)
 	out := h.newAttemptDelivery(2)
 	out.isAdditional = true
-	err := h.tryOtherTargets(ctx, &tried, out)
-	h.results <- hedgeResult{number: 2, out: out, err: err}
+	h.start(2, out, func() *verdict.Error { return h.tryOtherTargets(ctx, &tried, out) })
 }
 
 // tryOtherTargets tries the targets of a new plan until one of them runs or may have run the request. It ends before
