Read the store in place of watchers that no longer confirm the configuration

Only the two elected watchers read the store, a lost watcher counts as alive for 14 s, and no other node could tell that there was no news from there being no change.

The age of the newest confirmation by the store now travels in the responses to pulls, together with the documents. It only becomes older on the way. A node that is not a watcher reads the store itself when it knows only confirmations older than 1.5 s plus a time that grows with its rank, after it has asked the watchers of its domain. Its own confirmation keeps the others quiet. There is no lease and no agreement; the ranks and the pauses after failures bound the calls. The first watch after a failure, an outage or an election doesn't wait, so that its answer confirms the configuration.

TestChangeWhileWatchersAreLostIsActiveWithinTheBound, TestChangeWhileMostNodesAreLostIsActiveWithinTheBound and TestChangeWhileWatchersGetNoAnswersIsActiveWithinTheBound fail without the stand-ins. TestCallsOfStandInsAreBounded counts the calls of 96 nodes.

--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -40,6 +40,7 @@
 	eraKnown          bool
 	era               int64
 	probe             storeProbe
+	confirmation      confirmation
 	lastStoreResponse time.Duration
 	lastPeerResponse  time.Duration
 	// reportedRejections holds, by key, the revisions of invalid documents that were already reported.
@@ -87,6 +88,7 @@
 		ages:               permitAges{},
 		self:               own,
 		probe:              newStoreProbe(),
+		confirmation:       newConfirmation(),
 		lastStoreResponse:  noResponseYet,
 		lastPeerResponse:   noResponseYet,
 		reportedRejections: map[string]int64{},
@@ -182,6 +184,7 @@
 	tasks.Go(func() { d.runPublish(ctx) })
 	tasks.Go(func() { d.runPropagation(ctx) })
 	tasks.Go(func() { d.runProbes(ctx) })
+	tasks.Go(func() { d.runStandIn(ctx) })
 	for _, prefix := range d.prefixes() {
 		tasks.Go(func() { d.runWatch(ctx, prefix) })
 	}
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -46,12 +46,17 @@
 	// EraReceived means that this node has received a newer era of the store than the one before, so that it checks what
 	// the store may have lost. Revision is in that era.
 	EraReceived
+	// StandInStarted and StandInStopped mean that this node reads the configuration from the store although it is not a
+	// watcher, because no node of its domain has confirmed it recently. Revision is the one to continue from.
+	StandInStarted
+	StandInStopped
 )
 
 var eventNames = [...]string{
 	"store_failed", "store_compacted", "list_outdated", "pull_failed", "document_applied", "document_rejected",
 	"member_changed", "member_registered", "member_record_lost", "member_deleted", "watch_started", "watch_stopped",
 	"ready", "isolated", "reconnected", "identity_conflict", "era_received",
+	"stand_in_started", "stand_in_stopped",
 }
 
 // String returns the name of the kind for counters and logs.
--- a/internal/distribution/pull.go
+++ b/internal/distribution/pull.go
@@ -210,4 +210,5 @@
 		d.ages.record(documents[i], startedAt-time.Duration(message.AgeMs)*time.Millisecond)
 	}
 	d.advance(ConfigPrefix, response.DocumentRevision)
+	d.recordConfirmation(response, startedAt)
 }
--- a/internal/distribution/rounds.go
+++ b/internal/distribution/rounds.go
@@ -115,6 +115,8 @@
 		return
 	}
 	d.watching = watching
+	// The probes of a new watcher confirm nothing before its first watch.
+	d.confirmation.synced = false
 	kind := WatchStopped
 	if watching {
 		kind = WatchStarted
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -42,7 +43,7 @@
 		d.awaitFirstJoin(ctx)
 		d.syncFromAny(ctx, d.gossipPeerAddresses())
 	}
-	if d.readConfig(ctx) == nil {
+	if d.readConfig(ctx, 0) == nil {
 		return d.complete(ConfigPrefix) > 0, true
 	}
 	return d.syncFromAll(ctx), false
@@ -103,12 +104,12 @@
 	return nil
 }
 
-// readConfig reads from the store the documents that the peers did not have.
-func (d *Distributor) readConfig(ctx context.Context) error {
+// readConfig reads from the store the documents that the peers did not have. If there are none, it waits for a change.
+func (d *Distributor) readConfig(ctx context.Context, wait time.Duration) error {
 	if d.complete(ConfigPrefix) == 0 {
 		return d.list(ctx, ConfigPrefix)
 	}
-	err := d.watch(ctx, ConfigPrefix, 0)
+	err := d.watch(ctx, ConfigPrefix, wait)
 	if errors.Is(err, store.ErrCompacted) {
 		return d.list(ctx, ConfigPrefix)
 	}
--- a/internal/distribution/store_probe.go
+++ b/internal/distribution/store_probe.go
@@ -89,6 +89,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, d.options.ProbeTimeout)
 	defer cancel()
 	key := MemberKey(d.options.Self)
+	startedAt := d.options.Now()
 	err := d.options.Store.Ping(callCtx, key)
 	if ctx.Err() != nil {
 		return
@@ -106,8 +107,12 @@
 	if !failed && d.probe.failing {
 		d.probe.endPeriod()
 		d.probe = newStoreProbe()
+		d.confirmation.synced = false
 	}
 	d.probe.failing = failed
+	if !failed && d.confirmation.synced {
+		d.confirmOwn(ConfigPrefix, startedAt)
+	}
 }
 
 // forgetProbes removes the result of the last probe when the node is not a watcher any more.
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -49,7 +49,11 @@
 		}
 	}
 	complete := d.complete(prefix)
-	err := d.watch(ctx, prefix, d.jitter(d.options.WatchWait, jitterFraction))
+	wait := d.jitter(d.options.WatchWait, jitterFraction)
+	if d.isConfirmationDue(prefix) {
+		wait = 0
+	}
+	err := d.watch(ctx, prefix, wait)
 	if errors.Is(err, store.ErrCompacted) {
 		d.options.Report(Event{Kind: StoreCompacted, Key: prefix, Revision: complete})
 		return d.list(ctx, prefix)
@@ -71,6 +75,7 @@
 	startedAt := d.options.Now()
 	kvs, revision, err := d.options.Store.List(callCtx, prefix)
 	if d.recordStoreResult(ctx, prefix, err) != nil {
+		d.confirmationFailed(prefix)
 		return err
 	}
 	documents := make([]config.Document, 0, len(kvs))
@@ -83,6 +88,7 @@
 	}
 	previousRevision := d.tables.config.Revision()
 	d.applyList(prefix, documents, revision)
+	d.confirmOwn(prefix, startedAt)
 	d.recordPermitAges(documents, startedAt)
 	d.signalNewDocuments(previousRevision, "")
 	d.mu.Unlock()
@@ -107,8 +113,14 @@
 		return errStoreRecovered
 	}
 	if d.recordStoreResult(ctx, prefix, err) != nil {
+		d.confirmationFailed(prefix)
 		return err
 	}
+	confirmedAt := startedAt
+	if answeredAt := d.options.Now(); len(changes) == 0 && answeredAt-startedAt >= wait {
+		// The store answers a watch without changes only after the wait.
+		confirmedAt += wait
+	}
 	documents := make([]config.Document, 0, len(changes))
 	for _, change := range changes {
 		documents = append(documents, config.Document{
@@ -120,6 +132,7 @@
 	d.applyDocuments(documents)
 	d.recordPermitAges(documents, startedAt)
 	d.advance(prefix, revision)
+	d.confirmOwn(prefix, confirmedAt)
 	d.signalNewDocuments(previousRevision, "")
 	d.mu.Unlock()
 	d.publish()
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -26,6 +26,8 @@
 	StoreHistoryLost    = &Event{211, "store_history_lost", Info, "the store does not have the changes after the last revision; the keys are listed again", []Key{Operation, Revision}, 0}
 	ListOutdated        = &Event{212, "list_outdated", Warning, "a list of the store is older than what this node has; it replaces nothing", []Key{Operation, Revision, Complete}, 0}
 	StoreEraReceived    = &Event{213, "store_era_received", Info, "the records of the fleet in a restored store are checked, and written again if they are lost", []Key{Era, Revision}, 0}
+	StandInStarted      = &Event{214, "stand_in_started", Info, "no node of the failure domain has confirmed the configuration recently; this node reads it from the store", []Key{Domain, Revision}, 0}
+	StandInStopped      = &Event{215, "stand_in_stopped", Info, "this node has stopped reading the store in place of the watchers of its failure domain", []Key{Domain}, 0}
 )
 
 // Events about members and connections.
@@ -106,7 +108,7 @@
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, GraceExceeded,
 	ListenerFailed, PanicRecovered, SettingsRead, StoreUnavailable, StoreRecovered,
 	StoreOutcomeUnknown, StoreRestored, StoreHistoryLost, ListOutdated, StoreEraReceived, ConfigApplied, ConfigInvalid, ConfigStale,
-	WatcherStarted, WatcherStopped, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
+	WatcherStarted, WatcherStopped, StandInStarted, StandInStopped, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
 	RegionReachable, LinkBudgetSpent, LoadDigestFailed, TargetAnnounced, TargetPhaseChanged,
 	TargetMissing, TargetSuspected, TargetEjected, TargetAvoided, TargetReturned,
--- a/internal/node/event_log.go
+++ b/internal/node/event_log.go
@@ -52,6 +52,10 @@
 		n.log.Emit(events.WatcherStarted, events.DomainField(n.self.Domain))
 	case distribution.WatchStopped:
 		n.log.Emit(events.WatcherStopped, events.DomainField(n.self.Domain))
+	case distribution.StandInStarted:
+		n.log.Emit(events.StandInStarted, events.DomainField(n.self.Domain), events.RevisionField(e.Revision))
+	case distribution.StandInStopped:
+		n.log.Emit(events.StandInStopped, events.DomainField(n.self.Domain))
 	case distribution.BecameReady:
 		n.views.invalidate()
 		n.log.Emit(events.NodeReady, events.NodeField(n.self.ID), events.RevisionField(e.Revision), events.DurationField(n.clock.now()))
