Count a request as sent if any of its connections could carry it

http.Transport may write an idempotent request without a body on a pooled connection, find that it was closed, and continue on another one. If that one had been discarded, Client.send tried again and forgot the first connection. When the dial then failed, the request was reported as not run, although the target may have received it.

--- a/internal/upstream/conn_state.go
+++ b/internal/upstream/conn_state.go
@@ -5,8 +5,9 @@
 	"sync/atomic"
 )
 
-// connState tracks the connection of a request. Without one the request was not sent.
+// connState tracks the connections of a request.
 type connState struct {
+	// obtained means that the request obtained a connection that had not been discarded. Without one it was not sent.
 	obtained bool
 	reused   bool
 	// discarded means that the connection had been discarded before the request obtained it, so the request was not sent.
@@ -33,7 +34,8 @@
 	s.conn.Store(c)
 	s.premature.Store(false)
 	s.received.Store(false)
-	s.obtained, s.reused, s.discarded = true, info.Reused, c.discarded
+	s.obtained = s.obtained || !c.discarded
+	s.reused, s.discarded = info.Reused, c.discarded
 }
 
 func (s *connState) gotFirstByte() {
@@ -59,8 +61,9 @@
 	_ = c.Close()
 }
 
-// reset prepares the state for sending the request again.
+// reset prepares the state for sending the request again. It keeps obtained: http.Transport may have sent the request on an
+// earlier connection.
 func (s *connState) reset() {
 	s.release()
-	s.obtained, s.reused, s.discarded = false, false, false
+	s.reused, s.discarded = false, false
 }
