Repeat a hedge that could not be made until the cutoff of a shutdown

A stopping node repeated a second attempt only after targets had refused it. If no other target was known, or no retry was left in the budget, at the moment when the hedge was due, it was never tried again: the request of a hanging target waited for the cutoff, although another target came back meanwhile.

TestHedgeWithoutAnotherTargetIsTriedAgainBeforeTheCutoff failed before.

--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -81,12 +81,17 @@
 			h.hedged = h.extraAttempts > 0
 			signal(overdue)
 		case <-overdue:
-			if running == 1 && !h.hedged && h.takeHedgeBudget() {
-				h.hedged = true
-				running++
-				h.extraAttempts = 1
-				go h.runSecondAttempt(ctx, choice)
+			if running > 1 || h.hedged {
+				continue
 			}
+			if !h.takeHedgeBudget() {
+				beforeCutoff = h.retryBeforeCutoff()
+				continue
+			}
+			h.hedged = true
+			running++
+			h.extraAttempts = 1
+			go h.runSecondAttempt(ctx, choice)
 		case r := <-h.results:
 			running--
 			if r.number != 1 && r.wasRefused() {
@@ -118,8 +123,8 @@
 	return h.winner.CompareAndSwap(0, number) || h.winner.Load() == number
 }
 
-// retryBeforeCutoff returns a channel that delivers when a second attempt that was refused is made again. It returns nil if
-// the node is not stopping.
+// retryBeforeCutoff returns a channel that delivers when a second attempt that was refused, or could not be made, is tried
+// again. It returns nil if the node is not stopping.
 func (h *hedge) retryBeforeCutoff() <-chan time.Time {
 	select {
 	case <-h.acceptor.cutoff.announced:
--- a/internal/node/hedge_cutoff_test.go
+++ b/internal/node/hedge_cutoff_test.go
@@ -6,7 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/sardinereach/sardinereach/internal/config"
+	"github.com/sardinereach/sardinereach/internal/core"
+	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/membership"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
@@ -65,3 +69,48 @@
 		t.Errorf("response %q, want that of the second target", got)
 	}
 }
+
+// Guards against a stopping node that gives up the request of a hanging target because no other target was known when its
+// hedge was due.
+func TestHedgeWithoutAnotherTargetIsTriedAgainBeforeTheCutoff(t *testing.T) {
+	first, second := newBlockingTarget(t, "one"), newBlockingTarget(t, "two")
+	close(second.released)
+	a, address := startHedging(t, first, second)
+	both := a.view.Load()
+	a.view.Store(viewWithTargets(a, "t1"))
+	response := make(chan string, 1)
+	go func() { response <- get(t, address) }()
+	for first.runs.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(2 * minHedgeDelay)
+	a.cutoff.announce(time.Now())
+	time.Sleep(refusedHedgeInterval / 2)
+	a.view.Store(both)
+	select {
+	case got := <-response:
+		if got != "200 two" {
+			t.Errorf("response %q, want that of the second target", got)
+		}
+	case <-time.After(10 * refusedHedgeInterval):
+		close(first.released)
+		t.Errorf("no hedge; response %q", <-response)
+	}
+}
+
+// viewWithTargets returns the view of startHedging with the given one of its targets only.
+func viewWithTargets(a *acceptor, id model.TargetID) *core.View {
+	record := &model.NodeRecord{Node: a.self}
+	for _, target := range a.admitter.targets() {
+		if target.ID == id {
+			record.Targets = append(record.Targets, target)
+		}
+	}
+	service := &declaration.Service{Name: "s", Routes: []declaration.Route{{Path: "/s", ObjectiveMS: 200}}}
+	return core.BuildView(core.Inputs{
+		Self:    a.self,
+		Config:  &config.Snapshot{Services: map[model.ServiceName]*declaration.Service{"s": service}},
+		Members: &membership.Snapshot{Members: map[model.NodeID]membership.Member{"n1": {Record: record}}},
+		Loads:   newLoads().of,
+	})
+}
