Let announcements of a silent target count whatever came before

One odd heartbeat with a large sequence number or a start time ahead, for a target or for another ID at its address, outranked all later ones. The limits of the adapter (2^53, one hour) leave room for such values, and a clock that is set back between two starts at one address has the same effect. Callers would have seen less capacity.

A target whose announcements have stopped for MissingAfter, and that was neither draining nor leaving, now accepts the next one, and an address whose last target is missing is free for another.

TestTargetReturnsAfterAnnouncementThatOutranksIt failed before in its three cases. TestSilentDrainingTargetStaysDraining guards the exception and failed without it.

--- a/internal/admission/announce.go
+++ b/internal/admission/announce.go
@@ -24,7 +24,7 @@
 	}
 	p.removeReplaced(&a)
 	t := p.targets[a.Target]
-	if t != nil && a.isStale(&t.Announcement) {
+	if t != nil && a.isStale(&t.Announcement) && !t.isSilent() {
 		return nil
 	}
 	if t == nil {
@@ -49,10 +49,17 @@
 	return nil
 }
 
-// isReplaced reports whether a target with a later start time has announced the same address.
+// isSilent reports whether announcements of the target have stopped although it was not leaving. Then an announcement counts
+// even if it seems older than the last one: one odd announcement, or a clock that was set back, must not exclude the
+// target for good.
+func (t *target) isSilent() bool {
+	return t.missing && t.Phase != model.PhaseDraining && t.Phase != model.PhaseLeaving
+}
+
+// isReplaced reports whether a target with a later start time announces the same address.
 func (p *Point) isReplaced(a *Announcement) bool {
 	for _, t := range p.targets {
-		if t.Target != a.Target && t.Address == a.Address && t.StartTimeMS > a.StartTimeMS {
+		if !t.missing && t.Target != a.Target && t.Address == a.Address && t.StartTimeMS > a.StartTimeMS {
 			return true
 		}
 	}
