Test that a hedge refused during a shutdown is made again

The repetition after a refusal during the shutdown had no test: TestRefusedHedgeIsTriedAgainBeforeTheCutoff has its refusal before the shutdown, and passed without the repetition. TestHedgeRefusedDuringShutdownIsTriedAgain fails without it.

--- a/internal/node/hedge_cutoff_test.go
+++ b/internal/node/hedge_cutoff_test.go
@@ -114,3 +114,34 @@
 		Loads:   newLoads().of,
 	})
 }
+
+// Guards against a stopping node that makes no further attempt after all other targets have refused the hedge.
+func TestHedgeRefusedDuringShutdownIsTriedAgain(t *testing.T) {
+	first, second := newBlockingTarget(t, "one"), newBlockingTarget(t, "two")
+	close(second.released)
+	a, address := startHedging(t, first, second)
+	log := new(hedgeLog)
+	a.log = events.New(log, time.Now)
+	a.admitter.setOperatorDrains(map[model.TargetID]bool{"t2": true})
+	response := make(chan string, 1)
+	go func() { response <- get(t, address) }()
+	for first.runs.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	a.cutoff.announce(time.Now())
+	for !log.refused.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	// The refused attempt has ended before the target is free again.
+	time.Sleep(refusedHedgeInterval / 3)
+	a.admitter.setOperatorDrains(nil)
+	select {
+	case got := <-response:
+		if got != "200 two" {
+			t.Errorf("response %q, want that of the second target", got)
+		}
+	case <-time.After(10 * refusedHedgeInterval):
+		close(first.released)
+		t.Errorf("no further attempt; response %q", <-response)
+	}
+}
