Test that a lost quarantine entry is written by one holder only

The check of the stored value before a write had no test: without it all tests passed, and each holder of a lost entry wrote it again. TestEntryThatAnotherHolderHasWrittenIsNotWrittenAgain fails without it.

--- a/internal/node/quarantine_rewrites_test.go
+++ b/internal/node/quarantine_rewrites_test.go
@@ -176,3 +176,26 @@
 		}
 	})
 }
+
+// Guards against a write by each holder of a lost entry that has not yet received the one that another holder has written.
+func TestEntryThatAnotherHolderHasWrittenIsNotWrittenAgain(t *testing.T) {
+	runCrashFleet(t, func(f *crashFleet) {
+		first := f.start()
+		from := f.store.Copy()
+		f.crash(first, "t1")
+		f.crash(first, "t2")
+		f.pass(5 * time.Second)
+		second := f.start()
+		f.store.Restore(from)
+		f.sync(first)
+		f.sync(second)
+		writes := f.store.Counts()[store.KindCompareAndSwap]
+		if !first.rewriteOnce(f.t.Context()) || !second.rewriteOnce(f.t.Context()) {
+			t.Error("a write failed")
+		}
+		f.pass(crashRewriteLimit)
+		if writes = f.store.Counts()[store.KindCompareAndSwap] - writes; writes != 1 {
+			t.Errorf("%d writes by two holders of one entry, want 1", writes)
+		}
+	})
+}
