Log how a configuration reached a node, and waits for a confirmation

Cause: SR0204 did not show whether a version came from the store or from a peer, nor how long the call took, and a node that waited for a confirmation logged nothing.

Change: SR0204 has the source, the duration of the call and the time since the confirmation before, which bounds the age of the acknowledgement. SR0216 says once that the newest confirmation is late and what the node waits for, SR0217 that there is one again. No logic is changed.

--- a/internal/distribution/apply.go
+++ b/internal/distribution/apply.go
@@ -3,14 +3,14 @@
 import "github.com/sardinereach/sardinereach/internal/config"
 
 // applyDocuments merges documents of any prefix. All documents of a prefix are merged in one call, because a range and
-// the documents after it belong together.
-func (d *Distributor) applyDocuments(documents []config.Document) {
+// the documents after it belong together. The caller holds d.mu.
+func (d *Distributor) applyDocuments(documents []config.Document, from delivery) {
 	for _, prefix := range []string{ConfigPrefix, EjectionPrefix, QuarantinePrefix} {
-		d.applyPrefix(prefix, documents)
+		d.applyPrefix(prefix, documents, from)
 	}
 }
 
-func (d *Distributor) applyPrefix(prefix string, documents []config.Document) {
+func (d *Distributor) applyPrefix(prefix string, documents []config.Document, from delivery) {
 	table := d.tables.table(prefix)
 	complete := int64(0)
 	var matching []config.Document
@@ -25,16 +25,16 @@
 	}
 	if len(matching) > 0 {
 		base := table.DeletionHorizon()
-		d.reportApplied(prefix, table.Apply(matching), table.DeletionHorizon() > base)
+		d.reportApplied(prefix, table.Apply(matching), table.DeletionHorizon() > base, from)
 	}
 	d.advance(prefix, complete)
 }
 
 // applyList merges a complete list of the documents of a prefix at a store revision.
-func (d *Distributor) applyList(prefix string, documents []config.Document, revision int64) {
+func (d *Distributor) applyList(prefix string, documents []config.Document, revision int64, from delivery) {
 	table := d.tables.table(prefix)
 	before := table.Complete()
-	d.reportApplied(prefix, table.ApplyList(documents, revision), true)
+	d.reportApplied(prefix, table.ApplyList(documents, revision), true, from)
 	if table.Complete() > before {
 		d.markAdvanced(prefix)
 	}
@@ -61,7 +61,7 @@
 
 // reportApplied reports the changed documents and schedules them for the next snapshot and for the peers. rangeChanged
 // means that the table received deletions that have no document of their own.
-func (d *Distributor) reportApplied(prefix string, changed []config.Document, rangeChanged bool) {
+func (d *Distributor) reportApplied(prefix string, changed []config.Document, rangeChanged bool, from delivery) {
 	auxiliary := d.tables.auxiliary(prefix)
 	if auxiliary != nil && rangeChanged {
 		auxiliary.recordRange(d.tables.members)
@@ -73,8 +73,12 @@
 		auxiliary.recordChanges(changed, d.tables.members)
 	}
 	d.publisher.documentsChanged = true
+	now := d.options.Now()
 	for _, document := range changed {
-		d.options.Report(Event{Kind: DocumentApplied, Key: document.Key, Revision: document.Revision})
+		d.options.Report(Event{
+			Kind: DocumentApplied, Key: document.Key, Revision: document.Revision, Address: from.address,
+			Duration: now - from.startedAt, Age: age(now, d.confirmation.newest()),
+		})
 	}
 	if prefix == ConfigPrefix {
 		d.reportRejected()
--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -41,6 +41,7 @@
 	era               int64
 	probe             storeProbe
 	confirmation      confirmation
+	waiting           confirmationWait
 	lastStoreResponse time.Duration
 	lastPeerResponse  time.Duration
 	// reportedRejections holds, by key, the revisions of invalid documents that were already reported.
@@ -89,6 +90,7 @@
 		self:               own,
 		probe:              newStoreProbe(),
 		confirmation:       newConfirmation(),
+		waiting:            confirmationWait{step: stepNone},
 		lastStoreResponse:  noResponseYet,
 		lastPeerResponse:   noResponseYet,
 		reportedRejections: map[string]int64{},
@@ -169,7 +171,7 @@
 // distributed prefixes are ignored.
 func (d *Distributor) MergeDocument(document config.Document, startedAt time.Duration) {
 	d.mu.Lock()
-	d.applyDocuments([]config.Document{document})
+	d.applyDocuments([]config.Document{document}, delivery{startedAt: startedAt})
 	d.ages.record(document, startedAt)
 	d.mu.Unlock()
 	d.publish()
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -1,6 +1,8 @@
 package distribution
 
 import (
+	"time"
+
 	"github.com/sardinereach/sardinereach/internal/membership"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
@@ -19,7 +21,9 @@
 	ListOutdated
 	// PullFailed means that a Pull failed; Address is the peer, Err the error.
 	PullFailed
-	// DocumentApplied means that a newer document was merged; Key and Revision identify it.
+	// DocumentApplied means that a newer document was merged; Key and Revision identify it. Address is the peer that
+	// delivered it, "" for the store, and Duration the time that the call took. Age is the time since the newest
+	// confirmation before: the change was acknowledged after it.
 	DocumentApplied
 	// DocumentRejected means that the newest document of Key is invalid. The last valid one stays active.
 	DocumentRejected
@@ -50,13 +54,18 @@
 	// watcher, because no node of its domain has confirmed it recently. Revision is the one to continue from.
 	StandInStarted
 	StandInStopped
+	// ConfirmationLate means that the newest confirmation of the configuration is older than this node expects: Age is its age,
+	// Operation what the node waits for. ConfirmationReceived ends that state; Age is the time between the two
+	// confirmations.
+	ConfirmationLate
+	ConfirmationReceived
 )
 
 var eventNames = [...]string{
 	"store_failed", "store_compacted", "list_outdated", "pull_failed", "document_applied", "document_rejected",
 	"member_changed", "member_registered", "member_record_lost", "member_deleted", "watch_started", "watch_stopped",
 	"ready", "isolated", "reconnected", "identity_conflict", "era_received",
-	"stand_in_started", "stand_in_stopped",
+	"stand_in_started", "stand_in_stopped", "confirmation_late", "confirmation_received",
 }
 
 // String returns the name of the kind for counters and logs.
@@ -76,5 +85,8 @@
 	Revision int64
 	Complete int64
 	From, To membership.State
-	Err      error
+	// Operation describes what the node waits for.
+	Operation     string
+	Duration, Age time.Duration
+	Err           error
 }
--- a/internal/distribution/propagation_test.go
+++ b/internal/distribution/propagation_test.go
@@ -31,7 +31,7 @@
 	watcher.mu.Lock()
 	watcher.applyDocuments([]config.Document{{
 		Key: config.ServicePrefix + "s", Value: []byte(`{"name":"s","policy":{},"routes":[]}`), Revision: 7,
-	}})
+	}}, delivery{})
 	watcher.signalNewDocuments(0, "")
 	watcher.mu.Unlock()
 	for _, d := range nodes {
--- a/internal/distribution/pull.go
+++ b/internal/distribution/pull.go
@@ -86,7 +86,7 @@
 		return false, err
 	}
 	d.mu.Lock()
-	d.applyConfig(response, startedAt)
+	d.applyConfig(response, address, startedAt)
 	d.mu.Unlock()
 	d.publish()
 	return len(response.Documents) > 0, nil
@@ -141,7 +141,7 @@
 	defer d.mu.Unlock()
 	complete := d.mergeStates(response.Nodes)
 	previousRevision := d.tables.config.Revision()
-	d.applyConfig(response, startedAt)
+	d.applyConfig(response, address, startedAt)
 	d.signalNewDocuments(previousRevision, address)
 	peer := d.peer(address)
 	restarted := peer.incarnation != response.Incarnation
@@ -199,13 +199,13 @@
 	return result
 }
 
-// applyConfig merges the documents of a response. startedAt is the time at which the call started.
-func (d *Distributor) applyConfig(response *peerv1.PullResponse, startedAt time.Duration) {
+// applyConfig merges the documents of a response from the address. startedAt is the time at which the call started.
+func (d *Distributor) applyConfig(response *peerv1.PullResponse, address string, startedAt time.Duration) {
 	documents := make([]config.Document, 0, len(response.Documents))
 	for _, message := range response.Documents {
 		documents = append(documents, decodeDocument(message))
 	}
-	d.applyDocuments(documents)
+	d.applyDocuments(documents, delivery{address: address, startedAt: startedAt})
 	for i, message := range response.Documents {
 		d.ages.record(documents[i], startedAt-time.Duration(message.AgeMs)*time.Millisecond)
 	}
--- a/internal/distribution/pull_test.go
+++ b/internal/distribution/pull_test.go
@@ -53,13 +53,13 @@
 	network := directPuller{}
 	watcher, other, stale := newDistributor(t, "w", 1, network), newDistributor(t, "o", 2, network),
 		newDistributor(t, "b", 3, network)
-	watcher.applyList(EjectionPrefix, []config.Document{permit("x", 1), permit("y", 2), permit("z", 3)}, 4)
+	watcher.applyList(EjectionPrefix, []config.Document{permit("x", 1), permit("y", 2), permit("z", 3)}, 4, delivery{})
 	mustPull(t, other, "w")
 	mustPull(t, stale, "w")
 	if other.permits() != 3 {
 		t.Fatalf("%d permits, want 3", other.permits())
 	}
-	watcher.applyList(EjectionPrefix, []config.Document{permit("z", 3)}, 9)
+	watcher.applyList(EjectionPrefix, []config.Document{permit("z", 3)}, 9, delivery{})
 	mustPull(t, other, "w")
 	if other.permits() != 1 || other.tables.ejections.table.Complete() != 9 {
 		t.Errorf("%d permits, complete up to %d", other.permits(), other.tables.ejections.table.Complete())
--- a/internal/distribution/stand_in.go
+++ b/internal/distribution/stand_in.go
@@ -32,6 +32,7 @@
 	pause := d.newBackoff(d.options.BackoffMax)
 	retryAt := time.Duration(0)
 	for sleep(ctx, d.jitter(standInCheck, jitterFraction)) {
+		d.checkConfirmationAge()
 		rank, age := d.standInState()
 		limit := standInLimit(rank)
 		switch {
@@ -46,6 +47,7 @@
 		default:
 			d.askElsewhere(ctx)
 			// The pause grows with the rank, so that the calls of a whole domain to a store that is down stay few.
+			d.setWaitStep(ConfigPrefix, stepPause)
 			retryAt = d.options.Now() + pause.next()*time.Duration(rank+1)
 		}
 	}
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -21,6 +21,7 @@
 			if err := d.syncPrefix(ctx, prefix); err != nil {
 				pause.maximum = d.watchBackoffMax()
 				wait = pause.next()
+				d.setWaitStep(prefix, stepPause)
 			} else {
 				pause.reset()
 			}
@@ -78,6 +79,7 @@
 		d.confirmationFailed(prefix)
 		return err
 	}
+	d.setWaitStep(prefix, stepNone)
 	documents := make([]config.Document, 0, len(kvs))
 	for _, kv := range kvs {
 		documents = append(documents, config.Document{Key: kv.Key, Value: kv.Value, Revision: kv.Revision})
@@ -87,7 +89,7 @@
 		d.options.Report(Event{Kind: ListOutdated, Key: prefix, Revision: revision, Complete: complete})
 	}
 	previousRevision := d.tables.config.Revision()
-	d.applyList(prefix, documents, revision)
+	d.applyList(prefix, documents, revision, delivery{startedAt: startedAt})
 	d.confirmOwn(prefix, startedAt)
 	d.recordPermitAges(documents, startedAt)
 	d.signalNewDocuments(previousRevision, "")
@@ -100,6 +102,7 @@
 // to answer again meanwhile.
 func (d *Distributor) watch(ctx context.Context, prefix string, wait time.Duration) error {
 	after := d.complete(prefix)
+	d.setWaitStep(prefix, stepRead)
 	callCtx, cancel := context.WithTimeout(ctx, wait+d.options.StoreTimeout)
 	defer cancel()
 	period := d.storePeriod()
@@ -116,6 +119,7 @@
 		d.confirmationFailed(prefix)
 		return err
 	}
+	d.setWaitStep(prefix, stepNone)
 	confirmedAt := startedAt
 	if answeredAt := d.options.Now(); len(changes) == 0 && answeredAt-startedAt >= wait {
 		// The store answers a watch without changes only after the wait.
@@ -129,7 +133,7 @@
 	}
 	d.mu.Lock()
 	previousRevision := d.tables.config.Revision()
-	d.applyDocuments(documents)
+	d.applyDocuments(documents, delivery{startedAt: startedAt})
 	d.recordPermitAges(documents, startedAt)
 	d.advance(prefix, revision)
 	d.confirmOwn(prefix, confirmedAt)
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -108,6 +108,17 @@
 // DurationField is the duration of the event's subject.
 func DurationField(d time.Duration) Field { return text(Duration, d.String()) }
 
+// SourceField is the address of the node that delivered a document; "" stands for the store.
+func SourceField(address string) Field {
+	if address == "" {
+		address = "store"
+	}
+	return text(Source, address)
+}
+
+// AgeField is the time since the newest confirmation by the store, negative if there was none.
+func AgeField(age time.Duration) Field { return text(Age, age.String()) }
+
 // BytesField is a number of bytes.
 func BytesField(n int64) Field { return number(Bytes, n) }
 
--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -34,4 +34,6 @@
 	Complete    Key = "complete_revision"
 	Era         Key = "era"
 	PreviousEra Key = "previous_era"
+	Source      Key = "source"
+	Age         Key = "age"
 )
--- a/internal/events/sink_test.go
+++ b/internal/events/sink_test.go
@@ -69,6 +69,8 @@
 		`complete_revision="8"`: events.CompleteField(8),
 		`era="3"`:               events.EraField(3),
 		`previous_era="2"`:      events.PreviousEraField(2),
+		`source="store"`:        events.SourceField(""),
+		`age="2s"`:              events.AgeField(2 * time.Second),
 	}
 	listed := make(map[events.Key]*events.Event)
 	for _, event := range events.All() {
--- a/internal/node/event_log.go
+++ b/internal/node/event_log.go
@@ -44,7 +44,8 @@
 		n.log.Emit(events.ListOutdated, events.OperationField(e.Key), events.RevisionField(e.Revision), events.CompleteField(e.Complete))
 	case distribution.DocumentApplied:
 		if strings.HasPrefix(e.Key, config.ServicePrefix) {
-			n.log.Emit(events.ConfigApplied, events.ServiceField(service), events.RevisionField(e.Revision))
+			n.log.Emit(events.ConfigApplied, events.ServiceField(service), events.RevisionField(e.Revision),
+				events.SourceField(e.Address), events.DurationField(e.Duration), events.AgeField(e.Age))
 		}
 	case distribution.DocumentRejected:
 		n.log.Emit(events.ConfigInvalid, events.ServiceField(service), events.RevisionField(e.Revision), events.CauseField(e.Err))
@@ -56,6 +57,10 @@
 		n.log.Emit(events.StandInStarted, events.DomainField(n.self.Domain), events.RevisionField(e.Revision))
 	case distribution.StandInStopped:
 		n.log.Emit(events.StandInStopped, events.DomainField(n.self.Domain))
+	case distribution.ConfirmationLate:
+		n.log.Emit(events.ConfirmationLate, events.RevisionField(e.Revision), events.AgeField(e.Age), events.OperationField(e.Operation))
+	case distribution.ConfirmationReceived:
+		n.log.Emit(events.ConfirmationHeard, events.RevisionField(e.Revision), events.DurationField(e.Age))
 	case distribution.BecameReady:
 		n.views.invalidate()
 		n.log.Emit(events.NodeReady, events.NodeField(n.self.ID), events.RevisionField(e.Revision), events.DurationField(n.clock.now()))
