Confirm the configuration by watches alone, not by probes

Cause: a probe of a watcher reads the node's own member record. It shows that the store answers, and was recorded as a confirmation of the configuration. All watchers receive a change at once and sent their next watches at the same moment. When the store forgot those, the probes went on confirming, no stand-in read the store, and the watches ended only at their own limit of up to 7.6 s. Class: an answer to one question is taken as the answer to another.

Change: only an answered list or watch of the configuration confirms it. The pause between two watches has jitter. The pause after a failed read of the configuration is bounded by 2 s instead of 8 s. Probes still end pauses and watches after an outage.

Ruled out: short waits for all prefixes, whose news have no such bound; a read of the key itself, which returns the whole configuration each time.

--- a/internal/distribution/confirmation.go
+++ b/internal/distribution/confirmation.go
@@ -7,7 +7,7 @@
 )
 
 // confirmation holds what this node knows of the newest moment at which the store confirmed the configuration to some node:
-// it answered a read of the configuration, or a probe of a watcher whose watch is pending. Distributor.mu guards it.
+// it answered a list or a watch of the configuration. Distributor.mu guards it.
 //
 // A node whose configuration does not change cannot tell otherwise whether there is no change or whether nobody reads the
 // store. The age of the confirmation travels with the responses to pulls, together with the documents. It only becomes
@@ -17,8 +17,7 @@
 	// own is the newest confirmation that this node received from the store itself, peers the newest one that it received
 	// from another node, which may be its own one.
 	own, peers time.Duration
-	// synced means that the last read of the configuration by this node did not fail, and that nothing since then puts its
-	// pending watch in doubt.
+	// synced means that the last read of the configuration by this node did not fail.
 	synced bool
 }
 
--- a/internal/distribution/options.go
+++ b/internal/distribution/options.go
@@ -38,17 +38,23 @@
 	PullTimeout time.Duration
 	// StoreTimeout limits one store call, in addition to the wait time of a watch.
 	StoreTimeout time.Duration
-	// WatchWait is how long a watch waits for changes. An unresponsive connection under a watch is detected only after
-	// WatchWait plus StoreTimeout, unless the store was silent as a whole.
+	// WatchWait is how long a watch waits for changes, except for a watch of the configuration. An unresponsive connection
+	// under a watch is detected only after WatchWait plus StoreTimeout, unless the store was silent as a whole.
 	WatchWait time.Duration
-	// WatchPause is the minimum time between two watches of a prefix, so that one call returns many changes.
+	// ConfirmWait is how long a watch of the configuration waits for changes. Only the answer of such a watch confirms the
+	// configuration, and a watch that the store has forgotten ends after ConfirmWait plus StoreTimeout. Both have to stay well
+	// within the bound for changes, 2.5 s.
+	ConfirmWait time.Duration
+	// WatchPause is the mean time between two watches of a prefix, so that one call returns many changes. It has jitter, so
+	// that the watchers, which all receive a change at once, do not send their next watches at the same moment.
 	WatchPause time.Duration
 	// BackoffMin and BackoffMax bound the pause after a failed store call. The pause doubles with each failure, with
 	// jitter.
 	BackoffMin, BackoffMax time.Duration
-	// WatchBackoffMax bounds the pause of a watcher after a failed watch. The pause ends early when a probe shows that the
-	// store answers again.
-	WatchBackoffMax time.Duration
+	// WatchBackoffMax bounds the pause of a watcher after a failed watch, ConfirmBackoffMax that after a failed read of the
+	// configuration. The pause ends early when a probe shows that the store answers again. A node has to be up to date 3 s
+	// after an outage, also if no probe noticed it.
+	WatchBackoffMax, ConfirmBackoffMax time.Duration
 	// ProbeInterval is the time between two probes of the store by a watcher. Together with ProbeTimeout it bounds the time
 	// until a watcher learns that the store answers again, which has to stay within about a second: a change must be active
 	// everywhere 2.5 s after it was acknowledged.
@@ -108,10 +114,12 @@
 	setDefault(&o.PullTimeout, 2*time.Second)
 	setDefault(&o.StoreTimeout, 2*time.Second)
 	setDefault(&o.WatchWait, 6*time.Second)
+	setDefault(&o.ConfirmWait, 750*time.Millisecond)
 	setDefault(&o.WatchPause, 250*time.Millisecond)
 	setDefault(&o.BackoffMin, 500*time.Millisecond)
 	setDefault(&o.BackoffMax, 30*time.Second)
 	setDefault(&o.WatchBackoffMax, 8*time.Second)
+	setDefault(&o.ConfirmBackoffMax, 2*time.Second)
 	setDefault(&o.ProbeInterval, 600*time.Millisecond)
 	setDefault(&o.ProbeTimeout, time.Second)
 	setDefault(&o.RegisterJitter, 2*time.Second)
--- a/internal/distribution/store_probe.go
+++ b/internal/distribution/store_probe.go
@@ -32,7 +32,8 @@
 // A watch without an answer does not show whether the store is silent or has no change, and a store that was silent may
 // have forgotten it. So a watcher sends short reads next to its watches. When one is answered after one that was not, all
 // pending watches are cancelled and all pauses after failed calls end. Watches stay pending while probes fail, because a
-// store that is slower than ProbeTimeout still answers them.
+// store that is slower than ProbeTimeout still answers them. An answered probe confirms nothing: it shows neither that the
+// store has a pending watch nor that the configuration is unchanged.
 type storeProbe struct {
 	// failing means that the last probe was not answered. The first one that was not answered ended at failingSince.
 	failing      bool
@@ -76,10 +77,13 @@
 	return d.probe.failing && d.options.Now()-d.probe.failingSince >= longOutage
 }
 
-// watchBackoffMax bounds the pause of a watcher after a failed watch.
-func (d *Distributor) watchBackoffMax() time.Duration {
-	if d.isLongOutage() {
+// watchBackoffMax bounds the pause of a watcher after a failed watch of the prefix.
+func (d *Distributor) watchBackoffMax(prefix string) time.Duration {
+	switch {
+	case d.isLongOutage():
 		return d.options.BackoffMax
+	case prefix == ConfigPrefix:
+		return d.options.ConfirmBackoffMax
 	}
 	return d.options.WatchBackoffMax
 }
@@ -89,7 +93,6 @@
 	callCtx, cancel := context.WithTimeout(ctx, d.options.ProbeTimeout)
 	defer cancel()
 	key := MemberKey(d.options.Self)
-	startedAt := d.options.Now()
 	err := d.options.Store.Ping(callCtx, key)
 	if ctx.Err() != nil {
 		return
@@ -110,9 +113,6 @@
 		d.confirmation.synced = false
 	}
 	d.probe.failing = failed
-	if !failed && d.confirmation.synced {
-		d.confirmOwn(ConfigPrefix, startedAt)
-	}
 }
 
 // forgetProbes removes the result of the last probe when the node is not a watcher any more.
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -10,16 +10,19 @@
 	"github.com/sardinereach/sardinereach/internal/store"
 )
 
+// watchPauseJitter is the fraction by which Options.WatchPause is randomized.
+const watchPauseJitter = 0.5
+
 // runWatch watches the prefix in the store while this node is a watcher of its domain.
 func (d *Distributor) runWatch(ctx context.Context, prefix string) {
-	pause := d.newBackoff(d.options.WatchBackoffMax)
+	pause := d.newBackoff(d.watchBackoffMax(prefix))
 	for {
 		period := d.storePeriod()
 		wait := d.options.RoundInterval
 		if d.isWatching() {
-			wait = d.options.WatchPause
+			wait = d.jitter(d.options.WatchPause, watchPauseJitter)
 			if err := d.syncPrefix(ctx, prefix); err != nil {
-				pause.maximum = d.watchBackoffMax()
+				pause.maximum = d.watchBackoffMax(prefix)
 				wait = pause.next()
 				d.setWaitStep(prefix, stepPause)
 			} else {
@@ -50,11 +53,7 @@
 		}
 	}
 	complete := d.complete(prefix)
-	wait := d.jitter(d.options.WatchWait, jitterFraction)
-	if d.isConfirmationDue(prefix) {
-		wait = 0
-	}
-	err := d.watch(ctx, prefix, wait)
+	err := d.watch(ctx, prefix, d.watchWait(prefix))
 	if errors.Is(err, store.ErrCompacted) {
 		d.options.Report(Event{Kind: StoreCompacted, Key: prefix, Revision: complete})
 		return d.list(ctx, prefix)
@@ -62,6 +61,17 @@
 	return err
 }
 
+// watchWait returns how long the next watch of the prefix waits for changes.
+func (d *Distributor) watchWait(prefix string) time.Duration {
+	switch {
+	case d.isConfirmationDue(prefix):
+		return 0
+	case prefix == ConfigPrefix:
+		return d.jitter(d.options.ConfirmWait, jitterFraction)
+	}
+	return d.jitter(d.options.WatchWait, jitterFraction)
+}
+
 // complete returns the revision up to which the documents of the prefix are complete.
 func (d *Distributor) complete(prefix string) int64 {
 	d.mu.Lock()
