Bound what a node waits for a confirmation by the bound for changes

Cause: of 20 nodes of hobart-a two were left, the others dark. The rank counts the nodes before it, which were lost as well. Class: the silence of a node is taken for its duty being done.

Change: the waits of all standbys of a domain of 20 end between 1.5 and 2.1 s. Nodes that did not answer the last pull do not count for the rank. A stand-in whose read is not answered, and a watcher without confirmations, pull from a watcher of another domain, in place of a random member of it.

Ruled out: waiting for failed pulls before a wait gets shorter; a pull fails after 2 s only.

--- a/internal/distribution/confirmation_watch.go
+++ b/internal/distribution/confirmation_watch.go
@@ -72,5 +72,5 @@
 	if d.watching {
 		return confirmationLate
 	}
-	return max(confirmationLate, standInLimit(max(0, d.currentView().WatchRank()-membership.WatchersPerDomain)))
+	return max(confirmationLate, standInLimit(max(0, d.currentView().WatchRank(nil)-membership.WatchersPerDomain)))
 }
--- a/internal/distribution/pull.go
+++ b/internal/distribution/pull.go
@@ -25,8 +25,8 @@
 		return
 	}
 	d.pulls.Go(func() {
-		defer d.releasePeer(address)
-		_, _ = d.pullOnce(ctx, address)
+		_, err := d.pullOnce(ctx, address)
+		d.releasePeer(address, err)
 	})
 }
 
@@ -41,10 +41,13 @@
 	return true
 }
 
-func (d *Distributor) releasePeer(address string) {
+// releasePeer records the result of the pull.
+func (d *Distributor) releasePeer(address string, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.peer(address).inFlight = false
+	peer := d.peer(address)
+	peer.inFlight = false
+	peer.failed = err != nil
 }
 
 func (d *Distributor) peer(address string) *peerState {
--- a/internal/distribution/stand_in.go
+++ b/internal/distribution/stand_in.go
@@ -8,65 +8,138 @@
 )
 
 const (
-	// standInAfter is the age of the newest confirmation from which the first standby of a domain reads the store itself.
-	// Each further standby waits standInStep longer, so that one of them usually keeps the others quiet. A change has to be
-	// active 2.5 s after its acknowledgement, also if the watchers are lost right before it. Beyond standInRanks the waits
-	// grow faster: in a domain of 160 nodes, few of them call a store that is down.
+	// standInAfter is the age of the newest confirmation from which the first standby of a domain reads the store itself. A
+	// change has to be active 2.5 s after its acknowledgement, also if the watchers are lost right before it.
 	standInAfter = 1500 * time.Millisecond
-	standInStep  = 300 * time.Millisecond
-	standInRanks = 16
+	// standInStep is the time that each of the next standInSteps standbys waits longer, so that one of them usually keeps the
+	// others quiet. Those after them wait only standInLaterStep longer: all nodes before them may be lost, and that is known
+	// only later than the change has to be active.
+	standInStep      = 150 * time.Millisecond
+	standInSteps     = 3
+	standInLaterStep = 10 * time.Millisecond
 	// standInAsk is the time before that at which a standby asks the watchers for a newer confirmation. Gossip alone takes
 	// several seconds in large domains.
 	standInAsk = 700 * time.Millisecond
+	// standInAskStandbys is the time before that at which it asks the first standbys, too, which may read the store already.
+	standInAskStandbys = 300 * time.Millisecond
+	// askedStandbys is the number of these standbys.
+	askedStandbys = 2
 	// standInCheck is the time between two checks of the age.
-	standInCheck = 250 * time.Millisecond
+	standInCheck = 200 * time.Millisecond
 	// standInWait is the wait of a stand-in's watches. Each answer confirms the configuration to the other nodes.
 	standInWait = time.Second
+	// elsewhereAfter is the time after which a stand-in whose read is not answered asks another domain.
+	elsewhereAfter = 150 * time.Millisecond
+	// elsewhereInterval is the time between two questions of a watcher without confirmations to another domain.
+	elsewhereInterval = time.Second
 )
 
-// runStandIn reads the configuration from the store while this node is not a watcher and the newest confirmation that it
-// knows is older than its rank among the standbys of its domain allows. The watchers of the domain may be lost long before
-// they count as dead, or the store may refuse them. There is no agreement: additional readers only cost calls, which the
-// ranks bound.
+// runStandIn keeps this node from waiting for a confirmation longer than the bound for changes allows, whatever happens to
+// the others. A standby reads the configuration from the store when the newest confirmation that it knows is older than its
+// rank among the standbys of its domain allows. The watchers of the domain may be lost long before they count as dead, or the
+// store may refuse them. A watcher that gets no answers asks another domain. There is no agreement: additional readers only
+// cost calls, which the ranks and the pauses bound.
 func (d *Distributor) runStandIn(ctx context.Context) {
-	pause := d.newBackoff(d.options.BackoffMax)
-	retryAt := time.Duration(0)
+	reader := &standInReader{distributor: d, pause: d.newBackoff(d.options.ConfirmBackoffMax)}
 	for sleep(ctx, d.jitter(standInCheck, jitterFraction)) {
 		d.checkConfirmationAge()
-		rank, age := d.standInState()
-		limit := standInLimit(rank)
-		switch {
-		case rank < 0 || age < limit-standInAsk:
-			pause.reset()
-			retryAt = 0
-		case age < limit:
-			d.askWatchers(ctx)
-		case d.options.Now() < retryAt:
-		case d.standIn(ctx):
-			pause.reset()
-		default:
-			d.askElsewhere(ctx)
-			// The pause grows with the rank, so that the calls of a whole domain to a store that is down stay few.
-			d.setWaitStep(ConfigPrefix, stepPause)
-			retryAt = d.options.Now() + pause.next()*time.Duration(rank+1)
-		}
+		reader.check(ctx, d.standInState())
 	}
 }
 
-// standInLimit returns the age of the newest confirmation from which the standby with the rank reads the store.
-func standInLimit(rank int) time.Duration {
-	return standInAfter + time.Duration(rank+rank*rank/standInRanks)*standInStep
+// standInState is what a node bases its stand-in on.
+type standInState struct {
+	// watcher means that the node is a watcher, ready that it has been ready.
+	watcher, ready bool
+	// rank is the rank among the standbys of the domain, without those that did not answer the last pull.
+	rank int
+	// age is that of the newest confirmation.
+	age time.Duration
 }
 
-// standInState returns the rank of this node among the standbys of its domain and the age of the newest confirmation. The
-// rank is negative if the node must not stand in.
-func (d *Distributor) standInState() (rank int, age time.Duration) {
+// standInState returns the current state.
+func (d *Distributor) standInState() standInState {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.watching || !d.ready.Load() {
-		return -1, 0
+	return standInState{
+		watcher: d.watching,
+		ready:   d.ready.Load(),
+		rank:    max(0, d.currentView().WatchRank(d.isUnanswered)-membership.WatchersPerDomain),
+		age:     d.options.Now() - max(d.confirmation.newest(), 0),
+	}
+}
+
+// isUnanswered reports whether the last pull from the address failed. The caller holds d.mu.
+func (d *Distributor) isUnanswered(address string) bool {
+	peer := d.peers[address]
+	return peer != nil && peer.failed
+}
+
+// standInLimit returns the age of the newest confirmation from which the standby with the rank reads the store.
+func standInLimit(rank int) time.Duration {
+	first := min(rank, standInSteps)
+	return standInAfter + time.Duration(first)*standInStep + time.Duration(rank-first)*standInLaterStep
+}
+
+// standInReader decides when a node reads the store or asks other nodes because confirmations are missing.
+type standInReader struct {
+	distributor *Distributor
+	// pause is that after a failed read. The reads have failed since failingSince if failing.
+	pause        *backoff
+	failing      bool
+	failingSince time.Duration
+	// nextRead and nextElsewhere are the earliest times of the next read and of the next question to another domain.
+	nextRead, nextElsewhere time.Duration
+}
+
+func (r *standInReader) check(ctx context.Context, state standInState) {
+	d, now := r.distributor, r.distributor.options.Now()
+	limit := standInLimit(state.rank)
+	switch {
+	case !state.ready:
+	case state.watcher:
+		if state.age >= confirmationLate && now >= r.nextElsewhere {
+			r.nextElsewhere = now + elsewhereInterval
+			d.askElsewhere(ctx)
+		}
+	case state.age < limit-standInAsk:
+		r.succeeded()
+	case state.age < limit-standInAskStandbys:
+		d.askWatchers(ctx, 0)
+	case state.age < limit:
+		d.askWatchers(ctx, askedStandbys)
+	case now >= r.nextRead:
+		r.read(ctx, state.rank)
+	}
+}
+
+func (r *standInReader) succeeded() {
+	r.failing = false
+	r.nextRead = 0
+	r.pause.reset()
+}
+
+// read stands in. After a failure it sets the time of the next read. The pause grows with the rank, so that the calls of a
+// whole domain to a store that is down stay few.
+func (r *standInReader) read(ctx context.Context, rank int) {
+	d := r.distributor
+	elsewhere := time.AfterFunc(elsewhereAfter, func() { d.askElsewhere(ctx) })
+	answered := d.standIn(ctx)
+	elsewhere.Stop()
+	if answered {
+		r.succeeded()
+		return
+	}
+	now := d.options.Now()
+	if !r.failing {
+		r.failing, r.failingSince = true, now
+	}
+	r.pause.maximum = d.options.ConfirmBackoffMax
+	if now-r.failingSince >= longOutage {
+		r.pause.maximum = d.options.BackoffMax
 	}
-	return d.currentView().WatchRank() - membership.WatchersPerDomain, d.options.Now() - max(d.confirmation.newest(), 0)
+	d.setWaitStep(ConfigPrefix, stepPause)
+	r.nextRead = now + r.pause.next()*time.Duration(1+rank*rank)
 }
 
 // standIn reads the configuration until another node has confirmed it during the last read, or this node has become a
@@ -81,7 +154,7 @@
 	for wait := time.Duration(0); ; wait = standInWait {
 		previous := d.ownConfirmation()
 		if wait > 0 {
-			d.askWatchers(ctx)
+			d.askWatchers(ctx, 0)
 		}
 		if d.readConfig(ctx, wait) != nil {
 			return false
@@ -114,20 +187,20 @@
 	return d.confirmation.peers > previous
 }
 
-// askWatchers pulls from the watchers of the domain.
-func (d *Distributor) askWatchers(ctx context.Context) {
+// askWatchers pulls from the watchers of the domain and from the given number of first standbys.
+func (d *Distributor) askWatchers(ctx context.Context, standbys int) {
 	d.mu.Lock()
-	addresses := d.currentView().WatcherAddresses()
+	addresses := d.currentView().WatcherAddresses(standbys)
 	d.mu.Unlock()
 	for _, address := range addresses {
 		d.startPull(ctx, address)
 	}
 }
 
-// askElsewhere pulls from a member of another domain, whose nodes may reach the store.
+// askElsewhere pulls from a watcher of another domain, which may reach the store.
 func (d *Distributor) askElsewhere(ctx context.Context) {
 	d.mu.Lock()
-	address := d.currentView().OtherDomainAddress(d.random.Uint64())
+	address := d.currentView().OtherWatcherAddress(d.random.Uint64())
 	d.mu.Unlock()
 	if address != "" {
 		d.startPull(ctx, address)
--- a/internal/membership/watch_rank.go
+++ b/internal/membership/watch_rank.go
@@ -2,35 +2,37 @@
 
 import "github.com/sardinereach/sardinereach/internal/model"
 
-// WatchRank returns the number of live members of the node's domain that precede it in the election of watchers. Watchers
-// have the ranks below WatchersPerDomain.
-func (v *View) WatchRank() int {
+// WatchRank returns the number of live members of the node's domain that precede it in the election of watchers, without
+// those that skip returns true for. Watchers have the ranks below WatchersPerDomain. skip gets a peer address and may be nil.
+func (v *View) WatchRank(skip func(address string) bool) int {
 	own := score(purposeWatch, 0, v.self.ID)
 	rank := 0
 	for _, id := range v.domains[v.self.Domain] {
-		if other := score(purposeWatch, 0, id); other > own || other == own && id < v.self.ID {
+		other := score(purposeWatch, 0, id)
+		precedes := other > own || other == own && id < v.self.ID
+		if precedes && (skip == nil || !skip(v.addresses[id])) {
 			rank++
 		}
 	}
 	return rank
 }
 
-// WatcherAddresses returns the peer addresses of the watchers of the node's domain.
-func (v *View) WatcherAddresses() []string {
+// WatcherAddresses returns the peer addresses of the watchers of the node's domain and of the standbys next in the order.
+func (v *View) WatcherAddresses(standbys int) []string {
 	var addresses []string
-	for _, id := range v.Watchers(v.self.Domain) {
+	for _, id := range Elect(purposeWatch, 0, v.domains[v.self.Domain], WatchersPerDomain+standbys) {
 		addresses = append(addresses, v.addresses[id])
 	}
 	return addresses
 }
 
-// OtherDomainAddress returns the peer address of a live member of another domain, "" if there is none. The salt selects it.
-func (v *View) OtherDomainAddress(salt uint64) string {
-	var others []model.NodeID
-	for domain, ids := range v.domains {
+// OtherWatcherAddress returns the peer address of a watcher of another domain, "" if there is none. The salt selects it.
+func (v *View) OtherWatcherAddress(salt uint64) string {
+	var watchers []model.NodeID
+	for domain := range v.domains {
 		if domain != v.self.Domain {
-			others = append(others, ids...)
+			watchers = append(watchers, v.Watchers(domain)...)
 		}
 	}
-	return v.addresses[first(Elect(purposePull, salt, others, 1))]
+	return v.addresses[first(Elect(purposePull, salt, watchers, 1))]
 }
