--- a/internal/distribution/stand_in.go
+++ b/internal/distribution/stand_in.go
@@ -139,7 +139,7 @@
 		r.pause.maximum = d.options.BackoffMax
 	}
 	d.setWaitStep(ConfigPrefix, stepPause)
-	r.nextRead = now + r.pause.next()*time.Duration(1+rank*rank)
+	r.nextRead = now + r.pause.next()*time.Duration(1+rank+rank*rank)
 }
 
 // standIn reads the configuration until another node has confirmed it during the last read, or this node has become a
