Take no confirmation from a peer that is behind

Cause: the age of a confirmation in the answer to a pull was recorded also if the peer had older documents than the node that pulled. Such a confirmation is from before the newer documents, or its age is wrong: the monotonic clock of a VM that was suspended has stood still.

Evidence: TestConfirmationOfPeerThatIsBehindDoesNotCount failed before.

--- a/internal/distribution/confirmation.go
+++ b/internal/distribution/confirmation.go
@@ -62,9 +62,12 @@
 	return (d.options.Now() - newest).Milliseconds() + 1
 }
 
-// recordConfirmation records the confirmation in the response to a pull that started at the time startedAt. The caller
-// holds d.mu.
+// recordConfirmation records the confirmation in the response to a pull that started at the time startedAt, unless the peer
+// lacks documents that this node has. The caller holds d.mu and has merged the documents of the response.
 func (d *Distributor) recordConfirmation(response *peerv1.PullResponse, startedAt time.Duration) {
+	if response.GetDocumentRevision() < d.tables.config.Complete() {
+		return
+	}
 	if age := response.GetConfirmationAgeMs(); age > 0 {
 		d.confirmation.peers = max(d.confirmation.peers, startedAt-time.Duration(age)*time.Millisecond)
 	}
