Refuse requests that reach a stopping node after its lame-duck phase

Cause: a stopping node refused new requests only once its server had shut down, which waits for the requests in flight. A request whose body was completed after the lame-duck phase was passed on: 504 after 5.4 s of a grace of 6 s, with a run at the target. One on an open connection without an earlier request was closed without an answer by http.Server.Shutdown.

Change: requests are refused with 503, not run, from the end of the lame-duck phase on, also if the body is complete only then. The listener is closed at the same moment, and the server goes on to answer requests on open connections until nothing is in flight.

Evidence: TestRequestLateInTheGracePeriodIsRefused failed before, with one run and 504 for a body that is completed late, and no answer for a whole request.

--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -46,7 +46,8 @@
 	retryStatuses []int
 	view          atomic.Pointer[core.View]
 	ready         func() bool
-	stopping      atomic.Bool
+	// stopping means that new requests are refused, also those whose body is complete only now.
+	stopping atomic.Bool
 	// cutoff is the time at which open requests receive their final response during a shutdown.
 	cutoff *shutdownCutoff
 	// lameDuck means that the node still serves requests but fails health checks, so that load balancers stop using it.
@@ -116,7 +117,11 @@
 	if match == nil {
 		return nil, verdict.Refused(verdict.NoRoute, nil)
 	}
-	return a.readRequest(w, r, match, a.seed^a.serial.Add(1))
+	rq, err := a.readRequest(w, r, match, a.seed^a.serial.Add(1))
+	if err == nil && a.stopping.Load() {
+		return nil, verdict.Refused(verdict.NodeStopping, nil)
+	}
+	return rq, err
 }
 
 func hostOf(hostport string) string {
--- a/internal/node/limit_listener.go
+++ b/internal/node/limit_listener.go
@@ -12,10 +12,24 @@
 	slots chan struct{}
 	done  chan struct{}
 	once  sync.Once
+	// refusing is closed when new connections are refused.
+	refusing   chan struct{}
+	refuseOnce sync.Once
 }
 
-func newLimitListener(l net.Listener, limit int) net.Listener {
-	return &limitListener{Listener: l, slots: make(chan struct{}, limit), done: make(chan struct{})}
+func newLimitListener(l net.Listener, limit int) *limitListener {
+	return &limitListener{
+		Listener: l, slots: make(chan struct{}, limit), done: make(chan struct{}), refusing: make(chan struct{}),
+	}
+}
+
+// refuseConnections refuses new connections and keeps the server running, so that it still answers requests on the open
+// ones. After http.Server.Shutdown a connection whose request arrives is closed without an answer.
+func (l *limitListener) refuseConnections() {
+	l.refuseOnce.Do(func() {
+		close(l.refusing)
+		_ = l.Listener.Close()
+	})
 }
 
 // Accept implements net.Listener.
@@ -28,7 +42,13 @@
 	c, err := l.Listener.Accept()
 	if err != nil {
 		<-l.slots
-		return nil, err
+		select {
+		case <-l.refusing:
+			<-l.done
+			return nil, net.ErrClosed
+		default:
+			return nil, err
+		}
 	}
 	return &limitConn{Conn: c, release: func() { <-l.slots }}, nil
 }
@@ -36,7 +56,8 @@
 // Close implements net.Listener.
 func (l *limitListener) Close() error {
 	l.once.Do(func() { close(l.done) })
-	return l.Listener.Close()
+	l.refuseConnections()
+	return nil
 }
 
 type limitConn struct {
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -67,6 +67,9 @@
 type servers struct {
 	// callers, operators and upstreams shut down gracefully.
 	callers, operators, upstreams *http.Server
+	// callersListener is the listener of callers, callersActive are their active connections.
+	callersListener *limitListener
+	callersActive   *activeConnections
 	// auxiliary serve health checks and metrics. They are closed last, without waiting for open requests.
 	auxiliary []*http.Server
 }
@@ -76,10 +79,14 @@
 		callers:   n.httpServer(n.acceptor),
 		operators: n.httpServer(n.operatorHandler()),
 		upstreams: n.upstreamServer(),
+
+		callersListener: newLimitListener(l.callers, n.settings.Limits.MaxConnections),
+		callersActive:   newActiveConnections(),
 	}
+	s.callers.ConnState = s.callersActive.record
 	s.callers.BaseContext = func(net.Listener) context.Context { return n.acceptor.cutoff.requests }
 	group.Go(func() error {
-		return serveHTTP(s.callers, newLimitListener(l.callers, n.settings.Limits.MaxConnections))
+		return serveHTTP(s.callers, s.callersListener)
 	})
 	group.Go(func() error { return serveHTTP(s.operators, l.operators) })
 	group.Go(func() error { return serveHTTP(s.upstreams, l.upstreams) })
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -42,13 +42,14 @@
 	n.acceptor.lameDuck.Store(true)
 	// Keep the listener open during the lame-duck phase: closing it resets connections in the system's accept backlog.
 	_ = sleep(ctx, n.settings.Shutdown.LameDuck)
+	// A request that is taken later than this may be cut at the end of the grace period; another node can still serve it.
+	n.acceptor.stopping.Store(true)
 	n.admitter.stop()
 	n.distributor.SetStopping()
 	n.views.invalidate()
 	n.admitter.reportRunningAsOverdue()
-	callers := make(chan error, 1)
-	go func() { callers <- s.callers.Shutdown(ctx) }()
-	n.awaitIdle(ctx, callers)
+	s.callersListener.refuseConnections()
+	n.awaitIdle(ctx, s.callersActive)
 	_ = sleep(ctx, closeDelay)
 	if remaining := n.pendingWork(); remaining > 0 {
 		n.log.Emit(events.GraceExceeded, events.NodeField(n.self.ID), events.CountField(remaining), events.DurationField(n.settings.Shutdown.Grace))
@@ -80,19 +81,10 @@
 	return int(n.acceptor.inFlight.Load()) + n.admitter.inFlight() + n.admitter.retainedIndicator() + n.peerServer.Calls()
 }
 
-// awaitIdle waits until the callers' server has shut down and nothing is in flight.
-func (n *Node) awaitIdle(ctx context.Context, callers <-chan error) {
-	callersDone := false
-	for {
-		select {
-		case <-callers:
-			callersDone = true
-			n.acceptor.stopping.Store(true)
-		case <-ctx.Done():
-			return
-		case <-time.After(idlePollInterval):
-		}
-		if callersDone && n.pendingWork() == 0 {
+// awaitIdle waits until nothing is in flight and the last responses are sent to the callers.
+func (n *Node) awaitIdle(ctx context.Context, callers *activeConnections) {
+	for n.pendingWork() > 0 || callers.count() > 0 {
+		if sleep(ctx, idlePollInterval) != nil {
 			return
 		}
 	}
