--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -143,5 +143,11 @@
 // DoubtField is the number of successes that the half-open circuit breaker of a target requires to close.
 func DoubtField(n int) Field { return number(Doubt, int64(n)) }
 
+// RankField is the rank of the route, 0 for the most urgent.
+func RankField(rank int) Field { return number(Rank, int64(rank)) }
+
+// RemainingField is the time until the deadline of the request.
+func RemainingField(d time.Duration) Field { return text(Remaining, d.String()) }
+
 // StatusField is the HTTP status of a response.
 func StatusField(status int) Field { return number(Status, int64(status)) }
--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -35,5 +35,7 @@
 	Era         Key = "era"
 	PreviousEra Key = "previous_era"
 	Source      Key = "source"
+	Rank        Key = "rank"
+	Remaining   Key = "remaining"
 	Age         Key = "age"
 )
--- a/internal/events/sink_test.go
+++ b/internal/events/sink_test.go
@@ -71,6 +71,8 @@
 		`previous_era="2"`:      events.PreviousEraField(2),
 		`source="store"`:        events.SourceField(""),
 		`age="2s"`:              events.AgeField(2 * time.Second),
+		`rank="1"`:              events.RankField(1),
+		`remaining="3s"`:        events.RemainingField(3 * time.Second),
 	}
 	listed := make(map[events.Key]*events.Event)
 	for _, event := range events.All() {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -81,7 +81,8 @@
 		wait, requiredSuccesses = max(wait, err.ExpectedWait), err.RequiredSuccesses
 	}
 	a.log.Emit(events.AttemptEnded, events.RequestField(rq.head.RequestId), events.AttemptField(model.AttemptID(head.Attempt)),
-		events.TargetField(choice.Candidate.Target.ID), events.RouteField(head.Route), events.ModeField(choice.Mode.String()),
+		events.TargetField(choice.Candidate.Target.ID), events.RouteField(head.Route), events.RankField(int(head.Rank)),
+		events.RemainingField(rq.remaining()), events.ModeField(choice.Mode.String()),
 		events.TextOutcomeField(outcome), events.WaitField(wait), events.DurationField(took), events.DoubtField(requiredSuccesses),
 		events.RevisionField(a.view.Load().Revision))
 }
