--- a/internal/distribution/lost_watch_test.go
+++ b/internal/distribution/lost_watch_test.go
@@ -51,3 +51,26 @@
 		}
 	})
 }
+
+// Guards against nodes that lack a change because their clocks were set back between two starts, so that their peers take their
+// records for older ones.
+func TestChangeOnNodesWithClocksSetBackIsActiveWithinTheBound(t *testing.T) {
+	runInFleet(t, func(f *fleet) {
+		f.options = func(o *distribution.Options) { o.StoreTimeout, o.NoEjections = time.Second, true }
+		f.declare("ledger", "/v1")
+		nodes := f.startSettled(24)
+		newest := f.incarnation
+		for i := range 12 {
+			f.stop(nodes[i])
+			f.incarnation = nodes[i].self.Incarnation - 1
+			nodes[i] = f.start(i, nodes[12+i].self.PeerAddress)
+		}
+		f.incarnation = newest
+		for i, path := range []string{"/after-3-s", "/after-6-s", "/after-20-s", "/after-60-s"} {
+			time.Sleep([]time.Duration{3, 3, 14, 40}[i] * time.Second)
+			f.declare("ledger", path)
+			took := f.waitFor(activationBound, "the change "+path, nodes, hasRoute("ledger", path))
+			t.Logf("%s: active after %v", path, took)
+		}
+	})
+}
