--- a/internal/distribution/stand_in.go
+++ b/internal/distribution/stand_in.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sardinereach/sardinereach/internal/membership"
 )
 
@@ -28,7 +31,8 @@
 	standInCheck = 200 * time.Millisecond
 	// standInWait is the wait of a stand-in's watches. Each answer confirms the configuration to the other nodes.
 	standInWait = time.Second
-	// elsewhereAfter is the time after which a stand-in whose read is not answered asks another domain.
+	// elsewhereAfter is the time after which a stand-in whose read is not answered asks another domain, in addition to the wait
+	// of the read.
 	elsewhereAfter = 150 * time.Millisecond
 	// elsewhereInterval is the time between two questions of a watcher without confirmations to another domain.
 	elsewhereInterval = time.Second
@@ -92,6 +96,7 @@
 	nextRead, nextElsewhere time.Duration
 }
 
+// check acts on the state of the node.
 func (r *standInReader) check(ctx context.Context, state standInState) {
 	d, now := r.distributor, r.distributor.options.Now()
 	limit := standInLimit(state.rank)
@@ -103,7 +108,7 @@
 			d.askElsewhere(ctx)
 		}
 	case state.age < limit-standInAsk:
-		r.succeeded()
+		r.reset()
 	case state.age < limit-standInAskStandbys:
 		d.askWatchers(ctx, 0)
 	case state.age < limit:
@@ -113,7 +118,8 @@
 	}
 }
 
-func (r *standInReader) succeeded() {
+// reset forgets earlier failures.
+func (r *standInReader) reset() {
 	r.failing = false
 	r.nextRead = 0
 	r.pause.reset()
@@ -123,11 +129,8 @@
 // whole domain to a store that is down stay few.
 func (r *standInReader) read(ctx context.Context, rank int) {
 	d := r.distributor
-	elsewhere := time.AfterFunc(elsewhereAfter, func() { d.askElsewhere(ctx) })
-	answered := d.standIn(ctx)
-	elsewhere.Stop()
-	if answered {
-		r.succeeded()
+	if d.standIn(ctx) {
+		r.reset()
 		return
 	}
 	now := d.options.Now()
@@ -156,7 +159,7 @@
 		if wait > 0 {
 			d.askWatchers(ctx, 0)
 		}
-		if d.readConfig(ctx, wait) != nil {
+		if d.readOrAskElsewhere(ctx, wait) != nil {
 			return false
 		}
 		if !started {
@@ -172,6 +175,22 @@
 	}
 }
 
+// readOrAskElsewhere reads the configuration. If there is no answer elsewhereAfter its wait, it asks another domain meanwhile.
+func (d *Distributor) readOrAskElsewhere(ctx context.Context, wait time.Duration) error {
+	read, cancel := context.WithTimeout(ctx, wait+elsewhereAfter)
+	var question sync.WaitGroup
+	question.Go(func() {
+		<-read.Done()
+		if errors.Is(read.Err(), context.DeadlineExceeded) {
+			d.askElsewhere(ctx)
+		}
+	})
+	err := d.readConfig(ctx, wait)
+	cancel()
+	question.Wait()
+	return err
+}
+
 // ownConfirmation returns the time of the newest confirmation that this node received from the store itself.
 func (d *Distributor) ownConfirmation() time.Duration {
 	d.mu.Lock()
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -42,13 +42,7 @@
 	n.acceptor.lameDuck.Store(true)
 	// Keep the listener open during the lame-duck phase: closing it resets connections in the system's accept backlog.
 	_ = sleep(ctx, n.settings.Shutdown.LameDuck)
-	// A request that is taken later than this may be cut at the end of the grace period; another node can still serve it.
-	n.acceptor.stopping.Store(true)
-	n.admitter.stop()
-	n.distributor.SetStopping()
-	n.views.invalidate()
-	n.admitter.reportRunningAsOverdue()
-	s.callersListener.refuseConnections()
+	n.refuseRequests(s)
 	n.awaitIdle(ctx, s.callersActive)
 	_ = sleep(ctx, closeDelay)
 	if remaining := n.pendingWork(); remaining > 0 {
@@ -64,6 +58,17 @@
 	n.log.Emit(events.NodeStopped, events.NodeField(n.self.ID), events.DurationField(time.Since(started)))
 }
 
+// refuseRequests ends the lame-duck phase. A request that is taken later may be cut at the end of the grace period, and
+// another node can still serve it.
+func (n *Node) refuseRequests(s servers) {
+	n.acceptor.stopping.Store(true)
+	n.admitter.stop()
+	n.distributor.SetStopping()
+	n.views.invalidate()
+	n.admitter.reportRunningAsOverdue()
+	s.callersListener.refuseConnections()
+}
+
 // errShutdownCutoff is the cause of the end of the requests that are still open at the end of the grace period.
 var errShutdownCutoff = errors.New("node: the grace period has ended")
 
