Wait longer for a slow store while probes fail

Cause: after a failed read the next watch of the configuration does not wait, and its time limit was StoreTimeout alone (1 s on the platform). A store whose answers take longer gave no change to any node: watches are to stay pending while probes fail, but this one did not.

Change: while probes fail, a watch has WatchWait plus StoreTimeout. The first answered probe ends it, as before.

Evidence: TestChangeArrivesFromStoreSlowerThanStoreTimeout failed before (8 of 8 nodes, answers after 2 s).

--- a/internal/distribution/store_probe.go
+++ b/internal/distribution/store_probe.go
@@ -70,6 +70,13 @@
 	return max(minProbePause, d.jitter(interval, probeJitterFraction)-took)
 }
 
+// isProbeFailing reports whether the last probe of this node was not answered.
+func (d *Distributor) isProbeFailing() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.probe.failing
+}
+
 // isLongOutage reports whether the probes of this node have failed for longOutage.
 func (d *Distributor) isLongOutage() bool {
 	d.mu.Lock()
--- a/internal/distribution/store_probe_test.go
+++ b/internal/distribution/store_probe_test.go
@@ -105,3 +105,18 @@
 		}
 	})
 }
+
+// Guards against a fleet that receives no changes from a store whose answers take longer than StoreTimeout.
+func TestChangeArrivesFromStoreSlowerThanStoreTimeout(t *testing.T) {
+	runInFleet(t, func(f *fleet) {
+		f.options = func(o *distribution.Options) { o.StoreTimeout = time.Second }
+		f.declare("ledger", "/v1")
+		nodes := f.startMany(8)
+		f.waitFor(time.Minute, "readiness", nodes, ready)
+		const delayMS = 2000
+		f.store.SetFaults(fakestore.Faults{DelayMS: delayMS})
+		time.Sleep(20 * time.Second)
+		f.declare("ledger", "/v2")
+		f.waitFor(15*time.Second, "the change", nodes, hasRoute("ledger", "/v2"))
+	})
+}
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -72,6 +72,15 @@
 	return d.jitter(d.options.WatchWait, jitterFraction)
 }
 
+// watchTimeout returns the time limit of a watch with the given wait. While probes fail, the store may be slow, so there is time
+// for a late answer. The watch ends when a probe is answered again.
+func (d *Distributor) watchTimeout(wait time.Duration) time.Duration {
+	if d.isProbeFailing() {
+		wait = max(wait, d.options.WatchWait)
+	}
+	return wait + d.options.StoreTimeout
+}
+
 // complete returns the revision up to which the documents of the prefix are complete.
 func (d *Distributor) complete(prefix string) int64 {
 	d.mu.Lock()
@@ -113,7 +122,7 @@
 func (d *Distributor) watch(ctx context.Context, prefix string, wait time.Duration) error {
 	after := d.complete(prefix)
 	d.setWaitStep(prefix, stepRead)
-	callCtx, cancel := context.WithTimeout(ctx, wait+d.options.StoreTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, d.watchTimeout(wait))
 	defer cancel()
 	period := d.storePeriod()
 	defer context.AfterFunc(period, cancel)()
