--- a/internal/distribution/random_faults_test.go
+++ b/internal/distribution/random_faults_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -97,7 +98,7 @@
 func (f *faultTrial) addFault(window interval) {
 	from := f.between(window.from, window.until)
 	watchers := f.random.IntN(2) == 0
-	kind := f.random.IntN(8)
+	kind := f.random.IntN(10)
 	switch kind {
 	case 0:
 		at := interval{from, from + f.between(50*time.Millisecond, 500*time.Millisecond)}
@@ -141,6 +142,17 @@
 		at := interval{from, from + time.Millisecond}
 		f.describe("store forgets its pending calls %v", at)
 		f.storeFault(at, storeAnswers)
+	case 8:
+		at := interval{from, from + time.Millisecond}
+		nodes := f.some(0.3, watchers)
+		f.describe("the store forgets the pending calls of %d nodes %v watchers %v", len(nodes), at, watchers)
+		f.during(nodes, at, func(n *nodeFaults) { n.forgotten++ }, func(*nodeFaults) {})
+	case 9:
+		at := interval{from, from + f.between(2*time.Second, 8*time.Second)}
+		domain := f.random.IntN(4)
+		nodes := slices.DeleteFunc(f.world.running(), func(n *testNode) bool { return f.world.indexes[n.self.ID]%4 != domain })
+		f.describe("the store turns all nodes of a domain away %v", at)
+		f.during(nodes, at, func(n *nodeFaults) { n.mode = storeSilent; n.forgotten++ }, func(n *nodeFaults) { n.mode = storeAnswers })
 	}
 }
 
