End watches with a long time limit when their probes no longer count

What callers could see: after a node had stopped being a watcher while its probes failed, and became one again, it read nothing for up to 7.6 s, and as a watcher it does not stand in.

Cause: a watch that is sent while probes fail may take WatchWait plus StoreTimeout, because an answered probe ends it. Nothing ended it when the probes stopped with the role. A probe that was answered between the choice of the time limit and the start of the watch did not end it either.

Change: the period of the store ends with the failing probes, and is read before the time limit is chosen.

The second case is shown by reading only.

--- a/internal/distribution/store_probe.go
+++ b/internal/distribution/store_probe.go
@@ -122,11 +122,15 @@
 	d.probe.failing = failed
 }
 
-// forgetProbes removes the result of the last probe when the node is not a watcher any more.
+// forgetProbes removes the result of the last probe when the node is not a watcher any more. Watches that were sent while probes
+// failed have a long time limit, and no later probe would end them.
 func (d *Distributor) forgetProbes() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.probe.failing = false
+	if d.probe.failing {
+		d.probe.endPeriod()
+		d.probe = newStoreProbe()
+	}
 }
 
 // storePeriod returns a context that ends when the store answers again after an outage.
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -122,9 +122,10 @@
 func (d *Distributor) watch(ctx context.Context, prefix string, wait time.Duration) error {
 	after := d.complete(prefix)
 	d.setWaitStep(prefix, stepRead)
+	// The period comes first: a probe that is answered after it ends this watch, whatever its time limit.
+	period := d.storePeriod()
 	callCtx, cancel := context.WithTimeout(ctx, d.watchTimeout(wait))
 	defer cancel()
-	period := d.storePeriod()
 	defer context.AfterFunc(period, cancel)()
 	startedAt := d.options.Now()
 	changes, revision, err := d.options.Store.Watch(callCtx, prefix, after, wait)
