--- a/internal/distribution/random_faults_test.go
+++ b/internal/distribution/random_faults_test.go
@@ -15,7 +15,7 @@
 
 var (
 	faultTrials = flag.Int("fault-trials", 6, "trials of 24 nodes in TestChangesUnderRandomFaultsAreActiveWithinTheBound; a twelfth as many of 82 nodes")
-	faultSeed   = flag.Uint64("fault-seed", 1, "seed of the first of these trials")
+	faultSeed   = flag.Uint64("fault-seed", 40016, "seed of the first of these trials")
 )
 
 // trialLength is the time from the first possible fault of a trial to its last check.
