Let a new watcher stand in until its first watch was due

What callers could see: a node that is the last one of its domain and becomes a watcher, as the others count as dead, might have handled requests by an older version for up to 3.1 s after an acknowledgement (calculated: 2.1 s of waiting as a standby and 1 s until its first watch; limit 2.5 s).

Cause: a watcher does not stand in, and the watch of a new one begins up to RoundInterval after the role has changed.

Change: a node stands in during the first two intervals of its role.

Evidence: TestNewWatcherStandsInUntilItsFirstWatch failed before.

--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -29,7 +29,9 @@
 	// view was computed for viewGeneration of the member table.
 	view           *membership.View
 	viewGeneration uint64
-	watching       bool
+	// watching means that this node is a watcher of its domain, since the time watchingSince.
+	watching      bool
+	watchingSince time.Duration
 	// synced means that the node has read the complete records of some peer and has been in contact with peers since.
 	synced   bool
 	isolated bool
--- a/internal/distribution/rounds.go
+++ b/internal/distribution/rounds.go
@@ -114,7 +114,7 @@
 	if watching == d.watching {
 		return
 	}
-	d.watching = watching
+	d.watching, d.watchingSince = watching, d.options.Now()
 	// The probes of a new watcher confirm nothing before its first watch.
 	d.confirmation.synced = false
 	kind := WatchStopped
--- a/internal/distribution/stand_in.go
+++ b/internal/distribution/stand_in.go
@@ -53,7 +53,7 @@
 
 // standInState is what a node bases its stand-in on.
 type standInState struct {
-	// watcher means that the node is a watcher, ready that it has been ready.
+	// watcher means that the node has been a watcher long enough to have sent its first watch, ready that it has been ready.
 	watcher, ready bool
 	// rank is the rank among the standbys of the domain, without those that did not answer the last pull.
 	rank int
@@ -65,11 +65,12 @@
 func (d *Distributor) standInState() standInState {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := d.options.Now()
 	return standInState{
-		watcher: d.watching,
+		watcher: d.watching && now-d.watchingSince >= 2*d.options.RoundInterval,
 		ready:   d.ready.Load(),
 		rank:    max(0, d.currentView().WatchRank(d.isUnanswered)-membership.WatchersPerDomain),
-		age:     d.options.Now() - max(d.confirmation.newest(), 0),
+		age:     now - max(d.confirmation.newest(), 0),
 	}
 }
 
