--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -16,22 +16,22 @@
 
 // Events about the store and the configuration.
 var (
-	StoreUnavailable    = &Event{201, "store_unavailable", Warning, "the store does not respond; the last configuration stays in force", []Key{Operation, Cause}, 0}
-	StoreRecovered      = &Event{202, "store_recovered", Info, "the store responds again", []Key{Duration}, 0}
-	StoreOutcomeUnknown = &Event{203, "store_outcome_unknown", Warning, "the response to a write was lost; its outcome is resolved by reading back", []Key{Operation, Service}, 0}
-	ConfigApplied       = &Event{204, "config_applied", Info, "a configuration is in force on this node; it was acknowledged at most as long ago as the confirmation before it", []Key{Service, Revision, Source, Duration, Age}, 0}
-	ConfigInvalid       = &Event{205, "config_invalid", Error, "a document in the store is not valid; the last valid one stays in force", []Key{Service, Revision, Cause}, 0}
-	ConfigStale         = &Event{207, "config_stale", Warning, "neither the store nor a peer confirms the configuration in force", []Key{Revision, Duration}, 0}
-	WatcherStarted      = &Event{208, "watcher_started", Info, "this node watches the store for its failure domain", []Key{Domain}, 0}
-	WatcherStopped      = &Event{209, "watcher_stopped", Info, "another node watches the store for the failure domain", []Key{Domain}, 0}
-	StoreRestored       = &Event{210, "store_restored", Warning, "the store was restored from an older copy; what was written since the copy may be gone", []Key{Era, PreviousEra}, 0}
-	StoreHistoryLost    = &Event{211, "store_history_lost", Info, "the store does not have the changes after the last revision; the keys are listed again", []Key{Operation, Revision}, 0}
-	ListOutdated        = &Event{212, "list_outdated", Warning, "a list of the store is older than what this node has; it replaces nothing", []Key{Operation, Revision, Complete}, 0}
-	StoreEraReceived    = &Event{213, "store_era_received", Info, "the records of the fleet in a restored store are checked, and written again if they are lost", []Key{Era, Revision}, 0}
-	StandInStarted      = &Event{214, "stand_in_started", Info, "no node of the failure domain has confirmed the configuration recently; this node reads it from the store", []Key{Domain, Revision}, 0}
-	StandInStopped      = &Event{215, "stand_in_stopped", Info, "this node has stopped reading the store in place of the watchers of its failure domain", []Key{Domain}, 0}
-	ConfirmationLate    = &Event{216, "confirmation_late", Warning, "the store has not confirmed the configuration to any node that this one hears of for longer than expected", []Key{Revision, Age, Operation}, 0}
-	ConfirmationHeard   = &Event{217, "confirmation_heard", Info, "the store has confirmed the configuration again", []Key{Revision, Duration}, 0}
+	StoreUnavailable     = &Event{201, "store_unavailable", Warning, "the store does not respond; the last configuration stays in force", []Key{Operation, Cause}, 0}
+	StoreRecovered       = &Event{202, "store_recovered", Info, "the store responds again", []Key{Duration}, 0}
+	StoreOutcomeUnknown  = &Event{203, "store_outcome_unknown", Warning, "the response to a write was lost; its outcome is resolved by reading back", []Key{Operation, Service}, 0}
+	ConfigApplied        = &Event{204, "config_applied", Info, "a configuration is in force on this node; it was acknowledged at most as long ago as the confirmation before it", []Key{Service, Revision, Source, Duration, Age}, 0}
+	ConfigInvalid        = &Event{205, "config_invalid", Error, "a document in the store is not valid; the last valid one stays in force", []Key{Service, Revision, Cause}, 0}
+	ConfigStale          = &Event{207, "config_stale", Warning, "neither the store nor a peer confirms the configuration in force", []Key{Revision, Duration}, 0}
+	WatcherStarted       = &Event{208, "watcher_started", Info, "this node watches the store for its failure domain", []Key{Domain}, 0}
+	WatcherStopped       = &Event{209, "watcher_stopped", Info, "another node watches the store for the failure domain", []Key{Domain}, 0}
+	StoreRestored        = &Event{210, "store_restored", Warning, "the store was restored from an older copy; what was written since the copy may be gone", []Key{Era, PreviousEra}, 0}
+	StoreHistoryLost     = &Event{211, "store_history_lost", Info, "the store does not have the changes after the last revision; the keys are listed again", []Key{Operation, Revision}, 0}
+	ListOutdated         = &Event{212, "list_outdated", Warning, "a list of the store is older than what this node has; it replaces nothing", []Key{Operation, Revision, Complete}, 0}
+	StoreEraReceived     = &Event{213, "store_era_received", Info, "the records of the fleet in a restored store are checked, and written again if they are lost", []Key{Era, Revision}, 0}
+	StandInStarted       = &Event{214, "stand_in_started", Info, "no node of the failure domain has confirmed the configuration recently; this node reads it from the store", []Key{Domain, Revision}, 0}
+	StandInStopped       = &Event{215, "stand_in_stopped", Info, "this node has stopped reading the store in place of the watchers of its failure domain", []Key{Domain}, 0}
+	ConfirmationLate     = &Event{216, "confirmation_late", Warning, "the store has not confirmed the configuration to any node that this one hears of for longer than expected", []Key{Revision, Age, Operation}, 0}
+	ConfirmationReceived = &Event{217, "confirmation_received", Info, "the store has confirmed the configuration again", []Key{Revision, Duration}, 0}
 )
 
 // Events about members and connections.
@@ -112,7 +112,7 @@
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, GraceExceeded,
 	ListenerFailed, PanicRecovered, SettingsRead, SignalReceived, RequestsCutOff, StoreUnavailable, StoreRecovered,
 	StoreOutcomeUnknown, StoreRestored, StoreHistoryLost, ListOutdated, StoreEraReceived, ConfigApplied, ConfigInvalid, ConfigStale,
-	WatcherStarted, WatcherStopped, StandInStarted, StandInStopped, ConfirmationLate, ConfirmationHeard, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
+	WatcherStarted, WatcherStopped, StandInStarted, StandInStopped, ConfirmationLate, ConfirmationReceived, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
 	RegionReachable, LinkBudgetSpent, LoadDigestFailed, TargetAnnounced, TargetPhaseChanged,
 	TargetMissing, TargetSuspected, TargetEjected, TargetAvoided, TargetReturned,
--- a/internal/node/event_log.go
+++ b/internal/node/event_log.go
@@ -60,7 +60,7 @@
 	case distribution.ConfirmationLate:
 		n.log.Emit(events.ConfirmationLate, events.RevisionField(e.Revision), events.AgeField(e.Age), events.OperationField(e.Operation))
 	case distribution.ConfirmationReceived:
-		n.log.Emit(events.ConfirmationHeard, events.RevisionField(e.Revision), events.DurationField(e.Age))
+		n.log.Emit(events.ConfirmationReceived, events.RevisionField(e.Revision), events.DurationField(e.Age))
 	case distribution.BecameReady:
 		n.views.invalidate()
 		n.log.Emit(events.NodeReady, events.NodeField(n.self.ID), events.RevisionField(e.Revision), events.DurationField(n.clock.now()))
