Log the pauses of standbys after failed reads

SR0216 is written when a wait for a confirmation begins, so that a pause that follows a failed read left no line, and SR0201 does not tell a standby from a watcher. SR0218 has the rank, the age of the confirmation and the pause.

--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -54,6 +54,9 @@
 	// watcher, because no node of its domain has confirmed it recently. Revision is the one to continue from.
 	StandInStarted
 	StandInStopped
+	// StandInFailed means that the store did not answer a read of this standby, with Err. Rank is its rank among the standbys
+	// of the domain, Age the age of the newest confirmation and Duration the pause before its next read.
+	StandInFailed
 	// ConfirmationLate means that the newest confirmation of the configuration is older than this node expects: Age is its age,
 	// Operation what the node waits for. ConfirmationReceived ends that state; Age is the time between the two
 	// confirmations.
@@ -65,7 +68,7 @@
 	"store_failed", "store_compacted", "list_outdated", "pull_failed", "document_applied", "document_rejected",
 	"member_changed", "member_registered", "member_record_lost", "member_deleted", "watch_started", "watch_stopped",
 	"ready", "isolated", "reconnected", "identity_conflict", "era_received",
-	"stand_in_started", "stand_in_stopped", "confirmation_late", "confirmation_received",
+	"stand_in_started", "stand_in_stopped", "stand_in_failed", "confirmation_late", "confirmation_received",
 }
 
 // String returns the name of the kind for counters and logs.
@@ -87,6 +90,7 @@
 	From, To membership.State
 	// Operation describes what the node waits for.
 	Operation     string
+	Rank          int
 	Duration, Age time.Duration
 	Err           error
 }
--- a/internal/distribution/stand_in.go
+++ b/internal/distribution/stand_in.go
@@ -115,7 +115,7 @@
 	case state.age < limit:
 		d.askWatchers(ctx, askedStandbys)
 	case now >= r.nextRead:
-		r.read(ctx, state.rank)
+		r.read(ctx, state)
 	}
 }
 
@@ -128,9 +128,10 @@
 
 // read stands in. After a failure it sets the time of the next read. The pause grows with the rank, so that the calls of a
 // whole domain to a store that is down stay few.
-func (r *standInReader) read(ctx context.Context, rank int) {
-	d := r.distributor
-	if d.standIn(ctx) {
+func (r *standInReader) read(ctx context.Context, state standInState) {
+	d, rank := r.distributor, state.rank
+	err := d.standIn(ctx)
+	if err == nil {
 		r.reset()
 		return
 	}
@@ -143,12 +144,14 @@
 		r.pause.maximum = d.options.BackoffMax
 	}
 	d.setWaitStep(ConfigPrefix, stepPause)
-	r.nextRead = now + r.pause.next()*time.Duration(1+rank+rank*rank)
+	pause := r.pause.next() * time.Duration(1+rank+rank*rank)
+	r.nextRead = now + pause
+	d.options.Report(Event{Kind: StandInFailed, Rank: rank, Age: d.standInState().age, Duration: pause, Err: err})
 }
 
 // standIn reads the configuration until another node has confirmed it during the last read, or this node has become a
-// watcher. It returns false if a read failed.
-func (d *Distributor) standIn(ctx context.Context) bool {
+// watcher. It returns the error of a read that failed.
+func (d *Distributor) standIn(ctx context.Context) error {
 	started := false
 	defer func() {
 		if started {
@@ -160,18 +163,18 @@
 		if wait > 0 {
 			d.askWatchers(ctx, 0)
 		}
-		if d.readOrAskElsewhere(ctx, wait) != nil {
-			return false
+		if err := d.readOrAskElsewhere(ctx, wait); err != nil {
+			return err
 		}
 		if !started {
 			started = true
 			d.options.Report(Event{Kind: StandInStarted, Revision: d.complete(ConfigPrefix)})
 		}
 		if d.isConfirmedByPeers(previous) || d.isWatching() {
-			return true
+			return nil
 		}
 		if !sleep(ctx, d.options.WatchPause) {
-			return true
+			return nil
 		}
 	}
 }
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -143,7 +143,7 @@
 // DoubtField is the number of successes that the half-open circuit breaker of a target requires to close.
 func DoubtField(n int) Field { return number(Doubt, int64(n)) }
 
-// RankField is the rank of the route, 0 for the most urgent.
+// RankField is the rank of the route, 0 for the most urgent, or that of a standby, 0 for the first.
 func RankField(rank int) Field { return number(Rank, int64(rank)) }
 
 // RemainingField is the time until the deadline of the request.
--- a/internal/node/event_log.go
+++ b/internal/node/event_log.go
@@ -57,6 +57,9 @@
 		n.log.Emit(events.StandInStarted, events.DomainField(n.self.Domain), events.RevisionField(e.Revision))
 	case distribution.StandInStopped:
 		n.log.Emit(events.StandInStopped, events.DomainField(n.self.Domain))
+	case distribution.StandInFailed:
+		n.log.Emit(events.StandInFailed, events.DomainField(n.self.Domain), events.RankField(e.Rank), events.AgeField(e.Age),
+			events.DurationField(e.Duration), events.CauseField(e.Err))
 	case distribution.ConfirmationLate:
 		n.log.Emit(events.ConfirmationLate, events.RevisionField(e.Revision), events.AgeField(e.Age), events.OperationField(e.Operation))
 	case distribution.ConfirmationReceived:
