Notice the return of the store whichever other nodes are lost

Cause: after a failed read, a standby of rank r paused for up to 2 s x (1 + r + r^2), 30 s instead of 2 s after a minute. The pause was set while the store was down, and only a confirmation from another node ended it. When the watchers of the domain were lost or turned away as the store returned, nobody of the domain read the store, and in its pause a standby asked nobody.

Change: nodes of a failure domain tell each other in their pulls how long ago one of them last tried to reach the store. A standby whose reads fail tries again when that is longer ago than its rank allows, 1.5 to 2.1 s in a domain of 20, or at its turn, which comes every 2 s or 0.65 s a standby for the case that those who try are turned away. Meanwhile it asks other domains once a second, and prefers nodes that answered. It works for any set of lost nodes, because it rests on attempts that were made, not on who is believed to be there.

To stay below the bound of TestStoreOutageOfHours, watchers leave the other prefixes alone when neither a probe nor a read of the configuration was answered for a minute; the first answer ends that.

--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -43,6 +43,7 @@
 	era               int64
 	probe             storeProbe
 	confirmation      confirmation
+	attempts          storeAttempts
 	waiting           confirmationWait
 	lastStoreResponse time.Duration
 	lastPeerResponse  time.Duration
@@ -92,6 +93,7 @@
 		self:               own,
 		probe:              newStoreProbe(),
 		confirmation:       newConfirmation(),
+		attempts:           newStoreAttempts(),
 		waiting:            confirmationWait{step: stepNone},
 		lastStoreResponse:  noResponseYet,
 		lastPeerResponse:   noResponseYet,
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -55,7 +55,7 @@
 	StandInStarted
 	StandInStopped
 	// StandInFailed means that the store did not answer a read of this standby, with Err. Rank is its rank among the standbys
-	// of the domain, Age the age of the newest confirmation and Duration the pause before its next read.
+	// of the domain, Age the age of the newest confirmation and Duration the time until it tries again, unless nobody else does.
 	StandInFailed
 	// ConfirmationLate means that the newest confirmation of the configuration is older than this node expects: Age is its age,
 	// Operation what the node waits for. ConfirmationReceived ends that state; Age is the time between the two
--- a/internal/distribution/handle_pull.go
+++ b/internal/distribution/handle_pull.go
@@ -33,6 +33,7 @@
 	documents, complete := d.tables.config.Page(request.GetDocumentRevision(), d.options.MaxPullBytes)
 	response.DocumentRevision = complete
 	response.ConfirmationAgeMs = d.encodeConfirmation(complete)
+	response.StoreAttemptAgeMs = d.encodeAttempt(model.NodeID(request.GetNode()))
 	for _, document := range documents {
 		response.Documents = append(response.Documents, encodeDocument(document))
 	}
--- a/internal/distribution/pull.go
+++ b/internal/distribution/pull.go
@@ -21,15 +21,23 @@
 
 // startPull pulls from the address unless a pull from it is in progress.
 func (d *Distributor) startPull(ctx context.Context, address string) {
+	d.startPullOf(ctx, address, d.pullOnce)
+}
+
+// startPullOf is startPull for what pull pulls.
+func (d *Distributor) startPullOf(ctx context.Context, address string, pull pullFunc) {
 	if !d.reservePeer(address) {
 		return
 	}
 	d.pulls.Go(func() {
-		_, err := d.pullOnce(ctx, address)
+		_, err := pull(ctx, address)
 		d.releasePeer(address, err)
 	})
 }
 
+// pullFunc pulls from an address. It returns true if another call may return more.
+type pullFunc func(ctx context.Context, address string) (more bool, err error)
+
 func (d *Distributor) reservePeer(address string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -89,7 +97,9 @@
 		return false, err
 	}
 	d.mu.Lock()
+	previousRevision := d.tables.config.Revision()
 	d.applyConfig(response, address, startedAt)
+	d.signalNewDocuments(previousRevision, address)
 	d.mu.Unlock()
 	d.publish()
 	return len(response.Documents) > 0, nil
@@ -214,4 +224,5 @@
 	}
 	d.advance(ConfigPrefix, response.DocumentRevision)
 	d.recordConfirmation(response, startedAt)
+	d.recordPeerAttempt(response, startedAt)
 }
--- a/internal/distribution/stand_in.go
+++ b/internal/distribution/stand_in.go
@@ -34,8 +34,14 @@
 	// elsewhereAfter is the time after which a stand-in whose read is not answered asks another domain, in addition to the wait
 	// of the read.
 	elsewhereAfter = 150 * time.Millisecond
-	// elsewhereInterval is the time between two questions of a watcher without confirmations to another domain.
+	// elsewhereInterval is the time between two questions of a node without confirmations to another domain.
 	elsewhereInterval = time.Second
+	// standInShare is the time that each standby of a domain adds to the interval between two reads of one standby during an
+	// outage, so that the calls of a domain do not grow with its size. The interval is at least standInMinInterval, or
+	// standInMinLongInterval in a long outage.
+	standInShare           = 650 * time.Millisecond
+	standInMinInterval     = 2 * time.Second
+	standInMinLongInterval = 4 * time.Second
 )
 
 // runStandIn keeps this node from waiting for a confirmation longer than the bound for changes allows, whatever happens to
@@ -44,7 +50,7 @@
 // store may refuse them. A watcher that gets no answers asks another domain. There is no agreement: additional readers only
 // cost calls, which the ranks and the pauses bound.
 func (d *Distributor) runStandIn(ctx context.Context) {
-	reader := &standInReader{distributor: d, pause: d.newBackoff(d.options.ConfirmBackoffMax)}
+	reader := &standInReader{distributor: d}
 	for sleep(ctx, d.jitter(standInCheck, jitterFraction)) {
 		d.checkConfirmationAge()
 		reader.check(ctx, d.standInState())
@@ -55,22 +61,25 @@
 type standInState struct {
 	// watcher means that the node has been a watcher long enough to have sent its first watch, ready that it has been ready.
 	watcher, ready bool
-	// rank is the rank among the standbys of the domain, without those that did not answer the last pull.
-	rank int
-	// age is that of the newest confirmation.
-	age time.Duration
+	// rank is the rank among the standbys of the domain, without those that did not answer the last pull. standbys is the number
+	// of all of them.
+	rank, standbys int
+	// age is that of the newest confirmation, attemptAge that of the newest attempt in the domain to reach the store.
+	age, attemptAge time.Duration
 }
 
 // standInState returns the current state.
 func (d *Distributor) standInState() standInState {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.options.Now()
+	now, view := d.options.Now(), d.currentView()
 	return standInState{
-		watcher: d.watching && now-d.watchingSince >= 2*d.options.RoundInterval,
-		ready:   d.ready.Load(),
-		rank:    max(0, d.currentView().WatchRank(d.isUnanswered)-membership.WatchersPerDomain),
-		age:     now - max(d.confirmation.newest(), 0),
+		watcher:    d.watching && now-d.watchingSince >= 2*d.options.RoundInterval,
+		ready:      d.ready.Load(),
+		rank:       max(0, view.WatchRank(d.isUnanswered)-membership.WatchersPerDomain),
+		standbys:   view.Standbys(),
+		age:        now - max(d.confirmation.newest(), 0),
+		attemptAge: now - max(d.attempts.newest, 0),
 	}
 }
 
@@ -80,73 +89,111 @@
 	return peer != nil && peer.failed
 }
 
-// standInLimit returns the age of the newest confirmation from which the standby with the rank reads the store.
+// isUnavailable reports whether the last pull from the address failed or one is in flight. The caller holds d.mu.
+func (d *Distributor) isUnavailable(address string) bool {
+	peer := d.peers[address]
+	return peer != nil && (peer.failed || peer.inFlight)
+}
+
+// standInLimit returns the age of the newest confirmation from which the standby with the rank reads the store. While its reads
+// fail, it is the age of the newest attempt.
 func standInLimit(rank int) time.Duration {
 	first := min(rank, standInSteps)
 	return standInAfter + time.Duration(first)*standInStep + time.Duration(rank-first)*standInLaterStep
 }
 
 // standInReader decides when a node reads the store or asks other nodes because confirmations are missing.
+//
+// After a failed read, a standby does not wait for a time that was set then. It reads again when no attempt of its domain is
+// newer than its rank allows, so that the return of the store is noticed whichever other nodes are lost, or when it has its
+// turn, because those that make the attempts may be turned away. It also asks other domains.
 type standInReader struct {
 	distributor *Distributor
-	// pause is that after a failed read. The reads have failed since failingSince if failing.
-	pause        *backoff
+	// failing means that the last read failed. The reads have failed since failingSince.
 	failing      bool
 	failingSince time.Duration
-	// nextRead and nextElsewhere are the earliest times of the next read and of the next question to another domain.
-	nextRead, nextElsewhere time.Duration
+	// nextTurn is the time of the next read after a failed one if others make attempts.
+	nextTurn time.Duration
+	// nextElsewhere is the earliest time of the next question to another domain.
+	nextElsewhere time.Duration
 }
 
 // check acts on the state of the node.
 func (r *standInReader) check(ctx context.Context, state standInState) {
-	d, now := r.distributor, r.distributor.options.Now()
 	limit := standInLimit(state.rank)
 	switch {
 	case !state.ready:
 	case state.watcher:
-		if state.age >= confirmationLate && now >= r.nextElsewhere {
-			r.nextElsewhere = now + elsewhereInterval
-			d.askElsewhere(ctx)
+		if state.age >= confirmationLate {
+			r.askElsewhere(ctx)
 		}
 	case state.age < limit-standInAsk:
-		r.reset()
-	case state.age < limit-standInAskStandbys:
-		d.askWatchers(ctx, 0)
+		r.failing = false
 	case state.age < limit:
-		d.askWatchers(ctx, askedStandbys)
-	case now >= r.nextRead:
+		r.askNeighbors(ctx, limit-state.age)
+	case !r.failing || state.attemptAge >= limit || r.distributor.options.Now() >= r.nextTurn:
 		r.read(ctx, state)
+	default:
+		r.askElsewhere(ctx)
+		r.askNeighbors(ctx, limit-state.attemptAge)
+	}
+}
+
+// askNeighbors asks the nodes of the domain that may have a newer confirmation or attempt. remaining is the time after which
+// this node reads the store without one.
+func (r *standInReader) askNeighbors(ctx context.Context, remaining time.Duration) {
+	switch {
+	case remaining > standInAsk:
+	case remaining > standInAskStandbys:
+		r.distributor.askWatchers(ctx, 0)
+	default:
+		r.distributor.askWatchers(ctx, askedStandbys)
 	}
 }
 
-// reset forgets earlier failures.
-func (r *standInReader) reset() {
-	r.failing = false
-	r.nextRead = 0
-	r.pause.reset()
+// askElsewhere asks another domain, once in elsewhereInterval.
+func (r *standInReader) askElsewhere(ctx context.Context) {
+	if now := r.distributor.options.Now(); now >= r.nextElsewhere {
+		r.nextElsewhere = now + elsewhereInterval
+		r.distributor.askElsewhere(ctx)
+	}
 }
 
-// read stands in. After a failure it sets the time of the next read. The pause grows with the rank, so that the calls of a
-// whole domain to a store that is down stay few.
+// read stands in. After a failed read it sends a ping first, which costs less than a read, and sets the time of the next turn.
+// The first turns of the standbys are spread out by their ranks, so that one of them always comes soon.
 func (r *standInReader) read(ctx context.Context, state standInState) {
-	d, rank := r.distributor, state.rank
-	err := d.standIn(ctx)
+	d := r.distributor
+	var err error
+	if r.failing {
+		r.askElsewhere(ctx)
+		err = d.pingStore(ctx, d.options.StoreTimeout)
+	}
 	if err == nil {
-		r.reset()
+		err = d.standIn(ctx)
+	}
+	if err == nil {
+		r.failing = false
 		return
 	}
 	now := d.options.Now()
+	wait := d.jitter(standInInterval(state.standbys, now-r.failingSince), jitterFraction)
 	if !r.failing {
 		r.failing, r.failingSince = true, now
+		wait = time.Duration(1+state.rank) * standInShare
 	}
-	r.pause.maximum = d.options.ConfirmBackoffMax
-	if now-r.failingSince >= longOutage {
-		r.pause.maximum = d.options.BackoffMax
-	}
+	r.nextTurn = now + wait
 	d.setWaitStep(ConfigPrefix, stepPause)
-	pause := r.pause.next() * time.Duration(1+rank+rank*rank)
-	r.nextRead = now + pause
-	d.options.Report(Event{Kind: StandInFailed, Rank: rank, Age: d.standInState().age, Duration: pause, Err: err})
+	d.options.Report(Event{Kind: StandInFailed, Rank: state.rank, Age: d.standInState().age, Duration: wait, Err: err})
+}
+
+// standInInterval returns the time between two reads of a standby, in a domain with the number of standbys, whose reads have
+// failed for the given time.
+func standInInterval(standbys int, outage time.Duration) time.Duration {
+	shortest := standInMinInterval
+	if outage >= longOutage {
+		shortest = standInMinLongInterval
+	}
+	return max(shortest, time.Duration(standbys)*standInShare)
 }
 
 // standIn reads the configuration until another node has confirmed it during the last read, or this node has become a
@@ -220,12 +267,12 @@
 	}
 }
 
-// askElsewhere pulls from a watcher of another domain, which may reach the store.
+// askElsewhere pulls the documents of a watcher of another domain, which may reach the store.
 func (d *Distributor) askElsewhere(ctx context.Context) {
 	d.mu.Lock()
-	address := d.currentView().OtherWatcherAddress(d.random.Uint64())
+	address := d.currentView().OtherWatcherAddress(d.random.Uint64(), d.isUnavailable)
 	d.mu.Unlock()
 	if address != "" {
-		d.startPull(ctx, address)
+		d.startPullOf(ctx, address, d.pullDocuments)
 	}
 }
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -89,9 +89,7 @@
 var errOwnAddress = errors.New("distribution: own address")
 
 // syncFrom pulls from the address until it has no more data.
-func (d *Distributor) syncFrom(
-	ctx context.Context, address string, pull func(context.Context, string) (bool, error),
-) error {
+func (d *Distributor) syncFrom(ctx context.Context, address string, pull pullFunc) error {
 	if address == d.options.Self.PeerAddress {
 		return errOwnAddress
 	}
--- a/internal/distribution/store_probe.go
+++ b/internal/distribution/store_probe.go
@@ -84,6 +84,15 @@
 	return d.probe.failing && d.options.Now()-d.probe.failingSince >= longOutage
 }
 
+// isLeftToConfig reports whether the prefix is not read because the store has answered neither a probe nor a read of the
+// configuration for longOutage. The first answer to one of these ends that state.
+func (d *Distributor) isLeftToConfig(prefix string) bool {
+	d.mu.Lock()
+	unconfirmed := d.options.Now()-max(d.confirmation.own, 0) >= longOutage
+	d.mu.Unlock()
+	return prefix != ConfigPrefix && unconfirmed && d.isLongOutage()
+}
+
 // watchBackoffMax bounds the pause of a watcher after a failed watch of the prefix.
 func (d *Distributor) watchBackoffMax(prefix string) time.Duration {
 	switch {
@@ -97,13 +106,11 @@
 
 // probeStore sends one probe. It reports only the first one that fails.
 func (d *Distributor) probeStore(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, d.options.ProbeTimeout)
-	defer cancel()
-	key := MemberKey(d.options.Self)
-	err := d.options.Store.Ping(callCtx, key)
+	err := d.pingStore(ctx, d.options.ProbeTimeout)
 	if ctx.Err() != nil {
 		return
 	}
+	key := MemberKey(d.options.Self)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	failed := err != nil
@@ -122,6 +129,14 @@
 	d.probe.failing = failed
 }
 
+// pingStore sends a short read, whose answer confirms nothing.
+func (d *Distributor) pingStore(ctx context.Context, timeout time.Duration) error {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	d.recordOwnAttempt(ConfigPrefix)
+	return d.options.Store.Ping(callCtx, MemberKey(d.options.Self))
+}
+
 // forgetProbes removes the result of the last probe when the node is not a watcher any more. Watches that were sent while probes
 // failed have a long time limit, and no later probe would end them.
 func (d *Distributor) forgetProbes() {
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -19,7 +19,7 @@
 	for {
 		period := d.storePeriod()
 		wait := d.options.RoundInterval
-		if d.isWatching() {
+		if d.isWatching() && !d.isLeftToConfig(prefix) {
 			wait = d.jitter(d.options.WatchPause, watchPauseJitter)
 			if err := d.syncPrefix(ctx, prefix); err != nil {
 				pause.maximum = d.watchBackoffMax(prefix)
@@ -92,6 +92,7 @@
 func (d *Distributor) list(ctx context.Context, prefix string) error {
 	callCtx, cancel := context.WithTimeout(ctx, d.options.StoreTimeout)
 	defer cancel()
+	d.recordOwnAttempt(prefix)
 	startedAt := d.options.Now()
 	kvs, revision, err := d.options.Store.List(callCtx, prefix)
 	if d.recordStoreResult(ctx, prefix, err) != nil {
@@ -127,6 +128,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, d.watchTimeout(wait))
 	defer cancel()
 	defer context.AfterFunc(period, cancel)()
+	d.recordOwnAttempt(prefix)
 	startedAt := d.options.Now()
 	changes, revision, err := d.options.Store.Watch(callCtx, prefix, after, wait)
 	if errors.Is(err, store.ErrCompacted) {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -30,7 +30,7 @@
 	StoreEraReceived     = &Event{213, "store_era_received", Info, "the records of the fleet in a restored store are checked, and written again if they are lost", []Key{Era, Revision}, 0}
 	StandInStarted       = &Event{214, "stand_in_started", Info, "no node of the failure domain has confirmed the configuration recently; this node reads it from the store", []Key{Domain, Revision}, 0}
 	StandInStopped       = &Event{215, "stand_in_stopped", Info, "this node has stopped reading the store in place of the watchers of its failure domain", []Key{Domain}, 0}
-	StandInFailed        = &Event{218, "stand_in_failed", Warning, "the store did not answer a read by this standby, of the given rank in its failure domain; it pauses, until another node confirms the configuration or the duration is over", []Key{Domain, Rank, Age, Duration, Cause}, 0}
+	StandInFailed        = &Event{218, "stand_in_failed", Warning, "the store did not answer a read or a ping by this standby, of the given rank in its failure domain; it tries again after the duration, sooner if it hears of no attempt by others", []Key{Domain, Rank, Age, Duration, Cause}, 0}
 	ConfirmationLate     = &Event{216, "confirmation_late", Warning, "the store has not confirmed the configuration to any node that this one hears of for longer than expected", []Key{Revision, Age, Operation}, 0}
 	ConfirmationReceived = &Event{217, "confirmation_received", Info, "the store has confirmed the configuration again", []Key{Revision, Duration}, 0}
 )
--- a/internal/membership/watch_rank.go
+++ b/internal/membership/watch_rank.go
@@ -1,6 +1,10 @@
 package membership
 
-import "github.com/sardinereach/sardinereach/internal/model"
+import (
+	"slices"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
 
 // WatchRank returns the number of live members of the node's domain that precede it in the election of watchers, without
 // those that skip returns true for. Watchers have the ranks below WatchersPerDomain. skip gets a peer address and may be nil.
@@ -26,13 +30,21 @@
 	return addresses
 }
 
-// OtherWatcherAddress returns the peer address of a watcher of another domain, "" if there is none. The salt selects it.
-func (v *View) OtherWatcherAddress(salt uint64) string {
+// Standbys returns the number of live members of the node's domain that are not watchers.
+func (v *View) Standbys() int { return max(0, len(v.domains[v.self.Domain])-WatchersPerDomain) }
+
+// OtherWatcherAddress returns the peer address of a watcher of another domain, "" if there is none. The salt selects it. One that
+// skip returns true for is selected only if skip returns true for all. skip gets a peer address.
+func (v *View) OtherWatcherAddress(salt uint64, skip func(address string) bool) string {
 	var watchers []model.NodeID
 	for domain := range v.domains {
 		if domain != v.self.Domain {
 			watchers = append(watchers, v.Watchers(domain)...)
 		}
 	}
+	skipped := func(id model.NodeID) bool { return skip(v.addresses[id]) }
+	if preferred := slices.DeleteFunc(slices.Clone(watchers), skipped); len(preferred) > 0 {
+		watchers = preferred
+	}
 	return v.addresses[first(Elect(purposePull, salt, watchers, 1))]
 }
