End the pauses of a starting node when the store returns

Callers of a node that starts during an outage got 503 for up to 38 s after it, and its requests found no targets elsewhere for up to 30 s more.

Change: a start that failed reads the store and the peers side by side, with pauses of 2 s at most. The first confirmation of the configuration after a gap, from the store or from a peer, ends these pauses and those of the registration. A start whose documents were just confirmed does not read them again.

--- a/internal/distribution/confirmation.go
+++ b/internal/distribution/confirmation.go
@@ -29,11 +29,21 @@
 // confirmOwn records that the store confirmed the configuration at the time at. The caller holds d.mu.
 func (d *Distributor) confirmOwn(prefix string, at time.Duration) {
 	if prefix == ConfigPrefix {
+		previous := d.confirmation.newest()
 		d.confirmation.synced = true
 		d.confirmation.own = max(d.confirmation.own, at)
+		d.signalReturn(previous)
 	}
 }
 
+// isConfirmedNow reports whether the store has confirmed the configuration within outageGap.
+func (d *Distributor) isConfirmedNow() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	newest := d.confirmation.newest()
+	return newest != noResponseYet && d.options.Now()-newest < outageGap
+}
+
 // confirmationFailed records that a read of the prefix failed.
 func (d *Distributor) confirmationFailed(prefix string) {
 	if prefix != ConfigPrefix {
@@ -69,6 +79,8 @@
 		return
 	}
 	if age := response.GetConfirmationAgeMs(); age > 0 {
+		previous := d.confirmation.newest()
 		d.confirmation.peers = max(d.confirmation.peers, startedAt-time.Duration(age)*time.Millisecond)
+		d.signalReturn(previous)
 	}
 }
--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -45,6 +45,7 @@
 	confirmation      confirmation
 	attempts          storeAttempts
 	waiting           confirmationWait
+	returned          storeReturn
 	lastStoreResponse time.Duration
 	lastPeerResponse  time.Duration
 	// reportedRejections holds, by key, the revisions of invalid documents that were already reported.
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -26,13 +26,15 @@
 	if !sleep(ctx, d.randomBelow(d.options.RegisterJitter)) {
 		return
 	}
+	returned := d.awaitedReturn()
 	err := d.join(ctx)
 	close(d.firstJoinDone)
-	if !d.retryUntilDone(ctx, err, d.join) {
+	if !d.retryUntilDone(ctx, returned, err, d.join) {
 		return
 	}
 	for d.awaitMemberCheck(ctx) {
-		if !d.retryUntilDone(ctx, d.confirmRegistration(ctx), d.confirmRegistration) {
+		returned = d.awaitedReturn()
+		if !d.retryUntilDone(ctx, returned, d.confirmRegistration(ctx), d.confirmRegistration) {
 			return
 		}
 		if d.isWatching() && d.listMembers(ctx) == nil {
@@ -41,12 +43,16 @@
 	}
 }
 
-// retryUntilDone repeats a call, whose last result is err, until it succeeds. It returns false if ctx ended first.
-func (d *Distributor) retryUntilDone(ctx context.Context, err error, call func(context.Context) error) bool {
+// retryUntilDone repeats a call, whose last result is err, until it succeeds. The return of the store ends a pause; returned is
+// the one that was awaited before the last call. It returns false if ctx ended first.
+func (d *Distributor) retryUntilDone(
+	ctx context.Context, returned storeReturn, err error, call func(context.Context) error,
+) bool {
 	for pause := d.newBackoff(d.options.BackoffMax); err != nil; err = call(ctx) {
-		if !sleep(ctx, pause.next()) {
+		if !d.pauseUntil(ctx, returned, pause.next(), d.options.RegisterJitter) {
 			return false
 		}
+		returned = d.awaitedReturn()
 	}
 	return true
 }
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -21,34 +21,72 @@
 // If the store is up, the peers provide most documents and the store confirms that none is missing. If the store is
 // down, every reachable seed and peer is read, because any of them may have the newest document.
 func (d *Distributor) runStart(ctx context.Context) {
-	pause := d.newBackoff(d.options.BackoffMax)
-	for ctx.Err() == nil {
-		ready, storeResponded := d.start(ctx)
-		if ready {
-			d.becomeReady()
-			return
-		}
-		if storeResponded {
-			// There is no configuration yet. It may be written at any moment.
-			pause.reset()
-		}
-		if !sleep(ctx, pause.next()) {
-			return
-		}
+	if d.start(ctx) || d.retryStart(ctx) {
+		d.becomeReady()
 	}
 }
 
-func (d *Distributor) start(ctx context.Context) (ready, storeResponded bool) {
+// start reads the peers and then the store. It returns true if the node has a configuration.
+func (d *Distributor) start(ctx context.Context) bool {
 	if !d.syncFromAny(ctx, d.options.Seeds) {
 		d.awaitFirstJoin(ctx)
 		d.syncFromAny(ctx, d.gossipPeerAddresses())
 	}
 	if d.readConfig(ctx, 0) == nil {
-		return d.complete(ConfigPrefix) > 0, true
+		return d.complete(ConfigPrefix) > 0
+	}
+	return d.syncFromAll(ctx)
+}
+
+// retryStart reads the store and the peers side by side until the node has a configuration, so that peers that do not answer
+// do not delay the news of the store's return. It returns false if ctx ended first.
+func (d *Distributor) retryStart(ctx context.Context) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var ready atomic.Bool
+	var tries sync.WaitGroup
+	for _, try := range []func(context.Context, *backoff) bool{d.tryStore, d.tryPeers} {
+		tries.Go(func() {
+			if d.retryUntilReady(ctx, try) {
+				ready.Store(true)
+				cancel()
+			}
+		})
+	}
+	tries.Wait()
+	return ready.Load()
+}
+
+// retryUntilReady repeats a try until it returns true. It returns false if ctx ended first.
+func (d *Distributor) retryUntilReady(ctx context.Context, try func(context.Context, *backoff) bool) bool {
+	pause := d.newBackoff(d.options.ConfirmBackoffMax)
+	for {
+		returned := d.awaitedReturn()
+		if try(ctx, pause) {
+			return true
+		}
+		if !d.pauseUntil(ctx, returned, pause.next(), recoveryJitter) {
+			return false
+		}
+	}
+}
+
+// tryStore reads the configuration from the store, unless another read or a peer has just confirmed it. Without one there, it
+// may be written at any moment.
+func (d *Distributor) tryStore(ctx context.Context, pause *backoff) bool {
+	if d.isConfirmedNow() && d.complete(ConfigPrefix) > 0 {
+		return true
 	}
-	return d.syncFromAll(ctx), false
+	if d.readConfig(ctx, 0) != nil {
+		return false
+	}
+	pause.reset()
+	return d.complete(ConfigPrefix) > 0
 }
 
+// tryPeers reads the configuration from all peers.
+func (d *Distributor) tryPeers(ctx context.Context, _ *backoff) bool { return d.syncFromAll(ctx) }
+
 // awaitFirstJoin waits for the first attempt to register and to list the members.
 func (d *Distributor) awaitFirstJoin(ctx context.Context) {
 	select {
@@ -75,11 +113,32 @@
 	return addresses
 }
 
-// syncFromAny pulls from the addresses in order until one of them has provided all its data.
+// nextSyncAfter is the time without an answer after which the next peer is read as well.
+const nextSyncAfter = 500 * time.Millisecond
+
+// syncFromAny pulls from the addresses until one of them has provided all its data. It goes on to the next address after a
+// failure, or if there is no result within nextSyncAfter.
 func (d *Distributor) syncFromAny(ctx context.Context, addresses []string) bool {
-	for _, address := range addresses {
-		if d.syncFrom(ctx, address, d.pullOnce) == nil {
-			return true
+	var pulls sync.WaitGroup
+	defer pulls.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan bool, len(addresses))
+	for pending, next := 0, 0; pending > 0 || next < len(addresses); {
+		var hedge <-chan time.Time
+		if next < len(addresses) {
+			address := addresses[next]
+			pulls.Go(func() { results <- d.syncFrom(ctx, address, d.pullOnce) == nil })
+			pending, next = pending+1, next+1
+			hedge = time.After(nextSyncAfter)
+		}
+		select {
+		case done := <-results:
+			if done {
+				return true
+			}
+			pending--
+		case <-hedge:
 		}
 	}
 	return false
@@ -117,29 +176,31 @@
 // syncFromAll reads the documents of all seeds and members. It returns true if one of them responded and a
 // configuration was received: in a fleet that starts without the store, no peer has one.
 func (d *Distributor) syncFromAll(ctx context.Context) bool {
-	for _, seed := range d.options.Seeds {
-		_ = d.syncFrom(ctx, seed, d.pullOnce)
-	}
+	d.syncFromEach(ctx, d.options.Seeds, d.pullOnce)
+	responded := d.syncFromEach(ctx, d.allPeerAddresses(), d.pullDocuments)
+	return responded && d.complete(ConfigPrefix) > 0
+}
+
+// syncFromEach pulls from all addresses. It returns true if one of them has provided all its data.
+func (d *Distributor) syncFromEach(ctx context.Context, addresses []string, pull pullFunc) bool {
 	var responded atomic.Bool
 	var workers sync.WaitGroup
-	addresses := make(chan string)
-	for range d.options.SyncParallel {
+	queue := make(chan string)
+	for range min(d.options.SyncParallel, len(addresses)) {
 		workers.Go(func() {
-			for address := range addresses {
-				if d.syncFrom(ctx, address, d.pullDocuments) == nil {
+			for address := range queue {
+				if d.syncFrom(ctx, address, pull) == nil {
 					responded.Store(true)
 				}
 			}
 		})
 	}
-	for _, address := range d.allPeerAddresses() {
-		addresses <- address
+	for _, address := range addresses {
+		queue <- address
 	}
-	close(addresses)
+	close(queue)
 	workers.Wait()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return responded.Load() && d.tables.config.Complete() > 0
+	return responded.Load()
 }
 
 // allPeerAddresses returns the addresses of the seeds and of all members. Dead ones are included, because a member that
