Bound what one node keeps of answers of the store

A faulty store that answers bytes without end filled the memory of the node that called it, and the requests of its callers ended with it.

Cause: the client of the platform's store read heads of up to 10 MB (the default of net/http) and bodies of up to 8 MB on every connection at the same time, into buffers that grow by copying; the client of the project's own store had no limit at all.

TestEndlessAnswersOfTheStoreDoNotFillTheMemory failed before in both packages.

--- a/internal/store/dial.go
+++ b/internal/store/dial.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/sardinereach/sardinereach/api/storev1"
 )
 
@@ -15,6 +17,8 @@
 	idleTimeout = 90 * time.Second
 	// maxIdleConnections is enough for the three concurrent watches of a node and its concurrent short calls.
 	maxIdleConnections = 16
+	// maxAnswerBytes bounds one answer. 120,000 routes of 100 bytes fit into it.
+	maxAnswerBytes = 12 << 20
 )
 
 // Dial returns a Store that calls the service at address (host:port) over connect. No connection is opened before the
@@ -29,15 +33,17 @@
 		observe = func(string) {}
 	}
 	transport := newTransport()
-	rpc := storev1.NewStoreClient(&http.Client{Transport: transport}, "http://"+address)
+	httpClient := &http.Client{Transport: LimitAnswers(transport, maxAnswerBytes)}
+	rpc := storev1.NewStoreClient(httpClient, "http://"+address, connect.WithReadMaxBytes(maxAnswerBytes))
 	return &client{rpc: rpc, observe: observe, transport: transport}
 }
 
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 }
