Bound messages between nodes that never end

A faulty peer, or whatever holds its address, that sends bytes without end made a node keep up to 16 MiB of them on each connection.

Evidence: with eight connections whose bytes read as frames of one message, the heap grew by 279 MB where the node calls and by 330 MB where it is called.

Change: 2 MiB for a message to a node and for one of the response to a forwarded request, which is what the largest retained response needs, and 4 MiB for responses to pulls. The setting max_header is at most 1 MiB, so that a header block fits into a message.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -22,17 +22,21 @@
 	lastUsed time.Time
 }
 
-func newConn(address string, raw net.Conn) *conn {
-	rpc := drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()})
+func newConn(address, purpose string, raw net.Conn) *conn {
+	maxMessage := maxControlBytes
+	if purpose == PurposeTraffic {
+		maxMessage = maxTrafficBytes
+	}
+	rpc := drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions(maxMessage)})
 	return &conn{address: address, rpc: rpc, client: peerv1.NewDRPCPeerClient(rpc), lastUsed: time.Now()}
 }
 
-// managerOptions returns the drpc options of both sides. Messages are flushed explicitly, so that the frames of a small
-// request or response are sent in one write.
-func managerOptions() drpcmanager.Options {
+// managerOptions returns the drpc options of both sides. maxMessage bounds the bytes of a received message that are kept, also of
+// one that never ends. Messages are flushed explicitly, so that the frames of a small request or response are sent in one write.
+func managerOptions(maxMessage int) drpcmanager.Options {
 	return drpcmanager.Options{
 		WriterBufferSize: writerBufferBytes,
-		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
 		Stream:           drpcstream.Options{ManualFlush: true},
 	}
 }
@@ -63,5 +67,5 @@
 	if opts.OnBytes != nil {
 		raw = &countingConn{Conn: raw, address: address, purpose: purpose, onBytes: opts.OnBytes}
 	}
-	return newConn(address, raw), nil
+	return newConn(address, purpose, raw), nil
 }
--- /dev/null
+++ b/internal/peer/endless_bytes_test.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/heaptest"
+)
+
+const (
+	// endlessConnections is the number of connections on which bytes arrive without an end, endlessPulls that of pulls, of which
+	// a node makes a few at a time.
+	endlessConnections = 8
+	endlessPulls       = 4
+	// maxEndlessHeapBytes is far below the memory of a node.
+	maxEndlessHeapBytes = 64 << 20
+	endlessTimeout      = 2 * time.Second
+)
+
+// endlessPieces are bytes that a reader of frames takes for the beginning of a message or for none.
+var endlessPieces = map[string]string{
+	"frames of one message": strings.Repeat("x", 64<<10),
+	"zero bytes":            strings.Repeat("\x00", 64<<10),
+	"long number":           strings.Repeat("\xff", 64<<10),
+	"text":                  strings.Repeat("HTTP/1.1 200 OK\r\n", 4<<10),
+}
+
+// writeEndlessly writes the piece until the connection is closed.
+func writeEndlessly(c net.Conn, piece string) {
+	defer c.Close()
+	for err := error(nil); err == nil; {
+		_, err = io.WriteString(c, piece)
+	}
+}
+
+// Guards against a node that collects what a peer sends without an end until it has no memory left.
+func TestEndlessBytesOfAPeerDoNotFillTheMemory(t *testing.T) {
+	for name, piece := range endlessPieces {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer listener.Close()
+			go func() {
+				for {
+					c, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go writeEndlessly(c, piece)
+				}
+			}()
+			client := NewClient("caller", Options{})
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*endlessTimeout)
+			defer cancel()
+			checkEndless(t, endlessPulls, func() {
+				if _, err := client.Pull(ctx, listener.Addr().String(), &peerv1.PullRequest{}); err == nil {
+					t.Error("the bytes were taken for a response to a pull")
+				}
+			})
+			head := &peerv1.ForwardHead{Attempt: "a", Idempotent: true, TimeoutMs: endlessTimeout.Milliseconds()}
+			checkEndless(t, endlessConnections, func() {
+				if trailer, err := client.Forward(ctx, listener.Addr().String(), head, nil, new(bufferSink)); err == nil {
+					t.Errorf("the bytes were taken for a response to a request: %v", trailer)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a node that collects what a caller sends to its peer listener without an end until it has no memory left.
+func TestEndlessBytesOfACallerDoNotFillTheMemory(t *testing.T) {
+	for name, piece := range endlessPieces {
+		t.Run(name, func(t *testing.T) {
+			listener, _ := serve(t, &echoHandler{run: echo}, Options{})
+			checkEndless(t, endlessConnections, func() {
+				c, err := net.Dial("tcp", listener.Addr().String())
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_ = c.SetDeadline(time.Now().Add(endlessTimeout))
+				writeEndlessly(c, piece)
+			})
+		})
+	}
+}
+
+// checkEndless runs the function the given number of times side by side and checks the memory.
+func checkEndless(t *testing.T, count int, run func()) {
+	t.Helper()
+	peak := heaptest.Peak(func() {
+		var connections sync.WaitGroup
+		for range count {
+			connections.Go(run)
+		}
+		connections.Wait()
+	})
+	t.Logf("%d MiB", peak>>20)
+	if peak > maxEndlessHeapBytes {
+		t.Errorf("the heap grew by %d bytes, want at most %d", peak, maxEndlessHeapBytes)
+	}
+}
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -39,9 +39,13 @@
 	defaultProgressInterval = 500 * time.Millisecond
 	defaultMaxIdle          = 64
 
-	// maxMessageBytes bounds one message in memory. It is large enough for a retained response and for a page of node
-	// records.
-	maxMessageBytes = 16 << 20
+	// maxRequestBytes and maxTrafficBytes bound one message to this node, and one of the response to a forwarded request. They are
+	// large enough for the header block of a request and for a retained response of 1 MiB.
+	maxRequestBytes = 2 << 20
+	maxTrafficBytes = 2 << 20
+	// maxControlBytes bounds one message of any other response. It is large enough for a response to a pull, see
+	// distribution.Options.MaxPullRecords.
+	maxControlBytes = 4 << 20
 	// writerBufferBytes is the size up to which frames are buffered for one write.
 	writerBufferBytes = 16 << 10
 	// flushDelay is how long a frame stays in the buffer, so that later frames can share its write.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -34,6 +34,6 @@
 	if err := peerv1.DRPCRegisterPeer(mux, &service{Server: s}); err != nil {
 		return errors.Wrap(err, "peer: register")
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions(maxRequestBytes)})
 	return errors.Wrap(server.Serve(ctx, listener), "peer: serve")
 }
--- a/internal/settings/readers.go
+++ b/internal/settings/readers.go
@@ -10,7 +10,7 @@
 // practically no limit.
 const (
 	maxSizeBytes   = 1 << 40
-	maxHeaderLimit = 1 << 24
+	maxHeaderLimit = 1 << 20
 	maxCount       = 1 << 24
 )
 
