--- a/internal/distribution/confirmation_wait.go
+++ b/internal/distribution/confirmation_wait.go
@@ -54,6 +54,10 @@
 	switch {
 	case !d.waiting.reported && age >= limit:
 		d.waiting.reported, d.waiting.confirmedAt = true, newest
+		if d.waiting.step == stepPause && d.waiting.since < newest {
+			// The pause was in an earlier outage.
+			d.waiting.step, d.waiting.since = stepNone, newest
+		}
 		d.options.Report(Event{
 			Kind: ConfirmationLate, Revision: d.tables.config.Complete(), Age: age,
 			Operation: fmt.Sprintf("%s for %v", d.waiting.step, (now - d.waiting.since).Round(time.Millisecond)),
