Ask all peers of a starting node no more often than before

Found on reading the change again: a start that had failed read the documents of all members every 2 s at most, where it was 30 s before. In a fleet that starts without the store that is the square of its size. The store is still tried every 2 s, and the first confirmation by a peer ends both pauses. Also splits the read of a standby from what follows its failure.

--- a/internal/distribution/stand_in.go
+++ b/internal/distribution/stand_in.go
@@ -159,25 +159,31 @@
 	}
 }
 
-// read stands in. After a failed read it sends a ping first, which costs less than a read, and sets the time of the next turn.
-// The first turns of the standbys are spread out by their ranks, so that one of them always comes soon.
+// read stands in. After a failed read it sends a ping first, which costs less than a read.
 func (r *standInReader) read(ctx context.Context, state standInState) {
-	d := r.distributor
 	var err error
 	if r.failing {
 		r.askElsewhere(ctx)
-		err = d.pingStore(ctx, d.options.StoreTimeout)
+		err = r.distributor.pingStore(ctx, r.distributor.options.StoreTimeout)
 	}
 	if err == nil {
-		err = d.standIn(ctx)
+		err = r.distributor.standIn(ctx)
 	}
 	if err == nil {
 		r.failing = false
 		return
 	}
-	now := d.options.Now()
-	wait := d.jitter(standInInterval(state.standbys, now-r.failingSince), jitterFraction)
-	if !r.failing {
+	r.recordFailure(state, err)
+}
+
+// recordFailure sets the time of the next turn after a read that failed with the error. The first turns of the standbys are
+// spread out by their ranks, so that one of them always comes soon.
+func (r *standInReader) recordFailure(state standInState, err error) {
+	d, now := r.distributor, r.distributor.options.Now()
+	var wait time.Duration
+	if r.failing {
+		wait = d.jitter(standInInterval(state.standbys, now-r.failingSince), jitterFraction)
+	} else {
 		r.failing, r.failingSince = true, now
 		wait = time.Duration(1+state.rank) * standInShare
 	}
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -45,21 +45,23 @@
 	defer cancel()
 	var ready atomic.Bool
 	var tries sync.WaitGroup
-	for _, try := range []func(context.Context, *backoff) bool{d.tryStore, d.tryPeers} {
-		tries.Go(func() {
-			if d.retryUntilReady(ctx, try) {
-				ready.Store(true)
-				cancel()
-			}
-		})
+	retry := func(try startTry, pause *backoff) {
+		if d.retryUntilReady(ctx, try, pause) {
+			ready.Store(true)
+			cancel()
+		}
 	}
+	tries.Go(func() { retry(d.tryStore, d.newBackoff(d.options.ConfirmBackoffMax)) })
+	tries.Go(func() { retry(d.tryPeers, d.newBackoff(d.options.BackoffMax)) })
 	tries.Wait()
 	return ready.Load()
 }
 
+// startTry returns true if the node has a configuration. It may reset the pause before the next try.
+type startTry func(ctx context.Context, pause *backoff) bool
+
 // retryUntilReady repeats a try until it returns true. It returns false if ctx ended first.
-func (d *Distributor) retryUntilReady(ctx context.Context, try func(context.Context, *backoff) bool) bool {
-	pause := d.newBackoff(d.options.ConfirmBackoffMax)
+func (d *Distributor) retryUntilReady(ctx context.Context, try startTry, pause *backoff) bool {
 	for {
 		returned := d.awaitedReturn()
 		if try(ctx, pause) {
@@ -84,7 +86,7 @@
 	return d.complete(ConfigPrefix) > 0
 }
 
-// tryPeers reads the configuration from all peers.
+// tryPeers reads the configuration from all peers, which may have one that the store did not confirm recently.
 func (d *Distributor) tryPeers(ctx context.Context, _ *backoff) bool { return d.syncFromAll(ctx) }
 
 // awaitFirstJoin waits for the first attempt to register and to list the members.
--- a/internal/distribution/store_attempts.go
+++ b/internal/distribution/store_attempts.go
@@ -14,13 +14,11 @@
 // itself: the nodes that would make them may be lost, and that is known only later. The age of the attempt travels with the
 // responses to pulls inside the failure domain.
 type storeAttempts struct {
-	// newest is the start of the newest attempt, own that of the newest one by this node.
-	newest, own time.Duration
+	// newest is the start of the newest attempt.
+	newest time.Duration
 }
 
-func newStoreAttempts() storeAttempts {
-	return storeAttempts{newest: noResponseYet, own: noResponseYet}
-}
+func newStoreAttempts() storeAttempts { return storeAttempts{newest: noResponseYet} }
 
 // recordOwnAttempt records that this node reads the prefix now. Only reads of the configuration count, and probes, after whose
 // answer the configuration is read at once.
@@ -30,8 +28,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.attempts.own = d.options.Now()
-	d.attempts.newest = d.attempts.own
+	d.attempts.newest = d.options.Now()
 }
 
 // encodeAttempt returns the age of the newest attempt for a response to the caller, 0 if there is none or the caller is not a
