--- a/internal/node/endless_answer_test.go
+++ b/internal/node/endless_answer_test.go
@@ -1,9 +1,7 @@
 package node
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -12,37 +10,9 @@
 	"time"
 
 	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/endlesstest"
 )
 
-// answerEndlessly serves start, followed by piece until the connection is closed.
-func answerEndlessly(t *testing.T, start, piece string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, err := io.WriteString(c, start)
-				for err == nil {
-					_, err = io.WriteString(c, piece)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // maxEndlessHeapBytes is far above the buffers of the requests of the test, and far below what their targets send.
 const maxEndlessHeapBytes = 64 << 20
 
@@ -59,9 +29,9 @@
 			a, address := startAcceptor(t)
 			service := &declaration.Service{Name: "s", Routes: []declaration.Route{{Path: "/s"}}}
 			if name == "chunks" {
-				addTarget(t, a, service, answerEndlessly(t, start, "8000\r\n"+piece+"\r\n"))
+				addTarget(t, a, service, endlesstest.Serve(t, start, "8000\r\n"+piece+"\r\n"))
 			} else {
-				addTarget(t, a, service, answerEndlessly(t, start, piece))
+				addTarget(t, a, service, endlesstest.Serve(t, start, piece))
 			}
 			var callers sync.WaitGroup
 			for range 4 {
--- a/internal/peer/endless_bytes_test.go
+++ b/internal/peer/endless_bytes_test.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
-	"github.com/sardinereach/sardinereach/internal/heaptest"
+	"github.com/sardinereach/sardinereach/internal/endlesstest"
 )
 
 const (
@@ -31,44 +29,23 @@
 	"text":                  strings.Repeat("HTTP/1.1 200 OK\r\n", 4<<10),
 }
 
-// writeEndlessly writes the piece until the connection is closed.
-func writeEndlessly(c net.Conn, piece string) {
-	defer c.Close()
-	for err := error(nil); err == nil; {
-		_, err = io.WriteString(c, piece)
-	}
-}
-
 // Guards against a node that collects what a peer sends without an end until it has no memory left.
 func TestEndlessBytesOfAPeerDoNotFillTheMemory(t *testing.T) {
 	for name, piece := range endlessPieces {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer listener.Close()
-			go func() {
-				for {
-					c, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					go writeEndlessly(c, piece)
-				}
-			}()
+			address := endlesstest.Listen(t, func(c net.Conn) { endlesstest.Write(c, piece) })
 			client := NewClient("caller", Options{})
 			defer client.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), 2*endlessTimeout)
 			defer cancel()
-			checkEndless(t, endlessPulls, func() {
-				if _, err := client.Pull(ctx, listener.Addr().String(), &peerv1.PullRequest{}); err == nil {
+			endlesstest.CheckHeap(t, maxEndlessHeapBytes, endlessPulls, func() {
+				if _, err := client.Pull(ctx, address, &peerv1.PullRequest{}); err == nil {
 					t.Error("the bytes were taken for a response to a pull")
 				}
 			})
 			head := &peerv1.ForwardHead{Attempt: "a", Idempotent: true, TimeoutMs: endlessTimeout.Milliseconds()}
-			checkEndless(t, endlessConnections, func() {
-				if trailer, err := client.Forward(ctx, listener.Addr().String(), head, nil, new(bufferSink)); err == nil {
+			endlesstest.CheckHeap(t, maxEndlessHeapBytes, endlessConnections, func() {
+				if trailer, err := client.Forward(ctx, address, head, nil, new(bufferSink)); err == nil {
 					t.Errorf("the bytes were taken for a response to a request: %v", trailer)
 				}
 			})
@@ -81,31 +58,16 @@
 	for name, piece := range endlessPieces {
 		t.Run(name, func(t *testing.T) {
 			listener, _ := serve(t, &echoHandler{run: echo}, Options{})
-			checkEndless(t, endlessConnections, func() {
+			endlesstest.CheckHeap(t, maxEndlessHeapBytes, endlessConnections, func() {
 				c, err := net.Dial("tcp", listener.Addr().String())
 				if err != nil {
 					t.Error(err)
 					return
 				}
+				defer c.Close()
 				_ = c.SetDeadline(time.Now().Add(endlessTimeout))
-				writeEndlessly(c, piece)
+				endlesstest.Write(c, piece)
 			})
 		})
 	}
 }
-
-// checkEndless runs the function the given number of times side by side and checks the memory.
-func checkEndless(t *testing.T, count int, run func()) {
-	t.Helper()
-	peak := heaptest.Peak(func() {
-		var connections sync.WaitGroup
-		for range count {
-			connections.Go(run)
-		}
-		connections.Wait()
-	})
-	t.Logf("%d MiB", peak>>20)
-	if peak > maxEndlessHeapBytes {
-		t.Errorf("the heap grew by %d bytes, want at most %d", peak, maxEndlessHeapBytes)
-	}
-}
--- a/internal/store/endless_answer_test.go
+++ b/internal/store/endless_answer_test.go
@@ -1,48 +1,14 @@
 package store
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
-	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/sardinereach/sardinereach/internal/heaptest"
+	"github.com/sardinereach/sardinereach/internal/endlesstest"
 )
 
-// serveEndlessly answers each request with start, followed by piece until the connection is closed.
-func serveEndlessly(t *testing.T, start, piece string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, err := io.WriteString(c, start)
-				for err == nil {
-					_, err = io.WriteString(c, piece)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // Guards against answers without an end, in a head or a body, that a node collects in its memory until it has none left.
 func TestEndlessAnswersOfTheStoreDoNotFillTheMemory(t *testing.T) {
 	// A node has 128 MB for control.
@@ -58,24 +24,14 @@
 		"error":            {"HTTP/1.1 503 Busy\r\nContent-Type: application/json\r\n\r\n", piece},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := Dial(serveEndlessly(t, answer.start, answer.piece), nil)
-			peak := heaptest.Peak(func() {
-				var callers sync.WaitGroup
-				for range calls {
-					callers.Go(func() {
-						ctx, cancel := context.WithTimeout(context.Background(), timeout)
-						defer cancel()
-						if _, _, err := s.List(ctx, "config/"); err == nil {
-							t.Error("the answer was taken for a complete one")
-						}
-					})
+			s := Dial(endlesstest.Serve(t, answer.start, answer.piece), nil)
+			endlesstest.CheckHeap(t, maxHeapBytes, calls, func() {
+				ctx, cancel := context.WithTimeout(context.Background(), timeout)
+				defer cancel()
+				if _, _, err := s.List(ctx, "config/"); err == nil {
+					t.Error("the answer was taken for a complete one")
 				}
-				callers.Wait()
 			})
-			t.Logf("%d MiB", peak>>20)
-			if peak > maxHeapBytes {
-				t.Errorf("the heap grew by %d bytes, want at most %d", peak, maxHeapBytes)
-			}
 		})
 	}
 }
