--- a/internal/distribution/distributor_test.go
+++ b/internal/distribution/distributor_test.go
@@ -79,7 +79,6 @@
 
 // Guards against a configuration that is lost, or a node that cannot start, while the store is down for hours.
 func TestStoreOutageOfHours(t *testing.T) {
-	t.Parallel()
 	runInFleet(t, func(f *fleet) {
 		f.options = slowRounds
 		f.declare("ledger", "/v1")
--- a/internal/distribution/stand_in_test.go
+++ b/internal/distribution/stand_in_test.go
@@ -119,7 +119,6 @@
 // Guards against stand-ins in a calm fleet with large domains, against calls that grow with the fleet while the store is
 // down, and against stand-ins that remain after it.
 func TestCallsOfStandInsAreBounded(t *testing.T) {
-	t.Parallel()
 	runInFleet(t, func(f *fleet) {
 		const size, seconds = 96, 60
 		f.declare("ledger", "/v1")
--- a/internal/distribution/store_return_test.go
+++ b/internal/distribution/store_return_test.go
@@ -72,17 +72,13 @@
 
 // Guards against standbys that pause after failed reads while the store is back and the watchers are lost.
 func TestChangeAfterStoreReturnIsActiveWhileWatchersAreLost(t *testing.T) {
-	t.Parallel()
 	small := storeReturn{nodes: 24, stable: stableWindow, disrupt: losePower, keep: 0.3}
 	for _, mode := range []storeMode{storeRefuses, storeSilent} {
 		for _, seconds := range []int{4, 9, 20, 90} {
 			for i, lostBefore := range []time.Duration{100 * time.Millisecond, 3 * time.Second} {
 				r := small
 				r.mode, r.outage, r.lostBefore = mode, time.Duration(seconds)*time.Second, lostBefore
-				t.Run(r.String(), func(t *testing.T) {
-					t.Parallel()
-					r.play(t, uint64(seconds+i))
-				})
+				t.Run(r.String(), func(t *testing.T) { r.play(t, uint64(seconds+i)) })
 			}
 		}
 	}
@@ -91,27 +87,20 @@
 		for _, seconds := range []int{9, 90} {
 			r := large
 			r.mode, r.outage = mode, time.Duration(seconds)*time.Second
-			t.Run(r.String(), func(t *testing.T) {
-				t.Parallel()
-				r.play(t, uint64(seconds))
-			})
+			t.Run(r.String(), func(t *testing.T) { r.play(t, uint64(seconds)) })
 		}
 	}
 }
 
 // Guards against standbys that pause after failed reads while the store is back and turns most nodes away, the watchers among them.
 func TestChangeAfterStoreReturnIsActiveWhileWatchersAreTurnedAway(t *testing.T) {
-	t.Parallel()
 	for _, r := range []storeReturn{
 		{nodes: 24, stable: stableWindow, keep: 0.2},
 		{nodes: 82, stable: 4 * time.Second, keep: 0.2},
 	} {
 		for _, seconds := range []int{9, 90} {
 			r.mode, r.outage, r.disrupt = storeSilent, time.Duration(seconds)*time.Second, staySilent
-			t.Run(r.String(), func(t *testing.T) {
-				t.Parallel()
-				r.play(t, uint64(seconds))
-			})
+			t.Run(r.String(), func(t *testing.T) { r.play(t, uint64(seconds)) })
 		}
 	}
 }
