Log the size of a configuration, the time until it is merged, and pulls that fail

SR0204 had the time from the call until the document was merged in one figure, and no size; pulls that failed were not logged. Change: SR0204 has the duration of the call, the wait from its response until the document is merged, and the size; SR0219 names pulls that fail. No logic is changed.

--- a/internal/distribution/apply.go
+++ b/internal/distribution/apply.go
@@ -77,7 +77,8 @@
 	for _, document := range changed {
 		d.options.Report(Event{
 			Kind: DocumentApplied, Key: document.Key, Revision: document.Revision, Address: from.address,
-			Duration: now - from.startedAt, Age: age(now, d.confirmation.newest()),
+			Duration: from.answeredAt - from.startedAt, Age: age(now, d.confirmation.newest()),
+			Wait: now - from.answeredAt, Bytes: int64(len(document.Value)),
 		})
 	}
 	if prefix == ConfigPrefix {
--- a/internal/distribution/benchmark_documents_test.go
+++ b/internal/distribution/benchmark_documents_test.go
@@ -55,7 +55,7 @@
 					b.Fatal(err)
 				}
 				caller.mu.Lock()
-				caller.applyConfig(&response, "peer", 0)
+				caller.applyConfig(&response, delivery{address: "peer"})
 				caller.mu.Unlock()
 				caller.publish()
 				size = len(data)
--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -176,7 +176,7 @@
 // distributed prefixes are ignored.
 func (d *Distributor) MergeDocument(document config.Document, startedAt time.Duration) {
 	d.mu.Lock()
-	d.applyDocuments([]config.Document{document}, delivery{startedAt: startedAt})
+	d.applyDocuments([]config.Document{document}, d.received("", startedAt))
 	d.ages.record(document, startedAt)
 	d.mu.Unlock()
 	d.publish()
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -19,11 +19,13 @@
 	// ListOutdated means that a list of the keys under the prefix Key has a lower revision than the one up to which this
 	// node's documents are complete. Revision is that of the list, Complete that of the node.
 	ListOutdated
-	// PullFailed means that a Pull failed; Address is the peer, Err the error.
+	// PullFailed means that a Pull failed after Duration; Address is the peer, Err the error. Revision is the one after which
+	// documents were requested.
 	PullFailed
 	// DocumentApplied means that a newer document was merged; Key and Revision identify it. Address is the peer that
 	// delivered it, "" for the store, and Duration the time that the call took. Age is the time since the newest
-	// confirmation before: the change was acknowledged after it.
+	// confirmation before: the change was acknowledged after it. Bytes is the size of the document, Wait the time from the
+	// response until the document was merged.
 	DocumentApplied
 	// DocumentRejected means that the newest document of Key is invalid. The last valid one stays active.
 	DocumentRejected
@@ -92,5 +94,7 @@
 	Operation     string
 	Rank          int
 	Duration, Age time.Duration
+	Wait          time.Duration
+	Bytes         int64
 	Err           error
 }
--- a/internal/distribution/odd_pull_test.go
+++ b/internal/distribution/odd_pull_test.go
@@ -49,7 +49,7 @@
 			d.HandlePull(request)
 		}
 		if proto.Unmarshal(data, response) == nil {
-			d.applyPull("b", d.pullRequest("b"), response, time.Second)
+			d.applyPull(d.pullRequest("b"), response, delivery{address: "b", startedAt: time.Second})
 		}
 		d.publishNow()
 		d.LoadReceivers()
--- a/internal/distribution/pull.go
+++ b/internal/distribution/pull.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return false, err
 	}
-	more = d.applyPull(address, request, response, startedAt)
+	more = d.applyPull(request, response, d.received(address, startedAt))
 	d.publish()
 	return more, nil
 }
@@ -96,9 +96,10 @@
 	if err != nil {
 		return false, err
 	}
+	from := d.received(address, startedAt)
 	d.mu.Lock()
 	previousRevision := d.tables.config.Revision()
-	d.applyConfig(response, address, startedAt)
+	d.applyConfig(response, from)
 	d.signalNewDocuments(previousRevision, address)
 	d.mu.Unlock()
 	d.publish()
@@ -110,10 +111,13 @@
 ) (*peerv1.PullResponse, error) {
 	callCtx, cancel := context.WithTimeout(ctx, d.options.PullTimeout)
 	defer cancel()
+	startedAt := d.options.Now()
 	response, err := d.options.Puller.Pull(callCtx, address, request)
 	if err != nil {
 		if ctx.Err() == nil {
-			d.options.Report(Event{Kind: PullFailed, Address: address, Err: err})
+			d.options.Report(Event{
+				Kind: PullFailed, Address: address, Revision: request.DocumentRevision, Duration: d.options.Now() - startedAt, Err: err,
+			})
 		}
 		return nil, err
 	}
@@ -149,14 +153,14 @@
 	return peer.cursor
 }
 
-func (d *Distributor) applyPull(address string, request *peerv1.PullRequest, response *peerv1.PullResponse, startedAt time.Duration) bool {
+func (d *Distributor) applyPull(request *peerv1.PullRequest, response *peerv1.PullResponse, from delivery) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	complete := d.mergeStates(response.Nodes)
 	previousRevision := d.tables.config.Revision()
-	d.applyConfig(response, address, startedAt)
-	d.signalNewDocuments(previousRevision, address)
-	peer := d.peer(address)
+	d.applyConfig(response, from)
+	d.signalNewDocuments(previousRevision, from.address)
+	peer := d.peer(from.address)
 	restarted := peer.incarnation != response.Incarnation
 	peer.incarnation = response.Incarnation
 	peer.cursor = response.Cursor
@@ -212,17 +216,17 @@
 	return result
 }
 
-// applyConfig merges the documents of a response from the address. startedAt is the time at which the call started.
-func (d *Distributor) applyConfig(response *peerv1.PullResponse, address string, startedAt time.Duration) {
+// applyConfig merges the documents of a response.
+func (d *Distributor) applyConfig(response *peerv1.PullResponse, from delivery) {
 	documents := make([]config.Document, 0, len(response.Documents))
 	for _, message := range response.Documents {
 		documents = append(documents, decodeDocument(message))
 	}
-	d.applyDocuments(documents, delivery{address: address, startedAt: startedAt})
+	d.applyDocuments(documents, from)
 	for i, message := range response.Documents {
-		d.ages.record(documents[i], startedAt-time.Duration(message.AgeMs)*time.Millisecond)
+		d.ages.record(documents[i], from.startedAt-time.Duration(message.AgeMs)*time.Millisecond)
 	}
 	d.advance(ConfigPrefix, response.DocumentRevision)
-	d.recordConfirmation(response, startedAt)
-	d.recordPeerAttempt(response, startedAt)
+	d.recordConfirmation(response, from.startedAt)
+	d.recordPeerAttempt(response, from.startedAt)
 }
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -100,6 +100,7 @@
 		return err
 	}
 	d.setWaitStep(prefix, stepNone)
+	from := d.received("", startedAt)
 	documents := make([]config.Document, 0, len(kvs))
 	for _, kv := range kvs {
 		documents = append(documents, config.Document{Key: kv.Key, Value: kv.Value, Revision: kv.Revision})
@@ -109,7 +110,7 @@
 		d.options.Report(Event{Kind: ListOutdated, Key: prefix, Revision: revision, Complete: complete})
 	}
 	previousRevision := d.tables.config.Revision()
-	d.applyList(prefix, documents, revision, delivery{startedAt: startedAt})
+	d.applyList(prefix, documents, revision, from)
 	d.confirmOwn(prefix, startedAt)
 	d.recordPermitAges(documents, startedAt)
 	d.signalNewDocuments(previousRevision, "")
@@ -142,8 +143,9 @@
 		return err
 	}
 	d.setWaitStep(prefix, stepNone)
+	from := d.received("", startedAt)
 	confirmedAt := startedAt
-	if answeredAt := d.options.Now(); len(changes) == 0 && answeredAt-startedAt >= wait {
+	if len(changes) == 0 && from.answeredAt-startedAt >= wait {
 		// The store answers a watch without changes only after the wait.
 		confirmedAt += wait
 	}
@@ -155,7 +157,7 @@
 	}
 	d.mu.Lock()
 	previousRevision := d.tables.config.Revision()
-	d.applyDocuments(documents, delivery{startedAt: startedAt})
+	d.applyDocuments(documents, from)
 	d.recordPermitAges(documents, startedAt)
 	d.advance(prefix, revision)
 	d.confirmOwn(prefix, confirmedAt)
--- a/internal/node/event_log.go
+++ b/internal/node/event_log.go
@@ -45,8 +45,12 @@
 	case distribution.DocumentApplied:
 		if strings.HasPrefix(e.Key, config.ServicePrefix) {
 			n.log.Emit(events.ConfigApplied, events.ServiceField(service), events.RevisionField(e.Revision),
-				events.SourceField(e.Address), events.DurationField(e.Duration), events.AgeField(e.Age))
+				events.SourceField(e.Address), events.DurationField(e.Duration), events.AgeField(e.Age),
+				events.BytesField(e.Bytes), events.WaitField(e.Wait))
 		}
+	case distribution.PullFailed:
+		n.log.Emit(events.PullFailed, events.AddressField(e.Address), events.RevisionField(e.Revision),
+			events.DurationField(e.Duration), events.CauseField(e.Err))
 	case distribution.DocumentRejected:
 		n.log.Emit(events.ConfigInvalid, events.ServiceField(service), events.RevisionField(e.Revision), events.CauseField(e.Err))
 	case distribution.WatchStarted:
