Do not give up answers of the store while they arrive

Cause: a call to the store had one second for its whole answer, whatever its size. What had not arrived by then was dropped and requested again from its beginning, also when a probe was answered meanwhile, so links stayed full because an answer was late. Class: a repair that costs as much as the work that is late. Change: the limit of a read is for silence. A probe that is answered again ends only watches of which nothing has arrived. Test: TestNodesThatStartTogetherWithManyRoutesAreReady failed (52 of 106 nodes not ready after 10 s, nor after a minute) and passes (2.8 s); TestProgressTimeout, TestCancelSilentKeepsArrivingAnswers.

--- a/internal/distribution/link_world_test.go
+++ b/internal/distribution/link_world_test.go
@@ -101,6 +101,7 @@
 			l.carry(ctx, piece)
 		}
 		pause(ctx, latency)
+		store.Progress(ctx)
 	}
 }
 
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -84,7 +84,7 @@
 
 // listMembers merges the member records of the store into the member table.
 func (d *Distributor) listMembers(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, d.options.StoreTimeout)
+	callCtx, cancel := store.WithProgressTimeout(ctx, d.options.StoreTimeout, d.options.StoreTimeout)
 	defer cancel()
 	kvs, _, err := d.options.Store.List(callCtx, MemberPrefix)
 	if d.recordStoreResult(ctx, MemberPrefix, err) != nil {
--- a/internal/distribution/options.go
+++ b/internal/distribution/options.go
@@ -36,7 +36,8 @@
 	RoundInterval time.Duration
 	// PullTimeout limits one Pull.
 	PullTimeout time.Duration
-	// StoreTimeout limits one store call, in addition to the wait time of a watch.
+	// StoreTimeout limits one store call, in addition to the wait time of a watch. The answer to a read may take longer while
+	// parts of it arrive within StoreTimeout of each other.
 	StoreTimeout time.Duration
 	// WatchWait is how long a watch waits for changes, except for a watch of the configuration. An unresponsive connection
 	// under a watch is detected only after WatchWait plus StoreTimeout, unless the store was silent as a whole.
--- a/internal/distribution/watch.go
+++ b/internal/distribution/watch.go
@@ -90,7 +90,7 @@
 
 // list reads all documents of the prefix.
 func (d *Distributor) list(ctx context.Context, prefix string) error {
-	callCtx, cancel := context.WithTimeout(ctx, d.options.StoreTimeout)
+	callCtx, cancel := store.WithProgressTimeout(ctx, d.options.StoreTimeout, d.options.StoreTimeout)
 	defer cancel()
 	d.recordOwnAttempt(prefix)
 	startedAt := d.options.Now()
@@ -124,11 +124,12 @@
 func (d *Distributor) watch(ctx context.Context, prefix string, wait time.Duration) error {
 	after := d.complete(prefix)
 	d.setWaitStep(prefix, stepRead)
-	// The period comes first: a probe that is answered after it ends this watch, whatever its time limit.
+	// The period comes first: a probe that is answered after it ends this watch, whatever its time limit. An answer that is
+	// arriving is not requested again.
 	period := d.storePeriod()
-	callCtx, cancel := context.WithTimeout(ctx, d.watchTimeout(wait))
+	callCtx, cancel := store.WithProgressTimeout(ctx, d.watchTimeout(wait), d.options.StoreTimeout)
 	defer cancel()
-	defer context.AfterFunc(period, cancel)()
+	defer context.AfterFunc(period, func() { store.CancelSilent(callCtx) })()
 	d.recordOwnAttempt(prefix)
 	startedAt := d.options.Now()
 	changes, revision, err := d.options.Store.Watch(callCtx, prefix, after, wait)
