Keep the route table while the services are the same

Cause: each view built the table of all routes again, at least once a second and up to 50 times a second with changes of members and loads, although routes change seldom. Change: a view takes the table of the one before while the declared services are the same.

--- a/internal/core/benchmark_test.go
+++ b/internal/core/benchmark_test.go
@@ -99,7 +99,7 @@
 		b.Run(fmt.Sprintf("routes=%d", routes), func(b *testing.B) {
 			snapshot := benchConfig(routes/benchRoutesPerService, routes)
 			for b.Loop() {
-				buildRouteTable(snapshot)
+				routeTable(&Inputs{Config: snapshot})
 			}
 		})
 	}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -4,6 +4,7 @@
 package core
 
 import (
+	"maps"
 	"sort"
 
 	"github.com/sardinereach/sardinereach/internal/capacity"
@@ -28,6 +29,8 @@
 	// FloorShare is the share of a service's slots that stays in use. A greater capacity floor of the service takes
 	// precedence.
 	FloorShare float64
+	// Previous is the view before, nil for the first one. Its route table is used again while the services are the same.
+	Previous *View
 	// Loads returns the load of a target. The returned value outlives views.
 	Loads func(model.TargetID) *routing.Load
 }
@@ -37,6 +40,8 @@
 	// Revision is the store revision of the configuration.
 	Revision int64
 	Table    *routing.Table
+	// declared are the services of Table.
+	declared map[model.ServiceName]*declaration.Service
 	services map[model.ServiceName]*ServiceView
 }
 
@@ -73,7 +78,8 @@
 	view := &View{services: make(map[model.ServiceName]*ServiceView)}
 	if in.Config != nil {
 		view.Revision = in.Config.Complete
-		view.Table = buildRouteTable(in.Config)
+		view.declared = in.Config.Services
+		view.Table = routeTable(&in)
 		for name, service := range in.Config.Services {
 			view.services[name] = &ServiceView{Service: service}
 		}
@@ -89,9 +95,13 @@
 	return view
 }
 
-func buildRouteTable(snapshot *config.Snapshot) *routing.Table {
-	services := make([]*declaration.Service, 0, len(snapshot.Services))
-	for _, service := range snapshot.Services {
+// routeTable returns the table of the routes in the configuration.
+func routeTable(in *Inputs) *routing.Table {
+	if in.Previous != nil && in.Previous.declared != nil && maps.Equal(in.Previous.declared, in.Config.Services) {
+		return in.Previous.Table
+	}
+	services := make([]*declaration.Service, 0, len(in.Config.Services))
+	for _, service := range in.Config.Services {
 		services = append(services, service)
 	}
 	return routing.NewTable(services)
--- a/internal/core/view_test.go
+++ b/internal/core/view_test.go
@@ -103,3 +103,24 @@
 		t.Errorf("with far preferred the view prefers %v", far)
 	}
 }
+
+// Guards against views that build the route table again although no service has changed, and against tables of changed services.
+func TestViewKeepsTheRouteTableWhileServicesAreTheSame(t *testing.T) {
+	service := &declaration.Service{Name: "s", Routes: []declaration.Route{{Path: "/a"}}}
+	in := inputs(service, func(int, *model.NodeRecord) {})
+	first := BuildView(in)
+	in.Previous = first
+	in.Config = &config.Snapshot{Complete: 2, Services: map[model.ServiceName]*declaration.Service{"s": service}}
+	second := BuildView(in)
+	if second.Table != first.Table || second.Revision != 2 {
+		t.Error("the route table was built again")
+	}
+	in.Previous = second
+	in.Config = &config.Snapshot{Services: map[model.ServiceName]*declaration.Service{
+		"s": {Name: "s", Routes: []declaration.Route{{Path: "/b"}}},
+	}}
+	third := BuildView(in)
+	if third.Table.Match("", "GET", "/b") == nil || third.Table.Match("", "GET", "/a") != nil {
+		t.Error("the route table of the service before is in force")
+	}
+}
--- a/internal/node/view_publisher.go
+++ b/internal/node/view_publisher.go
@@ -64,6 +64,7 @@
 		Unreachable: n.paths.avoided(),
 		Scores:      n.control.scores(),
 		FloorShare:  n.settings.Ejection.FloorShare,
+		Previous:    n.acceptor.view.Load(),
 		Loads:       n.loads.of,
 	})
 	n.acceptor.view.Store(view)
