Send only the chunks of a configuration that a node lacks

Cause: any change sent all routes to each node, from each node that it pulled from: 550 to 690 kB a node for one route of 1,400. A pull that did not arrive whole within 2 s was dropped and begun again. Change: a node splits long documents into chunks of about 4 KB that are identified by their content and end where a route's content says so, so that a changed route leaves the other chunks alone. A pull offers the IDs; the node requests the chunks that it lacks, compressed, 16 a call. A chunk is requested from one node at a time, what has arrived is kept when a call fails, and all documents of a version are merged together, as before. Revisions and their rules are as before, so restores need nothing new. Member records do not wait for documents. Nodes that do not accept manifests get the values as before. Ruled out: keeping the revision of documents that did not change: a node that skipped a version in which they differed would keep that one.

--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -24,6 +24,7 @@
 	tables tables
 	peers  map[string]*peerState
 	ages   permitAges
+	chunks chunkCache
 	self   ownRecord
 	round  uint64
 	// view was computed for viewGeneration of the member table.
@@ -91,6 +92,7 @@
 		},
 		peers:              map[string]*peerState{},
 		ages:               permitAges{},
+		chunks:             newChunkCache(),
 		self:               own,
 		probe:              newStoreProbe(),
 		confirmation:       newConfirmation(),
--- a/internal/distribution/fault_world_test.go
+++ b/internal/distribution/fault_world_test.go
@@ -179,12 +179,21 @@
 }
 
 func (p *worldPuller) Pull(ctx context.Context, address string, request *peerv1.PullRequest) (*peerv1.PullResponse, error) {
+	return overFaultyLinks(ctx, p, address, func() (*peerv1.PullResponse, error) { return p.puller.Pull(ctx, address, request) })
+}
+
+func (p *worldPuller) Chunks(ctx context.Context, address string, request *peerv1.ChunksRequest) (*peerv1.ChunksResponse, error) {
+	return overFaultyLinks(ctx, p, address, func() (*peerv1.ChunksResponse, error) { return p.puller.Chunks(ctx, address, request) })
+}
+
+// overFaultyLinks makes a call to the address whose request or response may be lost.
+func overFaultyLinks[R any](ctx context.Context, p *worldPuller, address string, call func() (*R, error)) (*R, error) {
 	p.world.travel(ctx)
 	if p.isLost(address) {
 		<-ctx.Done()
 		return nil, errPartitioned
 	}
-	response, err := p.puller.Pull(ctx, address, request)
+	response, err := call()
 	p.world.travel(ctx)
 	if err == nil && p.isLost(address) {
 		<-ctx.Done()
--- a/internal/distribution/fleet_test.go
+++ b/internal/distribution/fleet_test.go
@@ -234,6 +234,30 @@
 func (p *puller) Pull(
 	ctx context.Context, address string, request *peerv1.PullRequest,
 ) (*peerv1.PullResponse, error) {
+	node, err := p.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	response := node.HandlePull(request)
+	p.fleet.pulls.Add(1)
+	p.count(node, proto.Size(request)+proto.Size(response))
+	return response, nil
+}
+
+func (p *puller) Chunks(
+	ctx context.Context, address string, request *peerv1.ChunksRequest,
+) (*peerv1.ChunksResponse, error) {
+	node, err := p.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	response := node.HandleChunks(request)
+	p.count(node, proto.Size(request)+proto.Size(response))
+	return response, nil
+}
+
+// reach returns the node at the address, or an error at the end of ctx if nothing reaches it.
+func (p *puller) reach(ctx context.Context, address string) (*testNode, error) {
 	p.fleet.mu.Lock()
 	node := p.fleet.nodes[address]
 	partitioned := node == nil || p.fleet.partitioned(p.from, node.self)
@@ -242,14 +266,15 @@
 		<-ctx.Done()
 		return nil, errors.Wrap(errPartitioned, address)
 	}
-	response := node.HandlePull(request)
-	size := int64(proto.Size(request) + proto.Size(response))
-	p.fleet.pulls.Add(1)
-	p.fleet.bytes.Add(size)
+	return node, nil
+}
+
+// count adds the bytes of a call to the node.
+func (p *puller) count(node *testNode, bytes int) {
+	p.fleet.bytes.Add(int64(bytes))
 	if node.self.Region != p.from.Region {
-		p.fleet.remoteBytes.Add(size)
+		p.fleet.remoteBytes.Add(int64(bytes))
 	}
-	return response, nil
 }
 
 var _ store.Store = (*fakestore.Store)(nil)
--- a/internal/distribution/handle_pull.go
+++ b/internal/distribution/handle_pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/config"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
@@ -35,10 +36,21 @@
 	response.ConfirmationAgeMs = d.encodeConfirmation(complete)
 	response.StoreAttemptAgeMs = d.encodeAttempt(model.NodeID(request.GetNode()))
 	for _, document := range documents {
-		response.Documents = append(response.Documents, encodeDocument(document))
+		response.Documents = append(response.Documents, d.encodeConfig(document, request.GetAcceptsManifests()))
 	}
 }
 
+// encodeConfig returns the wire form of a configuration document, with a manifest in place of a long value if the caller accepts
+// it.
+func (d *Distributor) encodeConfig(document config.Document, manifest bool) *peerv1.Document {
+	message := encodeDocument(document)
+	if manifest && !document.Deleted && len(document.Value) >= manifestMinBytes {
+		message.Value = nil
+		message.Manifest = d.chunks.manifest(document, d.options.Now()).Encode()
+	}
+	return message
+}
+
 // answerChanges adds the records and the auxiliary documents after the caller's cursor.
 func (d *Distributor) answerChanges(request *peerv1.PullRequest, response *peerv1.PullResponse) {
 	cursor := request.GetCursor()
--- a/internal/distribution/link_world_test.go
+++ b/internal/distribution/link_world_test.go
@@ -129,6 +129,24 @@
 	return response, ctx.Err()
 }
 
+func (p *linkedPuller) Chunks(ctx context.Context, address string, request *peerv1.ChunksRequest) (*peerv1.ChunksResponse, error) {
+	peer, ok := p.peer(address)
+	if !ok {
+		<-ctx.Done()
+		return nil, errPartitioned
+	}
+	p.toPeer(ctx, peer, request)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	response, err := p.puller.Chunks(ctx, address, request)
+	if err != nil {
+		return nil, err
+	}
+	p.fromPeer(ctx, peer, response)
+	return response, ctx.Err()
+}
+
 func (p *linkedPuller) peer(address string) (model.Node, bool) {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
--- a/internal/distribution/peer_state.go
+++ b/internal/distribution/peer_state.go
@@ -16,6 +16,8 @@
 	// pullsSinceFullRecord counts the pulls since the full own record was sent.
 	pullsSinceFullRecord int
 	inFlight             bool
+	// fetching means that the chunks of documents that the peer has offered are being requested from it.
+	fetching bool
 	// failed means that the last pull was not answered.
 	failed bool
 	// lastUsedRound is the last round with a pull from the peer. The state of unused peers is removed.
--- a/internal/distribution/pull.go
+++ b/internal/distribution/pull.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
-	"github.com/sardinereach/sardinereach/internal/config"
 	"github.com/sardinereach/sardinereach/internal/membership"
 )
 
@@ -30,13 +29,42 @@
 		return
 	}
 	d.pulls.Go(func() {
-		_, err := pull(ctx, address)
+		result, err := pull(ctx, address)
 		d.releasePeer(address, err)
+		if result.offer != nil && d.reserveFetch(address) {
+			// The failure is reported, and the next pull offers the documents again.
+			_ = d.fetchOffer(ctx, result.offer)
+			d.releaseFetch(address)
+		}
 	})
 }
 
-// pullFunc pulls from an address. It returns true if another call may return more.
-type pullFunc func(ctx context.Context, address string) (more bool, err error)
+// pullResult is the result of a pull whose records are merged.
+type pullResult struct {
+	// more means that another call may return more.
+	more bool
+	// offer holds the documents whose chunks are still to be fetched, nil if there are none.
+	offer *documentOffer
+}
+
+// pullFunc pulls from an address.
+type pullFunc func(ctx context.Context, address string) (pullResult, error)
+
+// reserveFetch reports whether the caller may fetch the documents that the address has offered: no other goroutine does.
+func (d *Distributor) reserveFetch(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	peer := d.peer(address)
+	reserved := !peer.fetching
+	peer.fetching = true
+	return reserved
+}
+
+func (d *Distributor) releaseFetch(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peer(address).fetching = false
+}
 
 func (d *Distributor) reservePeer(address string) bool {
 	d.mu.Lock()
@@ -68,42 +96,41 @@
 	return peer
 }
 
-// pullOnce pulls all changes from the address. It returns true if the response reached the record limit or had
-// documents, so another Pull may return more.
-func (d *Distributor) pullOnce(ctx context.Context, address string) (more bool, err error) {
+// pullOnce pulls all changes from the address. Another pull may return more if the response reached the record limit or had
+// documents.
+func (d *Distributor) pullOnce(ctx context.Context, address string) (pullResult, error) {
 	request := d.pullRequest(address)
 	startedAt := d.options.Now()
 	response, err := d.call(ctx, address, request)
 	if err != nil {
-		return false, err
+		return pullResult{}, err
 	}
-	more = d.applyPull(request, response, d.received(address, startedAt))
+	result := d.applyPull(request, response, d.received(address, startedAt))
 	d.publish()
-	return more, nil
+	return result, nil
 }
 
 // pullDocuments pulls only configuration documents.
-func (d *Distributor) pullDocuments(ctx context.Context, address string) (more bool, err error) {
+func (d *Distributor) pullDocuments(ctx context.Context, address string) (pullResult, error) {
 	d.mu.Lock()
 	request := &peerv1.PullRequest{
 		Node:             string(d.options.Self.ID),
 		Cursor:           cursorDocumentsOnly,
 		DocumentRevision: d.tables.config.Complete(),
+		AcceptsManifests: true,
 	}
 	d.mu.Unlock()
 	startedAt := d.options.Now()
 	response, err := d.call(ctx, address, request)
 	if err != nil {
-		return false, err
+		return pullResult{}, err
 	}
 	from := d.received(address, startedAt)
 	d.mu.Lock()
-	previousRevision := d.tables.config.Revision()
-	d.applyConfig(response, from)
-	d.signalNewDocuments(previousRevision, address)
+	offer := d.applyConfig(response, from)
 	d.mu.Unlock()
 	d.publish()
-	return len(response.Documents) > 0, nil
+	return pullResult{more: len(response.Documents) > 0, offer: offer}, nil
 }
 
 func (d *Distributor) call(
@@ -141,6 +168,7 @@
 		DocumentRevision: d.tables.config.Complete(),
 		Self:             encodeUpdate(membership.Update{Record: record, Light: light}),
 		NewestDocument:   d.tables.config.Revision(),
+		AcceptsManifests: true,
 	}
 }
 
@@ -153,13 +181,11 @@
 	return peer.cursor
 }
 
-func (d *Distributor) applyPull(request *peerv1.PullRequest, response *peerv1.PullResponse, from delivery) bool {
+func (d *Distributor) applyPull(request *peerv1.PullRequest, response *peerv1.PullResponse, from delivery) pullResult {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	complete := d.mergeStates(response.Nodes)
-	previousRevision := d.tables.config.Revision()
-	d.applyConfig(response, from)
-	d.signalNewDocuments(previousRevision, from.address)
+	offer := d.applyConfig(response, from)
 	peer := d.peer(from.address)
 	restarted := peer.incarnation != response.Incarnation
 	peer.incarnation = response.Incarnation
@@ -180,7 +206,7 @@
 	} else if restarted {
 		peer.selfVersion = 0
 	}
-	return len(response.Documents) > 0 || limitReached
+	return pullResult{more: len(response.Documents) > 0 || limitReached, offer: offer}
 }
 
 // markSynced marks the node as synced: the records of a peer were read from the beginning of its change log.
@@ -216,17 +242,22 @@
 	return result
 }
 
-// applyConfig merges the documents of a response.
-func (d *Distributor) applyConfig(response *peerv1.PullResponse, from delivery) {
-	documents := make([]config.Document, 0, len(response.Documents))
+// applyConfig merges the documents of a response. It returns the configuration documents as an offer if this node lacks chunks
+// of them, nil if they are merged. The caller holds d.mu.
+func (d *Distributor) applyConfig(response *peerv1.PullResponse, from delivery) *documentOffer {
+	d.recordPeerAttempt(response, from.startedAt)
+	offer, others, err := newDocumentOffer(response, from)
+	d.applyDocuments(others, from)
 	for _, message := range response.Documents {
-		documents = append(documents, decodeDocument(message))
+		d.ages.record(decodeDocument(message), from.startedAt-time.Duration(message.AgeMs)*time.Millisecond)
+	}
+	if err != nil {
+		d.options.Report(Event{Kind: PullFailed, Address: from.address, Err: err})
+		return nil
 	}
-	d.applyDocuments(documents, from)
-	for i, message := range response.Documents {
-		d.ages.record(documents[i], from.startedAt-time.Duration(message.AgeMs)*time.Millisecond)
+	if len(d.missingChunks(offer)) > 0 {
+		return offer
 	}
-	d.advance(ConfigPrefix, response.DocumentRevision)
-	d.recordConfirmation(response, from.startedAt)
-	d.recordPeerAttempt(response, from.startedAt)
+	d.applyOffer(offer)
+	return nil
 }
--- a/internal/distribution/pull_test.go
+++ b/internal/distribution/pull_test.go
@@ -11,7 +11,7 @@
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
-// directPuller passes each Pull directly to the distributor at the address.
+// directPuller passes each call directly to the distributor at the address.
 type directPuller map[string]*Distributor
 
 func (p directPuller) Pull(
@@ -20,6 +20,12 @@
 	return p[address].HandlePull(request), nil
 }
 
+func (p directPuller) Chunks(
+	_ context.Context, address string, request *peerv1.ChunksRequest,
+) (*peerv1.ChunksResponse, error) {
+	return p[address].HandleChunks(request), nil
+}
+
 func newDistributor(t testing.TB, id string, incarnation model.Incarnation, network directPuller) *Distributor {
 	d, err := New(Options{
 		Self: model.Node{
--- a/internal/distribution/rounds.go
+++ b/internal/distribution/rounds.go
@@ -51,6 +51,7 @@
 	d.tables.members.RecordPosition(now, d.options.RecentWindow)
 	d.updateIsolation(now)
 	d.removeUnusedPeers()
+	d.chunks.expire(d.tables.config, now)
 	view := d.currentView()
 	d.updateWatcherRole(view)
 	return view.GossipPeers(d.round, d.options.Seed)
@@ -136,7 +137,7 @@
 // removeUnusedPeers removes the state of peers from which this node has not pulled for unusedPeerRounds.
 func (d *Distributor) removeUnusedPeers() {
 	for address, peer := range d.peers {
-		if !peer.inFlight && d.round-peer.lastUsedRound > unusedPeerRounds {
+		if !peer.inFlight && !peer.fetching && d.round-peer.lastUsedRound > unusedPeerRounds {
 			delete(d.peers, address)
 		}
 	}
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -155,8 +155,11 @@
 		return errOwnAddress
 	}
 	for range maxSyncPulls {
-		more, err := pull(ctx, address)
-		if err != nil || !more {
+		result, err := pull(ctx, address)
+		if err == nil && result.offer != nil {
+			err = d.fetchOffer(ctx, result.offer)
+		}
+		if err != nil || !result.more {
 			return err
 		}
 	}
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -78,6 +78,11 @@
 	return h.node.distributor.HandlePull(req)
 }
 
+// Chunks implements peer.Handler.
+func (h *handler) Chunks(req *peerv1.ChunksRequest) *peerv1.ChunksResponse {
+	return h.node.distributor.HandleChunks(req)
+}
+
 // Warn implements peer.Handler.
 func (h *handler) Warn(req *peerv1.WarnRequest) { h.node.crashes.merge(req.Entry) }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -115,6 +115,16 @@
 	return res, err
 }
 
+// Chunks requests chunks of configuration documents.
+func (c *Client) Chunks(ctx context.Context, address string, req *peerv1.ChunksRequest) (*peerv1.ChunksResponse, error) {
+	var res *peerv1.ChunksResponse
+	err := c.call(ctx, address, func(ctx context.Context, k *conn) (err error) {
+		res, err = k.client.Chunks(ctx, req)
+		return err
+	})
+	return res, err
+}
+
 // Reports requests an admitting node's failure detector reports about its targets of a service.
 func (c *Client) Reports(ctx context.Context, address string, req *peerv1.ReportsRequest) (*peerv1.ReportsResponse, error) {
 	var res *peerv1.ReportsResponse
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -19,6 +19,7 @@
 	Lookup(*peerv1.LookupRequest) *peerv1.LookupResponse
 	Operation(*peerv1.OperationRequest) *peerv1.OperationResponse
 	Pull(*peerv1.PullRequest) *peerv1.PullResponse
+	Chunks(*peerv1.ChunksRequest) *peerv1.ChunksResponse
 	// Reports returns the failure detector reports about this node's targets of a service.
 	Reports(*peerv1.ReportsRequest) *peerv1.ReportsResponse
 	// Warn processes another node's notice about a request that crashes its upstreams.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -59,6 +59,10 @@
 
 func (h *echoHandler) Pull(*peerv1.PullRequest) *peerv1.PullResponse { return &peerv1.PullResponse{} }
 
+func (h *echoHandler) Chunks(*peerv1.ChunksRequest) *peerv1.ChunksResponse {
+	return &peerv1.ChunksResponse{}
+}
+
 func (h *echoHandler) Reports(*peerv1.ReportsRequest) *peerv1.ReportsResponse { return nil }
 
 func (h *echoHandler) Warn(*peerv1.WarnRequest) {}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -49,6 +49,11 @@
 	return s.handler.Pull(req), nil
 }
 
+// Chunks implements the generated interface.
+func (s *service) Chunks(_ context.Context, req *peerv1.ChunksRequest) (*peerv1.ChunksResponse, error) {
+	return s.handler.Chunks(req), nil
+}
+
 // Reports implements the generated interface.
 func (s *service) Reports(_ context.Context, req *peerv1.ReportsRequest) (*peerv1.ReportsResponse, error) {
 	return s.handler.Reports(req), nil
