Install the handler of SIGHUP before anything else

Cause: the handler was installed after the settings were read and the node was created. SIGHUP until then ended the process. Change: main installs it first. A signal that arrives meanwhile is handled when the node runs. Left is the time until main runs, in which only the sender can spare the process.

--- a/cmd/sardinereachd/main.go
+++ b/cmd/sardinereachd/main.go
@@ -29,12 +29,14 @@
 )
 
 func main() {
+	// SIGHUP ends a process that has no handler for it, and it may arrive at any moment after the start.
+	reloads := daemon.NotifyReload()
 	klog.InitFlags(nil)
 	config := flag.String("config", defaultConfig(), "settings `file`")
 	check := flag.Bool("check", false, "check the settings and exit")
 	flag.Parse()
 	out := logToStdout()
-	code := run(*config, *check)
+	code := run(*config, *check, reloads)
 	klog.Flush()
 	out.Close()
 	os.Exit(code)
@@ -59,7 +61,7 @@
 	return "/etc/sardinereach/sardinereachd.ini"
 }
 
-func run(config string, check bool) int {
+func run(config string, check bool, reloads <-chan os.Signal) int {
 	s, err := settings.Load(config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -69,7 +71,7 @@
 		fmt.Println("settings are valid")
 		return 0
 	}
-	if err := daemon.Run(config, s, nil); err != nil {
+	if err := daemon.Run(config, s, reloads, nil); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,8 +22,9 @@
 const gcPercent = 200
 
 // Run runs a node until SIGTERM or SIGINT. s is the settings that were loaded from the file config. prepare may change
-// them after node.New has read the identity of the node from them and before the node runs; it may be nil.
-func Run(config string, s *settings.Settings, prepare func(*settings.Settings)) error {
+// them after node.New has read the identity of the node from them and before the node runs; it may be nil. reloads is the channel
+// of NotifyReload.
+func Run(config string, s *settings.Settings, reloads <-chan os.Signal, prepare func(*settings.Settings)) error {
 	debug.SetGCPercent(gcPercent)
 	log := events.New(events.Klog{}, time.Now)
 	m := metrics.New()
@@ -38,7 +39,7 @@
 		prepare(s)
 	}
 	go shutDownOnSignal(n, s.Node.ID, log)
-	go checkSettingsOnSignal(config, s, log)
+	go checkSettingsOnSignal(config, s, reloads, log)
 	return n.Run()
 }
 
@@ -61,12 +62,18 @@
 	}
 }
 
-// checkSettingsOnSignal validates the settings file on SIGHUP and logs whether it has changed. It does not apply changes:
-// listeners and identity are fixed for the lifetime of the process, so changes take effect at the next start.
-func checkSettingsOnSignal(config string, current *settings.Settings, log *events.Log) {
+// NotifyReload returns a channel that receives SIGHUP from now on. A program calls it before anything else: until then the signal
+// ends the process.
+func NotifyReload() <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	for range signals {
+	return signals
+}
+
+// checkSettingsOnSignal validates the settings file on SIGHUP and logs whether it has changed. It does not apply changes:
+// listeners and identity are fixed for the lifetime of the process, so changes take effect at the next start.
+func checkSettingsOnSignal(config string, current *settings.Settings, reloads <-chan os.Signal, log *events.Log) {
+	for range reloads {
 		loaded, err := settings.Load(config)
 		outcome := "unchanged"
 		switch {
--- a/internal/fleettest/relayeddaemon/main.go
+++ b/internal/fleettest/relayeddaemon/main.go
@@ -33,5 +33,5 @@
 	if err != nil {
 		return errors.Wrap(err, "bind-peers")
 	}
-	return daemon.Run(config, s, func(s *settings.Settings) { s.Listen.Peers = address })
+	return daemon.Run(config, s, daemon.NotifyReload(), func(s *settings.Settings) { s.Listen.Peers = address })
 }
