Let chunks share the memory of the newest revision

Cause: a chunk that did not change stayed a part of the value of the revision in which it came first, so that up to one value a chunk was kept, 15 MB for 60 chunks of 250 KB. Change: a chunk that is placed in a new revision refers to that one. Only the compressed form is taken over.

--- a/internal/distribution/cached_chunk.go
+++ b/internal/distribution/cached_chunk.go
@@ -1,7 +1,7 @@
 package distribution
 
 import (
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,18 +11,16 @@
 
 // cachedChunk is a chunk in a chunkCache. Its data does not change.
 type cachedChunk struct {
-	data   []byte
-	packed func() []byte
+	data []byte
+	// packed is the compressed chunk, nil before it is sent for the first time.
+	packed atomic.Pointer[[]byte]
 	// documents is the number of places in documents of this node that have the chunk. Without any, usedAt is the time at which
 	// it was last needed.
 	documents int
 	usedAt    time.Duration
 }
 
-// newCachedChunk returns a chunk that is compressed when it is sent for the first time.
-func newCachedChunk(data []byte) *cachedChunk {
-	return &cachedChunk{data: data, packed: sync.OnceValue(func() []byte { return chunk.Pack(data) })}
-}
+func newCachedChunk(data []byte) *cachedChunk { return &cachedChunk{data: data} }
 
 // receivedChunk returns the compressed chunk that a node has sent for the ID.
 func receivedChunk(id chunk.ID, packed []byte) (*cachedChunk, error) {
@@ -33,5 +31,17 @@
 	if chunk.IDOf(data) != id {
 		return nil, errors.New("distribution: a chunk has other contents than its ID says")
 	}
-	return &cachedChunk{data: data, packed: func() []byte { return packed }}, nil
+	c := newCachedChunk(data)
+	c.packed.Store(&packed)
+	return c, nil
+}
+
+// pack returns the compressed chunk.
+func (c *cachedChunk) pack() []byte {
+	if packed := c.packed.Load(); packed != nil {
+		return *packed
+	}
+	packed := chunk.Pack(c.data)
+	c.packed.Store(&packed)
+	return packed
 }
--- a/internal/distribution/chunk_cache.go
+++ b/internal/distribution/chunk_cache.go
@@ -58,14 +58,25 @@
 	for _, data := range chunk.Split(document.Value) {
 		id := chunk.IDOf(data)
 		next.manifest = append(next.manifest, id)
-		c.add(id, newCachedChunk(data), now)
-		c.chunks[id].documents++
+		c.place(id, data)
 	}
 	c.remove(document.Key, now)
 	c.documents[document.Key] = next
 	return next.manifest
 }
 
+// place counts a place in a document that has the chunk. From now on the chunk shares the memory of that document, so that none of
+// an earlier revision is kept for it.
+func (c *chunkCache) place(id chunk.ID, data []byte) {
+	placed := newCachedChunk(data)
+	if known := c.chunks[id]; known != nil {
+		placed.documents = known.documents
+		placed.packed.Store(known.packed.Load())
+	}
+	placed.documents++
+	c.chunks[id] = placed
+}
+
 // remove releases the chunks of the document with the key.
 func (c *chunkCache) remove(key string, now time.Duration) {
 	current := c.documents[key]
--- a/internal/distribution/handle_chunks.go
+++ b/internal/distribution/handle_chunks.go
@@ -21,7 +21,7 @@
 		if known == nil {
 			continue
 		}
-		packed := known.packed()
+		packed := known.pack()
 		if size += len(packed); size > maxChunksBytes {
 			break
 		}
