Send manifests of small services, too, when there are many

Cause: documents below 4 KB were sent whole. Change: the size of all documents of a response decides, and each of 128 bytes or more is then a manifest. Test: TestChangeOfOneOfManySmallServicesCostsWhatChanged failed (221,883 bytes, limit 64 KiB) and passes, one chunk being missing; TestChunksWithOtherContentsAreNotTaken.

--- a/internal/distribution/chunk_cache.go
+++ b/internal/distribution/chunk_cache.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// manifestMinBytes is the size from which a document is sent as a manifest.
-	manifestMinBytes = 4 << 10
+	// manifestsFromBytes is the size of all documents of a response from which they are sent as manifests, and manifestMinBytes
+	// the size from which one of them is.
+	manifestsFromBytes = 4 << 10
+	manifestMinBytes   = 128
 	// chunkRetention is the time for which chunks are kept that no document has: those of an earlier version, which slower
 	// nodes may still request, and received ones of a version that is not complete yet.
 	chunkRetention = 30 * time.Second
--- a/internal/distribution/handle_pull.go
+++ b/internal/distribution/handle_pull.go
@@ -36,16 +36,25 @@
 	response.StorePosition = d.encodePosition(complete)
 	response.ConfirmationAgeMs = d.encodeConfirmation(complete)
 	response.StoreAttemptAgeMs = d.encodeAttempt(model.NodeID(request.GetNode()))
+	manifests := request.GetAcceptsManifests() && valueBytes(documents) >= manifestsFromBytes
 	for _, document := range documents {
-		response.Documents = append(response.Documents, d.encodeConfig(document, request.GetAcceptsManifests()))
+		response.Documents = append(response.Documents, d.encodeConfig(document, manifests))
 	}
 }
 
-// encodeConfig returns the wire form of a configuration document, with a manifest in place of a long value if the caller accepts
-// it.
-func (d *Distributor) encodeConfig(document config.Document, manifest bool) *peerv1.Document {
+// valueBytes returns the size of the values of the documents.
+func valueBytes(documents []config.Document) int {
+	size := 0
+	for _, document := range documents {
+		size += len(document.Value)
+	}
+	return size
+}
+
+// encodeConfig returns the wire form of a configuration document, with a manifest in place of its value if manifests is set.
+func (d *Distributor) encodeConfig(document config.Document, manifests bool) *peerv1.Document {
 	message := encodeDocument(document)
-	if manifest && !document.Deleted && len(document.Value) >= manifestMinBytes {
+	if manifests && !document.Deleted && len(document.Value) >= manifestMinBytes {
 		message.Value = nil
 		message.Manifest = d.chunks.manifest(document, d.options.Now()).Encode()
 	}
