--- a/internal/distribution/link_world_test.go
+++ b/internal/distribution/link_world_test.go
@@ -112,36 +112,30 @@
 }
 
 func (p *linkedPuller) Pull(ctx context.Context, address string, request *peerv1.PullRequest) (*peerv1.PullResponse, error) {
-	peer, ok := p.peer(address)
-	if !ok {
-		<-ctx.Done()
-		return nil, errPartitioned
-	}
-	p.toPeer(ctx, peer, request)
-	if ctx.Err() != nil {
-		return nil, ctx.Err()
-	}
-	response, err := p.puller.Pull(ctx, address, request)
-	if err != nil {
-		return nil, err
-	}
-	p.fromPeer(ctx, peer, response)
-	return response, ctx.Err()
+	return overLinks(ctx, p, address, request, p.puller.Pull)
 }
 
 func (p *linkedPuller) Chunks(ctx context.Context, address string, request *peerv1.ChunksRequest) (*peerv1.ChunksResponse, error) {
+	return overLinks(ctx, p, address, request, p.puller.Chunks)
+}
+
+// overLinks makes a call to the address whose request and response take the time that the links need.
+func overLinks[Q, R proto.Message](
+	ctx context.Context, p *linkedPuller, address string, request Q, call func(context.Context, string, Q) (R, error),
+) (R, error) {
+	var none R
 	peer, ok := p.peer(address)
 	if !ok {
 		<-ctx.Done()
-		return nil, errPartitioned
+		return none, errPartitioned
 	}
 	p.toPeer(ctx, peer, request)
 	if ctx.Err() != nil {
-		return nil, ctx.Err()
+		return none, ctx.Err()
 	}
-	response, err := p.puller.Chunks(ctx, address, request)
+	response, err := call(ctx, address, request)
 	if err != nil {
-		return nil, err
+		return none, err
 	}
 	p.fromPeer(ctx, peer, response)
 	return response, ctx.Err()
