Collect large answers of the store without copying them as they grow

A node would have needed that memory while a store sends bytes without end on its own interface (not on the platform's, which collects blocks).

Cause: connect collects an answer in a buffer that doubles. Up to the limit of 12 MB that takes buffers of 2, 4, 8 and 16 MB, for a refusal as for an answer, and each is garbage as soon as the next one is full. One large answer is read at a time, but four in a row leave more than 100 MB if the garbage collector falls behind.

Change: the first 1 MB of an answer is passed on as it arrives, the rest once it is whole, from blocks of 64 KiB. An answer that proves too large has never been in a buffer of connect beyond 2 MB, and its blocks are dropped.

--- a/internal/store/answer_limit.go
+++ b/internal/store/answer_limit.go
@@ -21,6 +21,10 @@
 // LimitAnswers returns a transport whose answers have bodies of at most maxBytes. A store that answers without end on all
 // connections of a node could fill its memory otherwise: only one answer at a time is read beyond largeAnswerBytes.
 func LimitAnswers(next http.RoundTripper, maxBytes int64) http.RoundTripper {
+	return newAnswerLimiter(next, maxBytes)
+}
+
+func newAnswerLimiter(next http.RoundTripper, maxBytes int64) *answerLimiter {
 	return &answerLimiter{next: next, maxBytes: maxBytes, large: make(chan struct{}, 1)}
 }
 
--- a/internal/store/dial.go
+++ b/internal/store/dial.go
@@ -33,7 +33,7 @@
 		observe = func(string) {}
 	}
 	transport := newTransport()
-	httpClient := &http.Client{Transport: LimitAnswers(transport, maxAnswerBytes)}
+	httpClient := &http.Client{Transport: collectLarge{newAnswerLimiter(transport, maxAnswerBytes)}}
 	rpc := storev1.NewStoreClient(httpClient, "http://"+address, connect.WithReadMaxBytes(maxAnswerBytes))
 	return &client{rpc: rpc, observe: observe, transport: transport}
 }
