--- a/internal/store/collected_body.go
+++ b/internal/store/collected_body.go
@@ -8,8 +8,8 @@
 // collectedBlockBytes is the size of the blocks of a large answer.
 const collectedBlockBytes = 64 << 10
 
-// collectLarge is a transport that hands out large answers once they are whole. connect collects an answer in a buffer that it
-// doubles, and would have taken several times the size limit before an answer proves too large.
+// collectLarge is a transport that hands out large answers once they are whole, and records the progress of all. connect collects
+// an answer in a buffer that it doubles, and would have taken several times the size limit before an answer proves too large.
 type collectLarge struct {
 	*answerLimiter
 }
@@ -18,7 +18,8 @@
 func (c collectLarge) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := c.answerLimiter.RoundTrip(request)
 	if err == nil && response.StatusCode != http.StatusSwitchingProtocols {
-		response.Body = &collectedBody{ReadCloser: response.Body}
+		arriving := ProgressReader(request.Context(), response.Body)
+		response.Body = &collectedBody{Reader: arriving, Closer: response.Body}
 	}
 	return response, err
 }
@@ -26,7 +27,8 @@
 // collectedBody passes on the first largeAnswerBytes of an answer as they arrive, and the rest once it has arrived whole. Like any
 // body it is read by one goroutine.
 type collectedBody struct {
-	io.ReadCloser
+	io.Reader
+	io.Closer
 	passedOn int
 	// blocks are the parts of the rest that have not been handed out. err follows them, nil while the rest is not collected.
 	blocks [][]byte
@@ -36,7 +38,7 @@
 // Read implements io.Reader.
 func (b *collectedBody) Read(p []byte) (int, error) {
 	if b.passedOn < largeAnswerBytes {
-		n, err := b.ReadCloser.Read(p[:min(len(p), largeAnswerBytes-b.passedOn)])
+		n, err := b.Reader.Read(p[:min(len(p), largeAnswerBytes-b.passedOn)])
 		b.passedOn += n
 		return n, err
 	}
@@ -60,7 +62,7 @@
 		n := 0
 		for n < len(block) && b.err == nil {
 			var read int
-			read, b.err = b.ReadCloser.Read(block[n:])
+			read, b.err = b.Reader.Read(block[n:])
 			n += read
 		}
 		if n > 0 {
--- a/internal/store/large_answer_test.go
+++ b/internal/store/large_answer_test.go
@@ -8,8 +8,10 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -41,7 +43,7 @@
 func TestLargeAnswerThatBreaksOffIsAnError(t *testing.T) {
 	broken := errors.New("broken")
 	parts := io.MultiReader(bytes.NewReader(make([]byte, largeAnswerBytes+100)), iotest.ErrReader(broken))
-	body := &collectedBody{ReadCloser: io.NopCloser(parts)}
+	body := &collectedBody{Reader: parts}
 	data, err := io.ReadAll(body)
 	if len(data) != largeAnswerBytes || err != broken {
 		t.Errorf("%d bytes, %v", len(data), err)
@@ -59,3 +61,28 @@
 	}
 	return answer
 }
+
+// Guards against large answers over a slow link that are given up, and requested again, while they arrive.
+func TestLargeAnswerOfTheStoreThatArrivesSlowlyIsNotGivenUp(t *testing.T) {
+	const parts, pause, silence = 8, 250 * time.Millisecond, time.Second
+	for _, size := range []int{largeAnswerBytes / 2, 4 * largeAnswerBytes} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			answer := marshalList(t, make([]byte, size))
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "application/proto")
+				for part := range slices.Chunk(answer, len(answer)/parts) {
+					_, _ = w.Write(part)
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(pause)
+				}
+			}))
+			defer server.Close()
+			ctx, cancel := WithProgressTimeout(t.Context(), silence, silence)
+			defer cancel()
+			kvs, _, err := Dial(server.Listener.Addr().String(), nil).List(ctx, "config/")
+			if err != nil || len(kvs) != 1 || len(kvs[0].Value) != size {
+				t.Errorf("%d entries, %v", len(kvs), err)
+			}
+		})
+	}
+}
