Play the long tests of internal/distribution side by side

They run in fake time, one bubble each, so that they do not disturb each other. The package took about 800 s with -race on one core, of the 20 minutes that go test allows. No case, bound or check changes.

--- a/internal/distribution/distributor_test.go
+++ b/internal/distribution/distributor_test.go
@@ -38,6 +38,7 @@
 // Guards against store calls that grow with the fleet: each start makes the same few calls, and nodes that are not
 // watchers make none afterwards.
 func TestStoreCallsDoNotGrowWithTheFleet(t *testing.T) {
+	t.Parallel()
 	const period = 15 * time.Minute
 	steady := map[int]uint64{}
 	for _, size := range []int{8, 32} {
@@ -79,6 +80,7 @@
 
 // Guards against a configuration that is lost, or a node that cannot start, while the store is down for hours.
 func TestStoreOutageOfHours(t *testing.T) {
+	t.Parallel()
 	runInFleet(t, func(f *fleet) {
 		f.options = slowRounds
 		f.declare("ledger", "/v1")
@@ -251,6 +253,7 @@
 // Guards against regions that do not reconnect after a long partition, and against member records that are deleted
 // because of it.
 func TestRegionsReconnectAfterPartition(t *testing.T) {
+	t.Parallel()
 	runInFleet(t, func(f *fleet) {
 		f.options = slowRounds
 		f.declare("ledger", "/v1")
@@ -270,6 +273,7 @@
 // Guards against member records of dead nodes that stay in the store, and against stopped watchers that are not
 // replaced.
 func TestDeadNodesAreDeleted(t *testing.T) {
+	t.Parallel()
 	runInFleet(t, func(f *fleet) {
 		f.options = slowRounds
 		f.declare("ledger", "/v1")
--- a/internal/distribution/large_configuration_test.go
+++ b/internal/distribution/large_configuration_test.go
@@ -61,6 +61,7 @@
 
 // Guards against many routes that are added at once and come late because all nodes receive them over narrow links at the same time.
 func TestManyAddedRoutesAreActiveWithinTheBound(t *testing.T) {
+	t.Parallel()
 	runInFleet(t, func(f *fleet) {
 		newLinkWorld(f, grownNodes)
 		f.declareLarge("ledger", "/v1", 30)
@@ -73,6 +74,7 @@
 
 // Guards against a change of one route that sends all routes again.
 func TestChangeOfOneRouteCostsWhatChanged(t *testing.T) {
+	t.Parallel()
 	runInFleet(t, func(f *fleet) {
 		newLinkWorld(f, grownNodes)
 		f.declareLarge("ledger", "/v0", 30)
@@ -97,6 +99,7 @@
 
 // Guards against nodes that start together, give up the large answers of the store over their shared links, and request them again.
 func TestNodesThatStartTogetherWithManyRoutesAreReady(t *testing.T) {
+	t.Parallel()
 	runInFleet(t, func(f *fleet) {
 		newLinkWorld(f, grownNodes)
 		f.declareLarge("ledger", "/v1", addedRoutes)
@@ -107,6 +110,7 @@
 
 // Guards against many routes that come late on nodes that start while they are distributed.
 func TestManyAddedRoutesAreActiveWithinTheBoundWhileNodesRestart(t *testing.T) {
+	t.Parallel()
 	runInFleet(t, func(f *fleet) {
 		w := newLinkWorld(f, grownNodes)
 		f.declareLarge("ledger", "/v1", 30)
--- a/internal/distribution/propagation_size_test.go
+++ b/internal/distribution/propagation_size_test.go
@@ -15,6 +15,7 @@
 
 // Guards against changes that take longer than activationLimit in a larger fleet, and reports the cost of the gossip.
 func TestPropagationBySize(t *testing.T) {
+	t.Parallel()
 	for _, text := range strings.Split(*propagationSizes, ",") {
 		size, err := strconv.Atoi(text)
 		if err != nil {
--- a/internal/distribution/random_faults_test.go
+++ b/internal/distribution/random_faults_test.go
@@ -257,6 +257,7 @@
 
 // Guards against a node that is in touch with the store and its peers and lacks a change that was acknowledged before the bound.
 func TestChangesUnderRandomFaultsAreActiveWithinTheBound(t *testing.T) {
+	t.Parallel()
 	sizes := []struct {
 		nodes, trials int
 		bound, stable time.Duration
--- a/internal/distribution/stand_in_test.go
+++ b/internal/distribution/stand_in_test.go
@@ -119,6 +119,7 @@
 // Guards against stand-ins in a calm fleet with large domains, against calls that grow with the fleet while the store is
 // down, and against stand-ins that remain after it.
 func TestCallsOfStandInsAreBounded(t *testing.T) {
+	t.Parallel()
 	runInFleet(t, func(f *fleet) {
 		const size, seconds = 96, 60
 		f.declare("ledger", "/v1")
@@ -157,6 +158,7 @@
 
 // Guards against the lone survivors of a large domain that wait for the standbys before them in the order, which are lost as well.
 func TestChangeWhileNearlyAllOfLargeDomainsAreLostIsActiveWithinTheBound(t *testing.T) {
+	t.Parallel()
 	const size, survivors = 80, 8
 	runInFleet(t, func(f *fleet) {
 		f.declare("ledger", "/v1")
--- a/internal/distribution/store_probe_test.go
+++ b/internal/distribution/store_probe_test.go
@@ -26,6 +26,7 @@
 
 // Guards against probes by nodes that are not watchers, and against calls without a pause while the store refuses them.
 func TestCallsOfWatchersAreBounded(t *testing.T) {
+	t.Parallel()
 	runInFleet(t, func(f *fleet) {
 		f.declare("ledger", "/v1")
 		nodes := f.startMany(24)
--- a/internal/distribution/store_return_start_test.go
+++ b/internal/distribution/store_return_start_test.go
@@ -50,6 +50,7 @@
 
 // Guards against watchers of a long outage that read the configuration late after it.
 func TestChangeAfterLongOutageIsActiveWithinTheBound(t *testing.T) {
+	t.Parallel()
 	for _, mode := range []storeMode{storeRefuses, storeSilent} {
 		r := storeReturn{nodes: 24, stable: stableWindow, mode: mode, outage: 90 * time.Second, disrupt: storeReturns, keep: 1}
 		t.Run(r.String(), func(t *testing.T) { r.play(t, 1) })
--- a/internal/distribution/store_return_test.go
+++ b/internal/distribution/store_return_test.go
@@ -83,6 +83,7 @@
 
 // Guards against standbys that pause after failed reads while the store is back and the watchers are lost.
 func TestChangeAfterStoreReturnIsActiveWhileWatchersAreLost(t *testing.T) {
+	t.Parallel()
 	small := storeReturn{nodes: 24, stable: stableWindow, disrupt: losePower, keep: 0.3}
 	large := storeReturn{nodes: 82, stable: 4 * time.Second, disrupt: losePower, keep: 0.05}
 	for _, mode := range []storeMode{storeRefuses, storeSilent} {
@@ -108,6 +109,7 @@
 
 // Guards against standbys that pause after failed reads while the store is back and turns most nodes away, the watchers among them.
 func TestChangeAfterStoreReturnIsActiveWhileWatchersAreTurnedAway(t *testing.T) {
+	t.Parallel()
 	cases := []storeReturn{{nodes: 24, stable: stableWindow, keep: 0.2}}
 	if *allReturns {
 		cases = append(cases, storeReturn{nodes: 82, stable: 4 * time.Second, keep: 0.2})
