Keep whole answers of the store's own interface while they are decoded

What a fleet would see: a slow node that has a whole answer of the store drops it and requests it again.

Change: the limits of a call end with the last byte of its answer (store.Arrived). The platform's store decodes after its last look at the call's context and is not touched.

The test that failed plays in fake time now, so that it sees the limits and not the scheduler: the same sizes, parts, pause and limit, and a pause above the limit, which must end the call.

--- a/internal/store/collected_body.go
+++ b/internal/store/collected_body.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"context"
 	"io"
 	"net/http"
 )
@@ -18,8 +19,7 @@
 func (c collectLarge) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := c.answerLimiter.RoundTrip(request)
 	if err == nil && response.StatusCode != http.StatusSwitchingProtocols {
-		arriving := ProgressReader(request.Context(), response.Body)
-		response.Body = &collectedBody{Reader: arriving, Closer: response.Body}
+		response.Body = &collectedBody{ReadCloser: response.Body, ctx: request.Context()}
 	}
 	return response, err
 }
@@ -27,8 +27,9 @@
 // collectedBody passes on the first largeAnswerBytes of an answer as they arrive, and the rest once it has arrived whole. Like any
 // body it is read by one goroutine.
 type collectedBody struct {
-	io.Reader
-	io.Closer
+	io.ReadCloser
+	// ctx is the context of the call.
+	ctx      context.Context
 	passedOn int
 	// blocks are the parts of the rest that have not been handed out. err follows them, nil while the rest is not collected.
 	blocks [][]byte
@@ -38,7 +39,7 @@
 // Read implements io.Reader.
 func (b *collectedBody) Read(p []byte) (int, error) {
 	if b.passedOn < largeAnswerBytes {
-		n, err := b.Reader.Read(p[:min(len(p), largeAnswerBytes-b.passedOn)])
+		n, err := b.receive(p[:min(len(p), largeAnswerBytes-b.passedOn)])
 		b.passedOn += n
 		return n, err
 	}
@@ -55,6 +56,18 @@
 	return n, nil
 }
 
+// receive reads from the connection and records the progress of the answer.
+func (b *collectedBody) receive(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case err == io.EOF:
+		Arrived(b.ctx)
+	case n > 0:
+		Progress(b.ctx)
+	}
+	return n, err
+}
+
 // collect reads the answer to its end. Of an answer without an end nothing is kept.
 func (b *collectedBody) collect() {
 	for b.err == nil {
@@ -62,7 +75,7 @@
 		n := 0
 		for n < len(block) && b.err == nil {
 			var read int
-			read, b.err = b.Reader.Read(block[n:])
+			read, b.err = b.receive(block[n:])
 			n += read
 		}
 		if n > 0 {
--- a/internal/store/dial.go
+++ b/internal/store/dial.go
@@ -33,9 +33,12 @@
 		observe = func(string) {}
 	}
 	transport := newTransport()
+	return &client{rpc: newRPC(address, transport), observe: observe, transport: transport}
+}
+
+func newRPC(address string, transport http.RoundTripper) storev1.StoreClient {
 	httpClient := &http.Client{Transport: collectLarge{newAnswerLimiter(transport, maxAnswerBytes)}}
-	rpc := storev1.NewStoreClient(httpClient, "http://"+address, connect.WithReadMaxBytes(maxAnswerBytes))
-	return &client{rpc: rpc, observe: observe, transport: transport}
+	return storev1.NewStoreClient(httpClient, "http://"+address, connect.WithReadMaxBytes(maxAnswerBytes))
 }
 
 func newTransport() *http.Transport {
--- a/internal/store/large_answer_test.go
+++ b/internal/store/large_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"slices"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -43,7 +45,7 @@
 func TestLargeAnswerThatBreaksOffIsAnError(t *testing.T) {
 	broken := errors.New("broken")
 	parts := io.MultiReader(bytes.NewReader(make([]byte, largeAnswerBytes+100)), iotest.ErrReader(broken))
-	body := &collectedBody{Reader: parts}
+	body := &collectedBody{ReadCloser: io.NopCloser(parts), ctx: t.Context()}
 	data, err := io.ReadAll(body)
 	if len(data) != largeAnswerBytes || err != broken {
 		t.Errorf("%d bytes, %v", len(data), err)
@@ -64,25 +66,90 @@
 
 // Guards against large answers over a slow link that are given up, and requested again, while they arrive.
 func TestLargeAnswerOfTheStoreThatArrivesSlowlyIsNotGivenUp(t *testing.T) {
-	const parts, pause, silence = 8, 250 * time.Millisecond, time.Second
+	const parts, silence = 8, time.Second
 	for _, size := range []int{largeAnswerBytes / 2, 4 * largeAnswerBytes} {
+		for pause, whole := range map[time.Duration]bool{250 * time.Millisecond: true, 1100 * time.Millisecond: false} {
+			t.Run(fmt.Sprintf("%d,%v", size, pause), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					answer := marshalList(t, make([]byte, size))
+					transport := slowTransport{parts: slices.Collect(slices.Chunk(answer, len(answer)/parts)), pause: pause}
+					ctx, cancel := WithProgressTimeout(t.Context(), silence, silence)
+					defer cancel()
+					s := &client{rpc: newRPC("store", transport), observe: func(string) {}}
+					kvs, _, err := s.List(ctx, "config/")
+					if got := err == nil && len(kvs) == 1 && len(kvs[0].Value) == size; got != whole {
+						t.Errorf("whole: %v, want %v; %d entries, %v", got, whole, len(kvs), err)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against whole answers that are given up, and requested again, while a slow node decodes them.
+func TestWholeAnswerOfTheStoreIsNotGivenUp(t *testing.T) {
+	for _, size := range []int{1, largeAnswerBytes + 1} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			answer := marshalList(t, make([]byte, size))
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				w.Header().Set("Content-Type", "application/proto")
-				for part := range slices.Chunk(answer, len(answer)/parts) {
-					_, _ = w.Write(part)
-					_ = http.NewResponseController(w).Flush()
-					time.Sleep(pause)
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := WithProgressTimeout(t.Context(), time.Second, time.Second)
+				defer cancel()
+				request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://store", nil)
+				if err != nil {
+					t.Fatal(err)
 				}
-			}))
-			defer server.Close()
-			ctx, cancel := WithProgressTimeout(t.Context(), silence, silence)
-			defer cancel()
-			kvs, _, err := Dial(server.Listener.Addr().String(), nil).List(ctx, "config/")
-			if err != nil || len(kvs) != 1 || len(kvs[0].Value) != size {
-				t.Errorf("%d entries, %v", len(kvs), err)
-			}
+				transport := collectLarge{newAnswerLimiter(slowTransport{parts: [][]byte{make([]byte, size)}}, maxAnswerBytes)}
+				response, err := transport.RoundTrip(request)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer response.Body.Close()
+				if _, err := io.Copy(io.Discard, response.Body); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Minute)
+				if ctx.Err() != nil {
+					t.Error("the call was given up although its answer was whole")
+				}
+			})
 		})
 	}
 }
+
+// slowTransport answers with parts, with a pause before each.
+type slowTransport struct {
+	parts [][]byte
+	pause time.Duration
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s slowTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	body := &slowBody{ctx: request.Context(), parts: s.parts, pause: s.pause}
+	header := http.Header{"Content-Type": {"application/proto"}}
+	return &http.Response{StatusCode: http.StatusOK, Header: header, Body: io.NopCloser(body), ContentLength: -1, Request: request}, nil
+}
+
+type slowBody struct {
+	ctx   context.Context
+	parts [][]byte
+	pause time.Duration
+	// part is what is left of the part that has arrived.
+	part []byte
+}
+
+// Read implements io.Reader.
+func (b *slowBody) Read(p []byte) (int, error) {
+	if len(b.part) == 0 {
+		if len(b.parts) == 0 {
+			return 0, io.EOF
+		}
+		select {
+		case <-time.After(b.pause):
+		case <-b.ctx.Done():
+			return 0, b.ctx.Err()
+		}
+		b.part, b.parts = b.parts[0], b.parts[1:]
+	}
+	n := copy(p, b.part)
+	b.part = b.part[n:]
+	return n, nil
+}
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -54,6 +54,18 @@
 	}
 }
 
+// Arrived records that the answer of the call with the context is whole, so that its time limits end.
+func Arrived(ctx context.Context) {
+	p, ok := ctx.Value(progressKey{}).(*progressTimeout)
+	if !ok {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.arriving = true
+	p.timer.Stop()
+}
+
 // CancelSilent ends the call with the context unless a part of its answer has arrived.
 func CancelSilent(ctx context.Context) {
 	p, ok := ctx.Value(progressKey{}).(*progressTimeout)
