Keep the departure of a target that a restarted node does not know

A process that has not heard of the target before took nothing from the call, and took a heartbeat that was sent before it and arrived later for a new target.

Now such a departure is kept with the time of the call. A target that started later is another one and is registered; one that never sends its start time is registered as before.

--- a/internal/admission/announce.go
+++ b/internal/admission/announce.go
@@ -19,7 +19,7 @@
 		return err
 	}
 	a.Load = clampLoad(a.Load)
-	if p.isReplaced(&a) || p.isDeregistered(&a) {
+	if p.isReplaced(&a) || p.IsDeregistered(&a) {
 		return nil
 	}
 	p.removeReplaced(&a)
@@ -78,29 +78,37 @@
 	}
 }
 
-// isDeregistered reports whether the target has deregistered since the start that the announcement belongs to. A delayed
+// IsDeregistered reports whether the target has deregistered since the start that the announcement belongs to. A delayed
 // announcement must not register the target again.
-func (p *Point) isDeregistered(a *Announcement) bool {
+func (p *Point) IsDeregistered(a *Announcement) bool {
 	d, ok := p.deregistered[a.Target]
-	return ok && a.StartTimeMS <= d.startTimeMS
+	return ok && d.covers(a.StartTimeMS)
 }
 
 // Deregister handles a target that leaves without a further announcement. startTimeMS is the target's start time, 0 if it
-// was not sent. A target that has restarted since then stays registered.
-func (p *Point) Deregister(now time.Duration, id model.TargetID, startTimeMS int64) {
+// was not sent. receivedMS is the time at which the target said so, in Unix milliseconds. A target that has restarted since
+// then stays registered. Deregister reports whether the target was known; the announcements of one that was not may still
+// be on their way.
+func (p *Point) Deregister(now time.Duration, id model.TargetID, startTimeMS, receivedMS int64) bool {
 	p.advance(now)
 	t := p.targets[id]
-	if t != nil && startTimeMS == 0 {
-		startTimeMS = t.StartTimeMS
+	d := deregistration{startTimeMS: startTimeMS, at: p.now}
+	switch {
+	case startTimeMS != 0:
+	case t != nil:
+		d.startTimeMS = t.StartTimeMS
+	default:
+		d.startTimeMS, d.estimated = receivedMS, true
 	}
-	if startTimeMS != 0 {
-		p.deregistered[id] = deregistration{startTimeMS: startTimeMS, at: p.now}
+	if d.startTimeMS != 0 {
+		p.deregistered[id] = d
 	}
-	if t == nil || startTimeMS < t.StartTimeMS {
-		return
+	if t == nil || d.startTimeMS < t.StartTimeMS {
+		return t != nil
 	}
 	t.Phase = model.PhaseLeaving
 	p.updateQueue(t)
+	return true
 }
 
 // isCold reports whether the announcement comes from a process that has not served requests yet.
--- a/internal/admission/breaker_test.go
+++ b/internal/admission/breaker_test.go
@@ -255,7 +255,7 @@
 	if got := phase("a"); got != model.PhaseDraining {
 		t.Errorf("after a late announcement: %v, want draining", got)
 	}
-	p.Deregister(0, "a", 0)
+	p.Deregister(0, "a", 0, 20)
 	announce("a", 10, 6, model.PhaseReady)
 	announce("a", 10, 7, model.PhaseReady)
 	if got := phase("a"); got != model.PhaseLeaving {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -72,6 +72,8 @@
 	TargetTrusted      = &Event{417, "target_trusted", Info, "a doubtful target has succeeded; its circuit breaker is closed and it receives all requests again", []Key{Target, Attempt, Route, Duration, Limit}, 0}
 	RequestHedged      = &Event{418, "request_hedged", Info, "a run takes much longer than usual; a hedge is sent to another target", []Key{Request, Service}, 0}
 	AnnounceRefused    = &Event{415, "announce_refused", Warning, "an announcement of an upstream is not valid", []Key{Address, Cause}, 0}
+	UnknownTargetLeft  = &Event{419, "unknown_target_left", Info, "an upstream that this process has not heard of says that it leaves", []Key{Target}, 0}
+	AnnounceIgnored    = &Event{420, "announce_ignored", Info, "a late announcement of an upstream that has left is ignored", []Key{Target, Service, Phase}, 0}
 )
 
 // Events about requests that crash upstreams.
@@ -116,7 +118,7 @@
 	StoreOutcomeUnknown, StoreRestored, StoreHistoryLost, ListOutdated, StoreEraReceived, ConfigApplied, ConfigInvalid, ConfigStale,
 	WatcherStarted, WatcherStopped, StandInStarted, StandInStopped, StandInFailed, ConfirmationLate, ConfirmationReceived, PullFailed, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
-	RegionReachable, LinkBudgetSpent, LoadDigestFailed, TargetAnnounced, TargetPhaseChanged,
+	RegionReachable, LinkBudgetSpent, LoadDigestFailed, TargetAnnounced, TargetPhaseChanged, UnknownTargetLeft, AnnounceIgnored,
 	TargetMissing, TargetSuspected, TargetEjected, TargetAvoided, TargetReturned,
 	TargetHeldDown, EjectionAtFloor, EjectionWithdrawn, DrainStarted, DrainForced,
 	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, RequestHedged, CrashAttributed, FingerprintQuarantined,
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -60,25 +60,28 @@
 	}
 }
 
-// announce processes the announcement of an upstream.
-func (a *admitter) announce(n admission.Announcement) error {
+// announce processes the announcement of an upstream. It reports whether the upstream has deregistered; then the announcement
+// changes nothing.
+func (a *admitter) announce(n admission.Announcement) (deregistered bool, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.now()
 	if err := a.point.Announce(now, n); err != nil {
-		return err
+		return false, err
 	}
 	a.handleEvents(a.point.Expire(now))
-	return nil
+	return a.point.IsDeregistered(&n), nil
 }
 
-// deregister removes an upstream that leaves without a further announcement.
-func (a *admitter) deregister(target model.TargetID, startTimeMS int64) {
+// deregister removes an upstream that leaves without a further announcement. receivedMS is the time at which the upstream
+// said so, in Unix milliseconds. It reports whether the upstream was known.
+func (a *admitter) deregister(target model.TargetID, startTimeMS, receivedMS int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.now()
-	a.point.Deregister(now, target, startTimeMS)
+	known := a.point.Deregister(now, target, startTimeMS, receivedMS)
 	a.handleEvents(a.point.Expire(now))
+	return known
 }
 
 // expire processes the timeouts that have passed and returns the targets that have become missing.
--- a/internal/node/hedge_test.go
+++ b/internal/node/hedge_test.go
@@ -64,7 +64,7 @@
 		if target == nil {
 			continue
 		}
-		err := a.admitter.announce(admission.Announcement{Service: "s", Target: id, Address: target.address, Slots: 1, Phase: model.PhaseReady})
+		_, err := a.admitter.announce(admission.Announcement{Service: "s", Target: id, Address: target.address, Slots: 1, Phase: model.PhaseReady})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -213,7 +213,7 @@
 // handleAnnouncement applies an announcement of an upstream.
 func (n *Node) handleAnnouncement(a upstream.Announcement) error {
 	phase, _ := model.ParsePhase(a.Phase)
-	err := n.admitter.announce(admission.Announcement{
+	deregistered, err := n.admitter.announce(admission.Announcement{
 		Service: a.Service, Target: a.Target, Address: a.Address, Slots: a.Slots, Phase: phase, Load: a.Load,
 		ColdRemaining: a.ColdRemaining, HasColdRemaining: a.HasColdRemaining, Sequence: a.Sequence, StartTimeMS: a.StartTimeMS,
 	})
@@ -221,6 +221,10 @@
 		n.log.Emit(events.AnnounceRefused, events.AddressField(a.Address), events.CauseField(err))
 		return err
 	}
+	if deregistered {
+		n.log.Emit(events.AnnounceIgnored, events.TargetField(a.Target), events.ServiceField(a.Service), events.PhaseField(phase))
+		return nil
+	}
 	n.control.detection.recordAnnouncement(a.Target)
 	n.control.wake()
 	return nil
@@ -237,7 +241,9 @@
 
 // handleDeregistration applies the deregistration of an upstream.
 func (n *Node) handleDeregistration(target model.TargetID, startTime int64) {
-	n.admitter.deregister(target, startTime)
+	if !n.admitter.deregister(target, startTime, time.Now().UnixMilli()) {
+		n.log.Emit(events.UnknownTargetLeft, events.TargetField(target))
+	}
 	n.control.wake()
 }
 
--- a/internal/node/retried_answer_test.go
+++ b/internal/node/retried_answer_test.go
@@ -49,7 +49,7 @@
 	a.paths, a.pathChanged = newPaths(), func() {}
 	a.admitter = newAdmitter(a.clock, 1, admission.DefaultLimits(), upstream.NewClient(1<<20, dialect.OwnUpstream()), newCrashTracker(a.clock, a.self, nil, log))
 	t.Cleanup(a.admitter.upstreams.Close)
-	err := a.admitter.announce(admission.Announcement{
+	_, err := a.admitter.announce(admission.Announcement{
 		Service: service.Name, Target: "t1", Address: address, Slots: 4, Phase: model.PhaseReady,
 	})
 	if err != nil {
