Do not count the wait for another large answer as silence of the store

A node reads one answer of the store beyond 1 MiB at a time. Both interfaces are concerned: a large configuration beside a page of the member records, for example.

The wait no longer counts as silence. It is bounded as the arrival of an answer is, by five times the limit, so that a first answer without an end does not hold a second one for good.

Before: TestLargeAnswerThatWaitsForAnotherIsNotGivenUp, an answer of 2 MiB beside one that takes 8 s: given up after 2 s. After: whole; internal/store passes with -race.

--- a/internal/store/answer_limit.go
+++ b/internal/store/answer_limit.go
@@ -71,11 +71,8 @@
 // Read implements io.Reader.
 func (b *limitedBody) Read(p []byte) (int, error) {
 	if b.read >= largeAnswerBytes && !b.large {
-		select {
-		case b.limiter.large <- struct{}{}:
-			b.large = true
-		case <-b.ctx.Done():
-			return 0, b.ctx.Err()
+		if err := b.waitForTurn(); err != nil {
+			return 0, err
 		}
 	}
 	n, err := b.ReadCloser.Read(p)
@@ -86,6 +83,19 @@
 	return n, err
 }
 
+// waitForTurn waits until no other large answer is read.
+func (b *limitedBody) waitForTurn() error {
+	over := waiting(b.ctx)
+	defer over()
+	select {
+	case b.limiter.large <- struct{}{}:
+		b.large = true
+		return nil
+	case <-b.ctx.Done():
+		return b.ctx.Err()
+	}
+}
+
 // Close implements io.Closer.
 func (b *limitedBody) Close() error {
 	if b.large {
--- a/internal/store/large_answer_test.go
+++ b/internal/store/large_answer_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync"
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
@@ -115,6 +116,58 @@
 	}
 }
 
+// Guards against a large answer that is given up, and requested again, because another one is being read.
+func TestLargeAnswerThatWaitsForAnotherIsNotGivenUp(t *testing.T) {
+	const silence = time.Second
+	for _, c := range []struct {
+		name  string
+		pause time.Duration
+		whole bool
+	}{
+		{"the other one takes 8 s", 500 * time.Millisecond, true},
+		{"the other one takes 80 s", 5 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				large := make(chan struct{}, 1)
+				read := func(ctx context.Context, parts int, pause time.Duration) error {
+					part := make([]byte, largeAnswerBytes/4)
+					transport := slowTransport{parts: slices.Repeat([][]byte{part}, parts), pause: pause}
+					limiter := &answerLimiter{next: transport, maxBytes: maxAnswerBytes, large: large}
+					request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://store", nil)
+					if err != nil {
+						return err
+					}
+					response, err := limiter.RoundTrip(request)
+					if err != nil {
+						return err
+					}
+					defer response.Body.Close()
+					_, err = io.Copy(io.Discard, ProgressReader(ctx, response.Body))
+					return err
+				}
+				var other sync.WaitGroup
+				other.Go(func() {
+					if err := read(t.Context(), 16, c.pause); err != nil {
+						t.Error(err)
+					}
+				})
+				time.Sleep(5*c.pause + time.Millisecond)
+				ctx, cancel := WithProgressTimeout(t.Context(), silence, silence)
+				defer cancel()
+				start := time.Now()
+				if err := read(ctx, 8, silence/4); (err == nil) != c.whole {
+					t.Errorf("after %v: %v", time.Since(start), err)
+				}
+				if took := time.Since(start); took > 2*maxStalls*silence {
+					t.Errorf("ended after %v", took)
+				}
+				other.Wait()
+			})
+		})
+	}
+}
+
 // slowTransport answers with parts, with a pause before each.
 type slowTransport struct {
 	parts [][]byte
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -66,6 +66,30 @@
 	p.timer.Stop()
 }
 
+// waiting records that this node itself does not read the answer of the call with the context. The function that it returns records
+// that it reads again; the time between does not count as silence. It is bounded as the arrival of an answer is.
+func waiting(ctx context.Context) (over func()) {
+	p, ok := ctx.Value(progressKey{}).(*progressTimeout)
+	if !ok {
+		return func() {}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	start := time.Now()
+	if p.timer.Stop() {
+		p.timer.Reset(maxStalls * p.stall)
+	}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		now := time.Now()
+		p.deadline = p.deadline.Add(now.Sub(start))
+		if p.timer.Stop() {
+			p.timer.Reset(p.stall)
+		}
+	}
+}
+
 // CancelSilent ends the call with the context unless a part of its answer has arrived.
 func CancelSilent(ctx context.Context) {
 	p, ok := ctx.Value(progressKey{}).(*progressTimeout)
