Time the turns of standbys from the starts of their reads

One of two runs of internal/distribution here, failed in TestChangeAfterStoreReturnIsActiveWhileWatchersAreTurnedAway: a change at the return of the store after 90 s was not in force 3 s later on 5 of 7 nodes that the store answered, while it turned the watchers and most others away.

Cause, by the prints: a standby that gets no answers took its next turn 4 s after the END of a read that hung for 1 s. When the reads of all that are answered again had just begun, none began again for 3 to 4 s.

Now the interval runs from the start of a read, is 2 s or 550 ms for each standby of the domain, whichever is longer, and 4 s only in outages from 10 minutes on. In a domain of four standbys one that alone is answered has the change in time whatever the moment; in larger ones that stays a matter of how many are answered.

No check changed.

--- a/internal/distribution/stand_in.go
+++ b/internal/distribution/stand_in.go
@@ -36,12 +36,14 @@
 	elsewhereAfter = 150 * time.Millisecond
 	// elsewhereInterval is the time between two questions of a node without confirmations to another domain.
 	elsewhereInterval = time.Second
-	// standInShare is the time that each standby of a domain adds to the interval between two reads of one standby during an
-	// outage, so that the calls of a domain do not grow with its size. The interval is at least standInMinInterval, or
-	// standInMinLongInterval in a long outage.
-	standInShare           = 650 * time.Millisecond
+	// standInShare is the time that each standby of a domain adds to the interval between the starts of two reads of one standby
+	// during an outage, so that the calls of a domain do not grow with its size. The interval is at least standInMinInterval: in a
+	// small domain, a standby whose read hung when the store came back has its next turn before the bound for changes holds again.
+	// It is at least standInMinLongInterval in an outage from standInLongOutage on, which may last hours.
+	standInShare           = 550 * time.Millisecond
 	standInMinInterval     = 2 * time.Second
 	standInMinLongInterval = 4 * time.Second
+	standInLongOutage      = 10 * time.Minute
 )
 
 // runStandIn keeps this node from waiting for a confirmation longer than the bound for changes allows, whatever happens to
@@ -161,6 +163,7 @@
 
 // read stands in. After a failed read it sends a ping first, which costs less than a read.
 func (r *standInReader) read(ctx context.Context, state standInState) {
+	startedAt := r.distributor.options.Now()
 	var err error
 	if r.failing {
 		r.askElsewhere(ctx)
@@ -173,16 +176,16 @@
 		r.failing = false
 		return
 	}
-	r.recordFailure(state, err)
+	r.recordFailure(state, startedAt, err)
 }
 
-// recordFailure sets the time of the next turn after a read that failed with the error. The first turns of the standbys are
-// spread out by their ranks, so that one of them always comes soon.
-func (r *standInReader) recordFailure(state standInState, err error) {
+// recordFailure sets the time of the next turn after a read that began at startedAt and failed with the error. The first turns of
+// the standbys are spread out by their ranks, so that one of them always comes soon.
+func (r *standInReader) recordFailure(state standInState, startedAt time.Duration, err error) {
 	d, now := r.distributor, r.distributor.options.Now()
 	var wait time.Duration
 	if r.failing {
-		wait = d.jitter(standInInterval(state.standbys, now-r.failingSince), jitterFraction)
+		wait = max(0, startedAt+d.jitter(standInInterval(state.standbys, now-r.failingSince), jitterFraction)-now)
 	} else {
 		r.failing, r.failingSince = true, now
 		wait = time.Duration(1+state.rank) * standInShare
@@ -192,11 +195,11 @@
 	d.options.Report(Event{Kind: StandInFailed, Rank: state.rank, Age: d.standInState().age, Duration: wait, Err: err})
 }
 
-// standInInterval returns the time between two reads of a standby, in a domain with the number of standbys, whose reads have
-// failed for the given time.
+// standInInterval returns the time between the starts of two reads of a standby, in a domain with the number of standbys, whose
+// reads have failed for the given time.
 func standInInterval(standbys int, outage time.Duration) time.Duration {
 	shortest := standInMinInterval
-	if outage >= longOutage {
+	if outage >= standInLongOutage {
 		shortest = standInMinLongInterval
 	}
 	return max(shortest, time.Duration(standbys)*standInShare)
--- a/internal/distribution/store_return_test.go
+++ b/internal/distribution/store_return_test.go
@@ -31,6 +31,8 @@
 	lostBefore time.Duration
 	// keep is the share of the standbys that is kept. No watcher is, and at least one standby of each domain.
 	keep float64
+	// lone means that only one standby of the fleet is kept.
+	lone bool
 }
 
 func losePower(f *nodeFaults)    { f.cut = true; f.forgotten++ }
@@ -71,7 +73,7 @@
 	keptDomains := map[model.FailureDomain]bool{}
 	for _, node := range nodes {
 		drawn := random.Float64() < r.keep
-		if !node.Status().Watcher && (drawn || !keptDomains[node.self.Domain]) {
+		if !node.Status().Watcher && (drawn || !keptDomains[node.self.Domain]) && !(r.lone && len(kept) > 0) {
 			keptDomains[node.self.Domain] = true
 			kept = append(kept, node)
 		} else {
@@ -121,3 +123,13 @@
 		}
 	}
 }
+
+// Guards against a standby whose turn comes late after a read that hung, while the store answers no other node.
+func TestChangeAfterStoreReturnIsActiveOnTheOnlyNodeThatIsAnswered(t *testing.T) {
+	t.Parallel()
+	for i := range 4 {
+		r := storeReturn{nodes: 24, stable: stableWindow, mode: storeSilent, disrupt: staySilent, lone: true}
+		r.outage = 90*time.Second + time.Duration(i)*700*time.Millisecond
+		t.Run(r.String(), func(t *testing.T) { r.play(t, uint64(i)) })
+	}
+}
