Do not acknowledge a departure while the node is stopping

Callers saw requests reach a target 3.2 to 3.3 s after the node beside it had acknowledged its departure (DRAIN).

A stopping node now stops using the target at once but answers 503, so that the target says it again to the process that follows (SR0421 leave_refused). An answer to a draining heartbeat has the same weakness; it is repeated with each heartbeat, and is left as it is.

Before: TestStoppingNodeDoesNotAcknowledgeDeparture fails (the check taken out of the new code). After: passes, with the tests of internal/node, internal/events and the heartbeat tests of platform.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -74,6 +74,7 @@
 	AnnounceRefused    = &Event{415, "announce_refused", Warning, "an announcement of an upstream is not valid", []Key{Address, Cause}, 0}
 	UnknownTargetLeft  = &Event{419, "unknown_target_left", Info, "an upstream that this process has not heard of says that it leaves", []Key{Target}, 0}
 	AnnounceIgnored    = &Event{420, "announce_ignored", Info, "a late announcement of an upstream that has left is ignored", []Key{Target, Service, Phase}, 0}
+	LeaveRefused       = &Event{421, "leave_refused", Info, "this node stops, so it stops using an upstream that leaves but does not acknowledge it", []Key{Target}, 0}
 )
 
 // Events about requests that crash upstreams.
@@ -118,7 +119,7 @@
 	StoreOutcomeUnknown, StoreRestored, StoreHistoryLost, ListOutdated, StoreEraReceived, ConfigApplied, ConfigInvalid, ConfigStale,
 	WatcherStarted, WatcherStopped, StandInStarted, StandInStopped, StandInFailed, ConfirmationLate, ConfirmationReceived, PullFailed, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
-	RegionReachable, LinkBudgetSpent, LoadDigestFailed, TargetAnnounced, TargetPhaseChanged, UnknownTargetLeft, AnnounceIgnored,
+	RegionReachable, LinkBudgetSpent, LoadDigestFailed, TargetAnnounced, TargetPhaseChanged, UnknownTargetLeft, AnnounceIgnored, LeaveRefused,
 	TargetMissing, TargetSuspected, TargetEjected, TargetAvoided, TargetReturned,
 	TargetHeldDown, EjectionAtFloor, EjectionWithdrawn, DrainStarted, DrainForced,
 	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, RequestHedged, CrashAttributed, FingerprintQuarantined,
--- /dev/null
+++ b/internal/node/deregistration_test.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/admission"
+	"github.com/sardinereach/sardinereach/internal/dialect"
+	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/upstream"
+)
+
+// Guards against a departure that a stopping process acknowledges, so that the process after it never hears of it.
+func TestStoppingNodeDoesNotAcknowledgeDeparture(t *testing.T) {
+	log := events.New(discardLog{}, time.Now)
+	n := &Node{clock: newClock(), log: log, acceptor: &acceptor{}, control: &control{wakeup: make(chan struct{}, 1)}}
+	n.admitter = newAdmitter(n.clock, 1, admission.DefaultLimits(), upstream.NewClient(1<<20, dialect.OwnUpstream()), newCrashTracker(n.clock, model.Node{ID: "n1"}, nil, log))
+	t.Cleanup(n.admitter.upstreams.Close)
+	for _, id := range []model.TargetID{"t1", "t2"} {
+		_, err := n.admitter.announce(admission.Announcement{
+			Service: "s", Target: id, Address: "127.0.0.1:" + string(id[1:]), Slots: 1, Phase: model.PhaseReady, StartTimeMS: 1,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := n.handleDeregistration("t1", 0); err != nil {
+		t.Errorf("a running node: %v", err)
+	}
+	n.acceptor.lameDuck.Store(true)
+	if err := n.handleDeregistration("t2", 0); err == nil {
+		t.Error("a stopping node has acknowledged a departure")
+	}
+	for _, target := range n.admitter.targets() {
+		if target.Phase != model.PhaseLeaving {
+			t.Errorf("%s is %v, want leaving", target.ID, target.Phase)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -239,12 +239,21 @@
 	return len(service.Targets)
 }
 
-// handleDeregistration applies the deregistration of an upstream.
-func (n *Node) handleDeregistration(target model.TargetID, startTime int64) {
+// errNodeStopping is the error of a deregistration that ends with this process.
+var errNodeStopping = errors.New("node: stopping; repeat the call")
+
+// handleDeregistration applies the deregistration of an upstream. A stopping node returns an error: the process that follows
+// knows nothing of the deregistration and may take a late announcement for a new upstream, so it must not be acknowledged.
+func (n *Node) handleDeregistration(target model.TargetID, startTime int64) error {
 	if !n.admitter.deregister(target, startTime, time.Now().UnixMilli()) {
 		n.log.Emit(events.UnknownTargetLeft, events.TargetField(target))
 	}
 	n.control.wake()
+	if n.acceptor.lameDuck.Load() {
+		n.log.Emit(events.LeaveRefused, events.TargetField(target))
+		return errNodeStopping
+	}
+	return nil
 }
 
 // countsAsFailure reports whether the outcome of an attempt counts as a failure of its target. A failing response does not
--- a/internal/node/slow_callers_test.go
+++ b/internal/node/slow_callers_test.go
@@ -27,7 +27,7 @@
 // good.
 func TestUnfinishedAnnouncementEnds(t *testing.T) {
 	n := &Node{settings: &settings.Settings{Limits: settings.Limits{ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 1 << 16}}}
-	n.ports.Announcements = func(announced func(upstream.Announcement) error, _ func(model.TargetID, int64)) http.Handler {
+	n.ports.Announcements = func(announced func(upstream.Announcement) error, _ func(model.TargetID, int64) error) http.Handler {
 		return upstream.AnnounceHandler(announced)
 	}
 	server := n.upstreamServer()
