Log the departure of an unknown target once

A target repeats a leave call until it is acknowledged, and says it again when it exits. Repeated calls no longer count as calls of an unknown target.

--- a/internal/admission/announce.go
+++ b/internal/admission/announce.go
@@ -87,11 +87,12 @@
 
 // Deregister handles a target that leaves without a further announcement. startTimeMS is the target's start time, 0 if it
 // was not sent. receivedMS is the time at which the target said so, in Unix milliseconds. A target that has restarted since
-// then stays registered. Deregister reports whether the target was known; the announcements of one that was not may still
-// be on their way.
+// then stays registered. Deregister reports whether this process has heard of the target; the announcements of one that it has
+// not heard of may still be on their way.
 func (p *Point) Deregister(now time.Duration, id model.TargetID, startTimeMS, receivedMS int64) bool {
 	p.advance(now)
 	t := p.targets[id]
+	_, repeated := p.deregistered[id]
 	d := deregistration{startTimeMS: startTimeMS, at: p.now}
 	switch {
 	case startTimeMS != 0:
@@ -103,12 +104,11 @@
 	if d.startTimeMS != 0 {
 		p.deregistered[id] = d
 	}
-	if t == nil || d.startTimeMS < t.StartTimeMS {
-		return t != nil
+	if t != nil && d.startTimeMS >= t.StartTimeMS {
+		t.Phase = model.PhaseLeaving
+		p.updateQueue(t)
 	}
-	t.Phase = model.PhaseLeaving
-	p.updateQueue(t)
-	return true
+	return t != nil || repeated
 }
 
 // isCold reports whether the announcement comes from a process that has not served requests yet.
--- a/internal/admission/deregistration_test.go
+++ b/internal/admission/deregistration_test.go
@@ -24,6 +24,9 @@
 		if p.Deregister(0, "a", c.leaveStartMS, leftMS) {
 			t.Errorf("%s: the target was known", name)
 		}
+		if !p.Deregister(0, "a", c.leaveStartMS, leftMS) {
+			t.Errorf("%s: a repeated call counts as the first one", name)
+		}
 		err := p.Announce(0, Announcement{
 			Service: testService, Target: "a", Address: "127.0.0.1:1", Slots: 1, Phase: model.PhaseReady,
 			StartTimeMS: c.heartbeatStartMS, Sequence: 5,
