Wait for the first bytes through a relay in the process tests

By its log the test restarts that node, its pulls were cancelled by the restart at 13.035, and the check came at about 13.9, before the next round of the other node, which pulls once a second. The product is not concerned.

The check asked whether bytes had passed by then. It asks now whether they do pass, in both directions, within the limit of all waits of these tests, and fails as before if none does: a relay that is not in the path still fails it.

--- a/internal/fleettest/network_test.go
+++ b/internal/fleettest/network_test.go
@@ -4,19 +4,24 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sardinereach/sardinereach/internal/relay"
 )
 
 // longWork is longer than the frame timeout of peer connections (design 4.3: 2 s).
 const longWork = 3 * time.Second
 
-// requireRelayed returns the relay of the node. It fails the test if no traffic passed the relay: faults of the relay
-// would then have no effect.
+// requireRelayed returns the relay of the node once traffic has passed it in both directions, which takes up to a round of pulls
+// after a start. It fails the test if none does: faults of the relay would then have no effect.
 func (s *testFleet) requireRelayed(node *Node) *relay.Relay {
 	s.t.Helper()
-	if node.Relay.Bytes(relay.Forward) == 0 || node.Relay.Bytes(relay.Backward) == 0 {
-		s.t.Fatalf("no bytes passed the relay of %s", node.ID)
-	}
+	s.await("bytes through the relay of "+node.ID, func() error {
+		if node.Relay.Bytes(relay.Forward) == 0 || node.Relay.Bytes(relay.Backward) == 0 {
+			return errors.New("none")
+		}
+		return nil
+	})
 	return node.Relay
 }
 
