Keep the routes of a configuration in force beside one that is not understood

Cause: the adapter decoded a configuration as one value.

Ruled out: ignoring an odd route (its requests would get 404, or go to a less specific route), taking an unknown kind for idempotent (it could run twice), keeping the older version (it would stay in force unnoticed).

Change: each route is decoded on its own. What is not understood becomes an unsupported route, whose requests are refused with route_unsupported and which is logged once a revision (SR0220).

--- a/internal/config/entry.go
+++ b/internal/config/entry.go
@@ -46,7 +46,7 @@
 }
 
 func decode(name model.ServiceName, value []byte) (*declaration.Service, error) {
-	service, err := declaration.Decode(value)
+	service, err := declaration.DecodeStored(value)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/config/table_test.go
+++ b/internal/config/table_test.go
@@ -119,3 +119,27 @@
 		t.Errorf("%d tombstones are kept, want 1", table.Len())
 	}
 }
+
+// Guards against one route that this build does not understand keeping an older document of its service in force.
+func TestUnsupportedRouteLeavesTheOthersInForce(t *testing.T) {
+	for name, odd := range map[string]string{
+		"unknown class":     `{"path":"/odd","class":"exactly-once"}`,
+		"class as a number": `{"path":"/odd","class":7}`,
+		"text as timeout":   `{"path":"/odd","timeout_ms":"soon"}`,
+		"declared twice":    `{"path":"/new"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable("config/", 0)
+			value := fmt.Sprintf(`{"name":"a","policy":{},"routes":[{"path":"/new","from_a_later_build":{}},%s]}`, odd)
+			table.Apply([]Document{serviceDocument("a", 1), {Key: ServicePrefix + "a", Value: []byte(value), Revision: 2}})
+			snapshot := table.Snapshot()
+			if snapshot.Revisions["a"] != 2 || len(snapshot.Rejected) != 0 {
+				t.Fatalf("revisions in force %v, rejected %v", snapshot.Revisions, snapshot.Rejected)
+			}
+			routes := snapshot.Services["a"].Routes
+			if len(routes) != 2 || routes[0].Refusal() != nil || routes[1].Refusal() == nil {
+				t.Errorf("routes %+v, want the first one served and the second one refused", routes)
+			}
+		})
+	}
+}
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -34,18 +34,28 @@
 	seen := make(map[string]bool, len(s.Routes))
 	for i := range s.Routes {
 		route := &s.Routes[i]
+		if route.Unsupported != "" {
+			continue
+		}
 		if err := route.validate(); err != nil {
 			return errors.Wrapf(err, "service %s: route %q", s.Name, route.Path)
 		}
-		id := route.Host + " " + strings.Join(route.Methods, ",") + " " + route.Path
-		if seen[id] {
-			return errors.Errorf("service %s: route %q is declared twice for the same host and methods", s.Name, route.Path)
+		if seen[route.id()] {
+			return errors.Wrapf(errDeclaredTwice, "service %s: route %q", s.Name, route.Path)
 		}
-		seen[id] = true
+		seen[route.id()] = true
 	}
 	return nil
 }
 
+// errDeclaredTwice is the error of the second of two routes that match the same requests.
+var errDeclaredTwice = errors.New("declared twice for the same host and methods")
+
+// id identifies the requests that the route matches.
+func (r *Route) id() string {
+	return r.Host + " " + strings.Join(r.Methods, ",") + " " + r.Path
+}
+
 func (p Policy) validate() error {
 	switch p.Preset {
 	case "", PresetHuon, PresetDala:
--- a/internal/distribution/apply.go
+++ b/internal/distribution/apply.go
@@ -1,6 +1,13 @@
 package distribution
 
-import "github.com/sardinereach/sardinereach/internal/config"
+import (
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/config"
+	"github.com/sardinereach/sardinereach/internal/model"
+)
 
 // applyDocuments merges documents of any prefix. All documents of a prefix are merged in one call, because a range and
 // the documents after it belong together. The caller holds d.mu.
@@ -83,6 +90,24 @@
 	}
 	if prefix == ConfigPrefix {
 		d.reportRejected()
+		d.reportUnsupportedRoutes(changed)
+	}
+}
+
+// reportUnsupportedRoutes reports the routes of the changed documents that this build cannot serve.
+func (d *Distributor) reportUnsupportedRoutes(changed []config.Document) {
+	snapshot := d.tables.config.Snapshot()
+	for _, document := range changed {
+		service := snapshot.Services[model.ServiceName(strings.TrimPrefix(document.Key, config.ServicePrefix))]
+		if service == nil || snapshot.Revisions[service.Name] != document.Revision {
+			continue
+		}
+		for _, route := range service.UnsupportedRoutes() {
+			d.options.Report(Event{
+				Kind: RouteUnsupported, Key: document.Key, Revision: document.Revision, Route: route.Host + route.Path,
+				Err: errors.New(route.Unsupported),
+			})
+		}
 	}
 }
 
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -29,6 +29,9 @@
 	DocumentApplied
 	// DocumentRejected means that the newest document of Key is invalid. The last valid one stays active.
 	DocumentRejected
+	// RouteUnsupported means that a document that was merged has a route that this build cannot serve, for the reason Err.
+	// Key and Revision identify the document, Route is the host and path.
+	RouteUnsupported
 	// MemberChanged means that the liveness of Node changed from From to To.
 	MemberChanged
 	// MemberRegistered means that the node's own member record is in the store.
@@ -67,7 +70,7 @@
 )
 
 var eventNames = [...]string{
-	"store_failed", "store_compacted", "list_outdated", "pull_failed", "document_applied", "document_rejected",
+	"store_failed", "store_compacted", "list_outdated", "pull_failed", "document_applied", "document_rejected", "route_unsupported",
 	"member_changed", "member_registered", "member_record_lost", "member_deleted", "watch_started", "watch_stopped",
 	"ready", "isolated", "reconnected", "identity_conflict", "era_received",
 	"stand_in_started", "stand_in_stopped", "stand_in_failed", "confirmation_late", "confirmation_received",
@@ -87,6 +90,7 @@
 	Node     model.NodeID
 	Address  string
 	Key      string
+	Route    string
 	Revision int64
 	Complete int64
 	From, To membership.State
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -20,7 +20,7 @@
 	StoreRecovered       = &Event{202, "store_recovered", Info, "the store responds again", []Key{Duration}, 0}
 	StoreOutcomeUnknown  = &Event{203, "store_outcome_unknown", Warning, "the response to a write was lost; its outcome is resolved by reading back", []Key{Operation, Service}, 0}
 	ConfigApplied        = &Event{204, "config_applied", Info, "a configuration is in force on this node; it was acknowledged at most as long ago as the confirmation before it", []Key{Service, Revision, Source, Duration, Age, Bytes, Wait}, 0}
-	ConfigInvalid        = &Event{205, "config_invalid", Error, "a document in the store is not valid; the last valid one stays in force", []Key{Service, Revision, Cause}, 0}
+	ConfigInvalid        = &Event{205, "config_invalid", Error, "a document in the store is not valid and the last valid one stays in force, or a part of it is left out", []Key{Service, Revision, Cause}, 0}
 	ConfigStale          = &Event{207, "config_stale", Warning, "neither the store nor a peer confirms the configuration in force", []Key{Revision, Duration}, 0}
 	WatcherStarted       = &Event{208, "watcher_started", Info, "this node watches the store for its failure domain", []Key{Domain}, 0}
 	WatcherStopped       = &Event{209, "watcher_stopped", Info, "another node watches the store for the failure domain", []Key{Domain}, 0}
@@ -33,6 +33,7 @@
 	StandInFailed        = &Event{218, "stand_in_failed", Warning, "the store did not answer a read or a ping by this standby, of the given rank in its failure domain; it tries again after the duration, sooner if it hears of no attempt by others", []Key{Domain, Rank, Age, Duration, Cause}, 0}
 	ConfirmationLate     = &Event{216, "confirmation_late", Warning, "the store has not confirmed the configuration to any node that this one hears of for longer than expected", []Key{Revision, Age, Operation}, 0}
 	ConfirmationReceived = &Event{217, "confirmation_received", Info, "the store has confirmed the configuration again", []Key{Revision, Duration}, 0}
+	RouteUnsupported     = &Event{220, "route_unsupported", Error, "this build does not understand a route of the configuration; its requests are refused, the other routes are in force", []Key{Service, Revision, Route, Cause}, 0}
 	PullFailed           = &Event{219, "pull_failed", Warning, "a node did not answer a pull of records and configuration within the duration", []Key{Address, Revision, Duration, Cause}, 0}
 )
 
--- a/internal/events/reason_numbers.go
+++ b/internal/events/reason_numbers.go
@@ -36,6 +36,7 @@
 	verdict.TargetOnTrial:       1029,
 	verdict.TargetDoubtful:      1030,
 	verdict.RepeatsSpent:        1031,
+	verdict.RouteUnsupported:    1032,
 	verdict.UpstreamLost:        1101,
 	verdict.UpstreamTimeout:     1102,
 	verdict.NodeLost:            1103,
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -117,6 +117,9 @@
 	if match == nil {
 		return nil, verdict.Refused(verdict.NoRoute, nil)
 	}
+	if err := match.Route.Refusal(); err != nil {
+		return nil, err
+	}
 	rq, err := a.readRequest(w, r, match, a.seed^a.serial.Add(1))
 	if err == nil && a.stopping.Load() {
 		return nil, verdict.Refused(verdict.NodeStopping, nil)
--- a/internal/node/event_log.go
+++ b/internal/node/event_log.go
@@ -53,6 +53,9 @@
 			events.DurationField(e.Duration), events.CauseField(e.Err))
 	case distribution.DocumentRejected:
 		n.log.Emit(events.ConfigInvalid, events.ServiceField(service), events.RevisionField(e.Revision), events.CauseField(e.Err))
+	case distribution.RouteUnsupported:
+		n.log.Emit(events.RouteUnsupported, events.ServiceField(service), events.RevisionField(e.Revision),
+			events.RouteField(e.Route), events.CauseField(e.Err))
 	case distribution.WatchStarted:
 		n.log.Emit(events.WatcherStarted, events.DomainField(n.self.Domain))
 	case distribution.WatchStopped:
--- a/internal/operator/config_rows.go
+++ b/internal/operator/config_rows.go
@@ -36,13 +36,21 @@
 
 func routeRow(service model.ServiceName, route *declaration.Route) []string {
 	return []string{
-		string(service), route.Host, joinNames(route.Methods), route.Path, orElse(route.Class, "by method"),
+		string(service), route.Host, joinNames(route.Methods), route.Path, classText(route),
 		number(cmp.Or(route.TimeoutMS, declaration.DefaultTimeoutMS)), orElse(route.Priority, declaration.Interactive),
 		number(cmp.Or(route.FirstByteMS, declaration.DefaultFirstByteMS)), joinNumbers(route.RetryStatuses),
 		joinNumbers(route.FailStatuses),
 	}
 }
 
+// classText returns the class of the route as it is shown to operators.
+func classText(route *declaration.Route) string {
+	if route.Unsupported != "" {
+		return "unsupported"
+	}
+	return orElse(route.Class, "by method")
+}
+
 func revisionRows(snapshot *Snapshot) [][]string {
 	var rows [][]string
 	for i := range snapshot.Services {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -41,6 +41,10 @@
 }
 
 func (t *Table) add(m *Match) {
+	if !strings.HasPrefix(m.Route.Path, "/") {
+		// An unsupported route whose path could not be read.
+		return
+	}
 	key := pathKey{host: m.Route.Host, path: trimSlash(m.Route.Path)}
 	t.paths[key] = append(t.paths[key], m)
 	if m.Route.Host != "" {
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -8,6 +8,8 @@
 const (
 	// NoRoute means that no route matches the method and path.
 	NoRoute Reason = "no_route"
+	// RouteUnsupported means that the configuration has a route for the request that this build does not understand.
+	RouteUnsupported Reason = "route_unsupported"
 	// NoTarget means that no target of the service is left for the request.
 	NoTarget Reason = "no_target"
 	// SlotsFull means that all slots of the target and its queue are in use.
@@ -112,7 +114,7 @@
 // Reasons returns every reason, in declaration order.
 func Reasons() []Reason {
 	return []Reason{
-		NoRoute, NoTarget, SlotsFull, QueueDeadline, TargetDraining, TargetStarting, TargetOnTrial, TargetDoubtful, TargetUnknown, AttemptFenced,
+		NoRoute, RouteUnsupported, NoTarget, SlotsFull, QueueDeadline, TargetDraining, TargetStarting, TargetOnTrial, TargetDoubtful, TargetUnknown, AttemptFenced,
 		AttemptDuplicate, AdmitExpired, WrongIncarnation, UpstreamShed, UpstreamUnreachable, NodeUnreachable,
 		NodeStopping, NotReady, Overloaded, DeadlineExceeded, BodyTooLarge, BodyIncomplete, BadRequest, KeyMissing, KeyInvalid,
 		KeyReused, StoreUnavailable, Quarantined, LinkBudget, RepeatsSpent, CallerGone,
