Close callers' connections without losing the last response

Cause: a connection that the node closes, after a response with Connection: close, while requests that were sent behind it (HTTP pipelining) are unread, is reset by the kernel. A reset can reach the caller before it has read the response, as in a planned stop, in which every connection ends in this way.

Ruled out: reading and answering those requests; in a planned stop they belong to another node, and callers send them again.

Change: package callerconn. Close ends the node's side and reads and drops what arrives, until the caller closes or 0.5 s have passed. A stopping node waits that long for connections that are still open before it exits.

Measured: TestCloseWithUnreadRequestsKeepsTheResponse fails with a plain close (connection reset by peer) and passes now.

--- /dev/null
+++ b/internal/callerconn/conn_test.go
@@ -0,0 +1,183 @@
+package callerconn
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// testLimit ends a test that hangs.
+const testLimit = 20 * time.Second
+
+// testServer runs a handler behind connections of this package.
+type testServer struct {
+	address string
+	// started and ended have the paths of the requests in order; a cancelled one has "cancelled" after it.
+	started, ended chan string
+	// release lets a request end.
+	release chan struct{}
+
+	mu sync.Mutex
+	// header is set on each response.
+	header http.Header
+}
+
+type wrappingListener struct {
+	net.Listener
+}
+
+func (l wrappingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return New(c, nil), nil
+}
+
+// startServer starts a server whose requests run until they are released or cancelled.
+func startServer(t *testing.T) *testServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &testServer{
+		address: listener.Addr().String(), header: http.Header{},
+		started: make(chan string, 100), ended: make(chan string, 100), release: make(chan struct{}, 100),
+	}
+	server := &http.Server{Handler: s, ConnContext: WithConn}
+	go func() { _ = server.Serve(wrappingListener{listener}) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+func (s *testServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	ctx := r.Context()
+	s.started <- r.URL.Path
+	select {
+	case <-s.release:
+		s.ended <- r.URL.Path
+	case <-ctx.Done():
+		s.ended <- r.URL.Path + " cancelled"
+		return
+	}
+	s.mu.Lock()
+	for name, values := range s.header {
+		w.Header()[name] = values
+	}
+	s.mu.Unlock()
+	_, _ = io.WriteString(w, r.URL.Path)
+}
+
+func (s *testServer) dial(t *testing.T) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(testLimit))
+	return c.(*net.TCPConn)
+}
+
+func next(t *testing.T, events chan string, want string) {
+	t.Helper()
+	select {
+	case got := <-events:
+		if got != want {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+	case <-time.After(testLimit):
+		t.Fatalf("%q did not happen", want)
+	}
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func getRequest(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+func readResponse(t *testing.T, r *bufio.Reader, want string) *http.Response {
+	t.Helper()
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil || string(body) != want {
+		t.Fatalf("response %q, %v, want %q", body, err, want)
+	}
+	return res
+}
+
+// Guards against a last response that the caller loses, because the server closes the connection while pipelined requests are
+// unread on it, which resets it. Those requests do not run.
+func TestCloseWithUnreadRequestsKeepsTheResponse(t *testing.T) {
+	s := startServer(t)
+	s.header.Set("Connection", "close")
+	for range 20 {
+		c := s.dial(t)
+		send(t, c, getRequest("/first"))
+		next(t, s.started, "/first")
+		send(t, c, strings.Repeat(getRequest("/later"), 1000))
+		s.release <- struct{}{}
+		next(t, s.ended, "/first")
+		// A reset would arrive before the response is read.
+		time.Sleep(5 * time.Millisecond)
+		r := bufio.NewReader(c)
+		if res := readResponse(t, r, "/first"); !res.Close {
+			t.Error("the response does not say that the connection closes")
+		}
+		if rest, err := io.ReadAll(r); err != nil || len(rest) != 0 {
+			t.Fatalf("after the response %q, %v, want the end of the connection", rest, err)
+		}
+		_ = c.Close()
+	}
+	if len(s.started) != 0 {
+		t.Errorf("%s was run", <-s.started)
+	}
+}
+
+// Guards against a closed connection that waits for its caller without a limit.
+func TestClosedConnectionDoesNotWaitForItsCaller(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := make(chan struct{})
+	conn := New(accepted, func() { close(closed) })
+	go func() {
+		for {
+			if _, err := caller.Write(make([]byte, 1000)); err != nil {
+				return
+			}
+		}
+	}()
+	_ = conn.Close()
+	select {
+	case <-closed:
+	case <-time.After(testLimit):
+		t.Fatal("the connection is still open")
+	}
+}
--- a/internal/node/limit_listener.go
+++ b/internal/node/limit_listener.go
@@ -3,7 +3,10 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/sardinereach/sardinereach/internal/callerconn"
 )
 
 // limitListener limits the number of open connections, so that callers cannot exhaust the file descriptors. Further
@@ -16,6 +19,8 @@
 	// refusing is closed when new connections are refused.
 	refusing   chan struct{}
 	refuseOnce sync.Once
+	// open is the number of connections that are not closed yet, those that only wait for their callers to close included.
+	open atomic.Int64
 	// backlogUntil is the time until which the backlog is accepted. Only Accept uses it.
 	backlogUntil time.Time
 }
@@ -81,7 +86,11 @@
 		<-l.slots
 		return nil, err
 	}
-	return &limitConn{Conn: c, release: func() { <-l.slots }}, nil
+	l.open.Add(1)
+	return callerconn.New(c, func() {
+		l.open.Add(-1)
+		<-l.slots
+	}), nil
 }
 
 // Close implements net.Listener.
@@ -103,16 +112,3 @@
 		return nil, err
 	}
 }
-
-type limitConn struct {
-	net.Conn
-	once    sync.Once
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *limitConn) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(c.release)
-	return err
-}
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sardinereach/sardinereach/internal/callerconn"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/peer"
 )
@@ -84,6 +85,7 @@
 		callersActive:   newActiveConnections(),
 	}
 	s.callers.ConnState = s.callersActive.record
+	s.callers.ConnContext = callerconn.WithConn
 	s.callers.BaseContext = func(net.Listener) context.Context { return n.acceptor.cutoff.requests }
 	group.Go(func() error {
 		return serveHTTP(s.callers, s.callersListener)
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -13,6 +13,10 @@
 // frames of the last responses be sent.
 const closeDelay = 100 * time.Millisecond
 
+// maxCloseDelay is the longest time for which callers may take to close connections that this node has closed. The exit of
+// the process resets those that are open, and the callers might lose their last responses.
+const maxCloseDelay = 500 * time.Millisecond
+
 // requestCutoffShare is the share of the grace period after which requests that are still open receive their final
 // response. The rest of the grace period is for sending these responses before the process is killed.
 const requestCutoffShare = 0.9
@@ -45,6 +49,7 @@
 	n.refuseRequests(s)
 	n.awaitIdle(ctx, s.callersActive)
 	_ = sleep(ctx, closeDelay)
+	awaitClosed(ctx, s.callersListener)
 	if remaining := n.pendingWork(); remaining > 0 {
 		n.log.Emit(events.GraceExceeded, events.NodeField(n.self.ID), events.CountField(remaining), events.DurationField(n.settings.Shutdown.Grace))
 	}
@@ -94,3 +99,14 @@
 		}
 	}
 }
+
+// awaitClosed waits until all connections of callers are closed for good, or maxCloseDelay has passed.
+func awaitClosed(ctx context.Context, callers *limitListener) {
+	ctx, cancel := context.WithTimeout(ctx, maxCloseDelay)
+	defer cancel()
+	for callers.open.Load() > 0 {
+		if sleep(ctx, idlePollInterval) != nil {
+			return
+		}
+	}
+}
