Notice the close of a connection behind pipelined requests

Cause: net/http notices that a caller has closed by reading one byte ahead. A pipelined request takes that read, so the run of the first request went on to its end for nobody, and the next one was started after it.

Change: while a request runs, the connection reads ahead up to 4 KB. The end of the connection cancels the request, and what was sent behind it is dropped unread.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -2,23 +2,134 @@
 
 import (
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
-// Conn is a caller's connection. Its methods may be called by several goroutines at the same time.
+// ErrCallerClosed is the cause of the end of a request whose caller has closed or reset the connection.
+var ErrCallerClosed = errors.New("callerconn: the caller has closed the connection")
+
+// MaxReadAheadBytes bounds what is read from a connection while a request on it is running. A caller that has sent more is
+// read no further, and its close is noticed only when the response is written.
+const MaxReadAheadBytes = 4 << 10
+
+// Conn is a caller's connection. Its methods may be called by several goroutines at the same time, Read by one.
 type Conn struct {
 	net.Conn
 	// onClosed is called once when the connection is closed for good.
 	onClosed func()
 
-	mu      sync.Mutex
+	mu   sync.Mutex
+	cond sync.Cond
+	// ahead are the bytes that were read ahead and not yet returned by Read.
+	ahead []byte
+	// readingAhead means that a goroutine reads ahead. Read waits for it.
+	readingAhead bool
+	// inRead means that Read reads from the connection itself.
+	inRead bool
+	// cancel ends the running request, nil while none is watched.
+	cancel func(cause error)
+	// readErr is the error that ended reading, nil while the caller may send more.
+	readErr error
 	closing bool
 }
 
 // New returns the connection c. onClosed is called when it is closed for good; it may be nil.
 func New(c net.Conn, onClosed func()) *Conn {
-	return &Conn{Conn: c, onClosed: onClosed}
+	conn := &Conn{Conn: c, onClosed: onClosed}
+	conn.cond.L = &conn.mu
+	return conn
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.readingAhead && len(c.ahead) == 0 {
+		c.cond.Wait()
+	}
+	if len(c.ahead) > 0 {
+		n := copy(p, c.ahead)
+		c.ahead = c.ahead[n:]
+		return n, nil
+	}
+	if c.readErr != nil {
+		return 0, c.readErr
+	}
+	c.inRead = true
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.inRead = false
+	c.recordReadError(err)
+	c.readAheadIfNeeded()
+	return n, err
+}
+
+// Watch calls cancel with ErrCallerClosed when the caller closes the connection. It is called once the request and its body
+// are read: whatever the caller sends from then on belongs to later requests. stop ends the watch.
+func (c *Conn) Watch(cancel func(cause error)) (stop func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel = cancel
+	if c.readErr != nil {
+		cancel(ErrCallerClosed)
+		return c.unwatch
+	}
+	c.readAheadIfNeeded()
+	return c.unwatch
+}
+
+func (c *Conn) unwatch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel = nil
+}
+
+// readAheadIfNeeded starts to read ahead if a request is watched and nobody else reads. c.mu is held.
+func (c *Conn) readAheadIfNeeded() {
+	if c.cancel == nil || c.readingAhead || c.inRead || c.readErr != nil || len(c.ahead) >= MaxReadAheadBytes {
+		return
+	}
+	c.readingAhead = true
+	go c.readAhead()
+}
+
+// readAhead reads until the caller closes, the limit is reached, or the request ends.
+func (c *Conn) readAhead() {
+	buffer := make([]byte, MaxReadAheadBytes)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.cancel != nil && len(c.ahead) < MaxReadAheadBytes {
+		room := MaxReadAheadBytes - len(c.ahead)
+		c.mu.Unlock()
+		n, err := c.Conn.Read(buffer[:room])
+		c.mu.Lock()
+		c.ahead = append(c.ahead, buffer[:n]...)
+		c.cond.Broadcast()
+		if err != nil {
+			c.recordReadError(err)
+			break
+		}
+	}
+	c.readingAhead = false
+	c.cond.Broadcast()
+}
+
+// recordReadError ends the watched request if the caller has closed the connection. What it sent before is dropped: nobody
+// waits for the responses. A timeout only ends the read. c.mu is held.
+func (c *Conn) recordReadError(err error) {
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	c.readErr = err
+	c.ahead = nil
+	if c.cancel != nil {
+		c.cancel(ErrCallerClosed)
+	}
 }
 
 const (
@@ -36,7 +147,7 @@
 	return nil
 }
 
-// Close closes the connection. It returns at once. The rest of what it sends is read
+// Close closes the connection. It returns at once. Unless the caller has closed its side, the rest of what it sends is read
 // and dropped for up to lingerTimeout: closing a connection with unread bytes would reset it, and the caller might lose the
 // last response.
 func (c *Conn) Close() error {
@@ -46,7 +157,7 @@
 		return nil
 	}
 	c.closing = true
-	if c.CloseWrite() != nil {
+	if c.readErr != nil || c.CloseWrite() != nil {
 		return c.closeNow()
 	}
 	go c.linger()
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -25,6 +27,18 @@
 	mu sync.Mutex
 	// header is set on each response.
 	header http.Header
+	// conn is the connection of the last request.
+	conn *Conn
+}
+
+// readAheadBytes returns the number of bytes read ahead on the connection of the last request.
+func (s *testServer) readAheadBytes() int {
+	s.mu.Lock()
+	conn := s.conn
+	s.mu.Unlock()
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	return len(conn.ahead)
 }
 
 type wrappingListener struct {
@@ -58,7 +72,14 @@
 
 func (s *testServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	ctx := r.Context()
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer FromContext(r.Context()).Watch(cancel)()
+	if ctx.Err() != nil {
+		return
+	}
+	s.mu.Lock()
+	s.conn = FromContext(r.Context())
+	s.mu.Unlock()
 	s.started <- r.URL.Path
 	select {
 	case <-s.release:
@@ -121,6 +142,106 @@
 	return res
 }
 
+// Guards against a run that nobody waits for, and a pipelined request that starts, because the close of the connection is
+// not noticed behind bytes of the second request. The caller closes after each number of its bytes.
+func TestCloseBehindPipelinedBytesEndsTheRequest(t *testing.T) {
+	s := startServer(t)
+	second := getRequest("/second")
+	for sent := range len(second) + 1 {
+		c := s.dial(t)
+		send(t, c, getRequest("/first"))
+		next(t, s.started, "/first")
+		send(t, c, second[:sent])
+		time.Sleep(time.Millisecond)
+		if sent%2 == 0 {
+			_ = c.SetLinger(0)
+		}
+		_ = c.Close()
+		next(t, s.ended, "/first cancelled")
+	}
+	select {
+	case path := <-s.started:
+		t.Errorf("%s was started although its caller is gone", path)
+	case <-time.After(100 * time.Millisecond):
+	}
+}
+
+// Guards against bytes of a pipelined request that are lost, repeated or reordered when they are read ahead. The second
+// request arrives in two parts, cut at each of its bytes, before and after the response to the first one.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	s := startServer(t)
+	second := "POST /second HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody" + getRequest("/third")
+	for cut := range len(second) + 1 {
+		for _, restBeforeResponse := range []bool{true, false} {
+			c := s.dial(t)
+			r := bufio.NewReader(c)
+			send(t, c, getRequest("/first"))
+			next(t, s.started, "/first")
+			send(t, c, second[:cut])
+			if restBeforeResponse {
+				send(t, c, second[cut:])
+			}
+			s.release <- struct{}{}
+			readResponse(t, r, "/first")
+			if !restBeforeResponse {
+				send(t, c, second[cut:])
+			}
+			s.release <- struct{}{}
+			s.release <- struct{}{}
+			readResponse(t, r, "/second")
+			readResponse(t, r, "/third")
+			for _, path := range []string{"/second", "/third"} {
+				next(t, s.started, path)
+			}
+			for _, path := range []string{"/first", "/second", "/third"} {
+				next(t, s.ended, path)
+			}
+			_ = c.Close()
+		}
+	}
+}
+
+// Guards against more memory for what a caller sends ahead than the limit, and against the loss of what is beyond it.
+func TestReadAheadIsBounded(t *testing.T) {
+	s := startServer(t)
+	c := s.dial(t)
+	r := bufio.NewReader(c)
+	send(t, c, getRequest("/first"))
+	next(t, s.started, "/first")
+	const count = 1000
+	var ahead strings.Builder
+	for i := range count {
+		ahead.WriteString(getRequest(fmt.Sprintf("/%d", i)))
+	}
+	if ahead.Len() < 3*MaxReadAheadBytes {
+		t.Fatal("the requests do not exceed the limit")
+	}
+	send(t, c, ahead.String())
+	// The server itself holds one byte.
+	for end := time.Now().Add(testLimit / 2); s.readAheadBytes() < MaxReadAheadBytes-1 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	if bytes := s.readAheadBytes(); bytes < MaxReadAheadBytes-1 || bytes > MaxReadAheadBytes {
+		t.Errorf("%d bytes were read ahead, the limit is %d", bytes, MaxReadAheadBytes)
+	}
+	go func() {
+		for range count + 1 {
+			s.release <- struct{}{}
+			<-s.ended
+		}
+	}()
+	go func() {
+		for range count {
+			<-s.started
+		}
+	}()
+	readResponse(t, r, "/first")
+	for i := range count {
+		readResponse(t, r, fmt.Sprintf("/%d", i))
+	}
+}
+
 // Guards against a last response that the caller loses, because the server closes the connection while pipelined requests are
 // unread on it, which resets it. Those requests do not run.
 func TestCloseWithUnreadRequestsKeepsTheResponse(t *testing.T) {
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -100,6 +100,8 @@
 	}
 	// A caller that stops reading must not occupy an upstream slot beyond the deadline of the request.
 	_ = control.SetWriteDeadline(rq.deadline.Add(writeGrace))
+	r, stop := watchCaller(r)
+	defer stop()
 	a.serve(w, r, rq)
 	a.metrics.Latency(rq.service, time.Since(started))
 }
