Reset the connection of an HTTP/1.0 response that breaks off

Cause: a response to HTTP/1.0 has no chunks. If its length is not known it ends with its connection, so one that broke off after its first 64 KB looked complete (operators' report: an answer that broke off halfway reached the caller as a complete success).

Ruled out: HTTP/1.1, where the length or the last chunk is missing (the same test).

Change: such a connection is reset instead of closed.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -164,6 +164,21 @@
 	return nil
 }
 
+// Abort closes the connection with a reset, so that a response that was sent in part is not taken for a complete one.
+func (c *Conn) Abort() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return nil
+	}
+	c.closing = true
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		// An error means that the connection has failed already.
+		_ = tcp.SetLinger(0)
+	}
+	return c.closeNow()
+}
+
 func (c *Conn) linger() {
 	defer c.closeNow()
 	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -160,7 +160,7 @@
 	}
 	if out.committed {
 		a.recordFailure(rq, err)
-		panic(http.ErrAbortHandler)
+		abortResponse(r)
 	}
 	a.refuse(w, rq, err)
 }
--- a/internal/node/caller_watch.go
+++ b/internal/node/caller_watch.go
@@ -21,3 +21,13 @@
 		cancel(nil)
 	}
 }
+
+// abortResponse ends a response that was sent in part so that the caller cannot mistake it for a complete one. A response to
+// HTTP/1.0 may have neither a length nor chunks: it ends with its connection, which is reset therefore.
+func abortResponse(r *http.Request) {
+	if conn := callerconn.FromContext(r.Context()); conn != nil && !r.ProtoAtLeast(1, 1) {
+		// The connection may have failed already.
+		_ = conn.Abort()
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/internal/node/caller_watch_test.go
+++ b/internal/node/caller_watch_test.go
@@ -1,13 +1,16 @@
 package node
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/sardinereach/sardinereach/internal/callerconn"
+	"github.com/sardinereach/sardinereach/internal/declaration"
 )
 
 // serveCallers serves the acceptor as the node does and returns the address.
@@ -50,3 +53,24 @@
 		}
 	}
 }
+
+// Guards against a response that breaks off halfway and that an HTTP/1.0 caller, which may receive neither a length nor chunks,
+// takes for a complete one.
+func TestBrokenResponseIsNotCompleteForHTTP10(t *testing.T) {
+	for _, version := range []string{"1.0", "1.1"} {
+		t.Run(version, func(t *testing.T) {
+			a, _ := startAcceptor(t)
+			piece := strings.Repeat("x", 2*idempotentBufferBytes)
+			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(piece), piece)
+			addTarget(t, a, &declaration.Service{Name: "s", Routes: []declaration.Route{{Path: "/s"}}}, answerOnce(t, answer))
+			res, err := roundTrip(t, serveCallers(t, a), "GET /s HTTP/"+version+"\r\nHost: h\r\n\r\n")
+			if err != nil {
+				return
+			}
+			defer res.Body.Close()
+			if n, err := io.Copy(io.Discard, res.Body); err == nil {
+				t.Errorf("status %d with %d bytes was received as complete", res.StatusCode, n)
+			}
+		})
+	}
+}
