Read the members and the configuration before the turn to register

Cause: a starting node waited for its first attempt to register, up to 2 s after its start so that the writes of many nodes do not meet, before it read the members and the configuration. Meanwhile it refused callers.

Change: the members are listed within 0.2 s of the start, and the record is written later, as before. The second list is left out if another node has answered meanwhile.

--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -58,8 +58,12 @@
 	publisher publisher
 	snapshot  atomic.Pointer[Snapshot]
 	ready     atomic.Bool
-	// firstJoinDone is closed after the first attempt to register and list the members.
+	// firstListDone is closed after the first attempt to list the members.
+	firstListDone chan struct{}
+	// firstJoinDone is closed after the first attempt to register, and to list the members if that is still needed.
 	firstJoinDone chan struct{}
+	// peerAnswered means that another node has answered a pull, so that gossip brings the members.
+	peerAnswered atomic.Bool
 	// newEra has a message while a restore of the store requires a check of the own member record.
 	newEra chan struct{}
 	// earlyRound has a message while the own record has a change that has to reach the peers before the next regular
@@ -103,6 +107,7 @@
 		reportedRejections: map[string]int64{},
 
 		propagation:    newPropagation(),
+		firstListDone:  make(chan struct{}),
 		firstJoinDone:  make(chan struct{}),
 		newEra:         make(chan struct{}, 1),
 		earlyRound:     make(chan struct{}, 1),
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -18,12 +18,21 @@
 	return MemberPrefix + string(node.Domain) + "/" + string(node.ID)
 }
 
-// runMembers registers the node and lists the members once. From then on it confirms the member record after each restore
+// runMembers lists the members and registers the node. From then on it confirms the member record after each restore
 // of the store. While the node is a watcher, it also lists the members every RelistInterval and after each restore.
 //
-// The first list comes after the write, so that of two nodes that start at the same time at least one finds the other.
+// The start waits for the first list only, if it brings other nodes: the writes are spread out over a longer time. Unless a member that was listed has
+// answered meanwhile, another list comes after the write, so that of two nodes that start at the same time at least one finds
+// the other.
 func (d *Distributor) runMembers(ctx context.Context) {
-	if !sleep(ctx, d.randomBelow(d.options.RegisterJitter)) {
+	listDelay := d.randomBelow(d.options.ListJitter)
+	if !sleep(ctx, listDelay) {
+		return
+	}
+	// A failure needs no handling here: join lists the members again.
+	_ = d.listMembers(ctx)
+	close(d.firstListDone)
+	if !sleep(ctx, d.randomBelow(d.options.RegisterJitter)-listDelay) {
 		return
 	}
 	returned := d.awaitedReturn()
@@ -72,13 +81,16 @@
 	}
 }
 
-// join registers the node if it is not registered yet, and lists the members.
+// join registers the node if it is not registered yet, and lists the members unless one of them has answered.
 func (d *Distributor) join(ctx context.Context) error {
 	if !d.Status().Registered {
 		if err := d.register(ctx); err != nil {
 			return err
 		}
 	}
+	if d.peerAnswered.Load() {
+		return nil
+	}
 	return d.listMembers(ctx)
 }
 
--- a/internal/distribution/options.go
+++ b/internal/distribution/options.go
@@ -62,6 +62,8 @@
 	ProbeInterval time.Duration
 	// ProbeTimeout is the time after which a probe counts as not answered.
 	ProbeTimeout time.Duration
+	// ListJitter spreads out the first reads of the member records when many nodes start at the same time.
+	ListJitter time.Duration
 	// RegisterJitter spreads out the writes of member records when many nodes start at the same time.
 	RegisterJitter time.Duration
 	// RelistInterval is how often a watcher lists the members, to find members that gossip did not deliver and to
@@ -123,6 +125,7 @@
 	setDefault(&o.ConfirmBackoffMax, 2*time.Second)
 	setDefault(&o.ProbeInterval, 600*time.Millisecond)
 	setDefault(&o.ProbeTimeout, time.Second)
+	setDefault(&o.ListJitter, 200*time.Millisecond)
 	setDefault(&o.RegisterJitter, 2*time.Second)
 	setDefault(&o.RelistInterval, 10*time.Minute)
 	setDefault(&o.LoadInterval, 5*time.Second)
--- a/internal/distribution/start.go
+++ b/internal/distribution/start.go
@@ -29,8 +29,7 @@
 // start reads the peers and then the store. It returns true if the node has a configuration.
 func (d *Distributor) start(ctx context.Context) bool {
 	if !d.syncFromAny(ctx, d.options.Seeds) {
-		d.awaitFirstJoin(ctx)
-		d.syncFromAny(ctx, d.gossipPeerAddresses())
+		d.syncFromAny(ctx, d.firstPeerAddresses(ctx))
 	}
 	if d.readConfig(ctx, 0) == nil {
 		return d.complete(ConfigPrefix) > 0
@@ -89,12 +88,20 @@
 // tryPeers reads the configuration from all peers, which may have one that the store did not confirm recently.
 func (d *Distributor) tryPeers(ctx context.Context, _ *backoff) bool { return d.syncFromAll(ctx) }
 
-// awaitFirstJoin waits for the first attempt to register and to list the members.
-func (d *Distributor) awaitFirstJoin(ctx context.Context) {
-	select {
-	case <-d.firstJoinDone:
-	case <-ctx.Done():
+// firstPeerAddresses returns the gossip peers that the first list of the members has brought. If there are none, other nodes
+// may be starting as well, and the list after the registration brings them.
+func (d *Distributor) firstPeerAddresses(ctx context.Context) []string {
+	for _, listed := range []chan struct{}{d.firstListDone, d.firstJoinDone} {
+		select {
+		case <-listed:
+		case <-ctx.Done():
+			return nil
+		}
+		if addresses := d.gossipPeerAddresses(); len(addresses) > 0 {
+			return addresses
+		}
 	}
+	return nil
 }
 
 func (d *Distributor) becomeReady() {
