Trip a circuit breaker on the first quick failure

Cause: a target that fails requests at once took two of them before its breaker tripped.

After a failure within 30 ms the next run failed in 120 of 180 cases.

Change: a failure status after less than an eighth of the route's baseline latency trips the breaker.

Measured: TestTargetsThatFailAtOnceLoseFewRequests (failed before: both policies are one).

--- a/internal/admission/breaker.go
+++ b/internal/admission/breaker.go
@@ -14,7 +14,8 @@
 	minRequiredSuccesses = 2
 	maxRequiredSuccesses = 3
 	// failureStatusThreshold is the number of responses with a failure status, minus the successes since, that trips the
-	// breaker. A single one is weak evidence: the target may have failed because one of its own calls failed.
+	// breaker. A single one is weak evidence: the target may have failed because one of its own calls failed. One after a
+	// quick run trips the breaker by itself.
 	failureStatusThreshold = 2
 	// overdueThreshold is the number of overdue runs, minus the successes since, that trips the breaker. One healthy run in
 	// thirty is overdue, so with a threshold of 1 the breaker of a busy target would trip every few seconds.
--- a/internal/admission/breaker_test.go
+++ b/internal/admission/breaker_test.go
@@ -161,6 +161,19 @@
 	}
 }
 
+// Guards against more requests lost at a target that fails at once, and against a breaker that trips on a failure after the
+// usual run time, which a failed call of the upstream or the request itself may explain.
+func TestQuickFailureTripsBreaker(t *testing.T) {
+	for run, want := range map[time.Duration]Kind{2 * time.Millisecond: Refused, 90 * time.Millisecond: Admitted} {
+		p, now := newReadyPoint(t, DefaultLimits(), 3)
+		now = establishBaseline(t, p, now)
+		now = serve(t, p, now, routeRequest(now, 1, "/r", false), run, Result{Outcome: Answered, Failed: true})
+		if d := p.Admit(now, routeRequest(now, 2, "/r", false)); d.Kind != want {
+			t.Errorf("after a failure within %v at a baseline latency of 100 ms: %+v, want kind %v", run, d, want)
+		}
+	}
+}
+
 // Guards against queued requests that wait at a target that hangs until their deadline passes.
 func TestTrippedBreakerRefusesQueuedRequests(t *testing.T) {
 	p, now := newReadyPoint(t, DefaultLimits(), 2)
--- a/internal/admission/finish.go
+++ b/internal/admission/finish.go
@@ -49,6 +49,8 @@
 	case w.severelyOverdue:
 	case w.overdue:
 		p.applyOverdue(w, run)
+	case result.Failed && result.Outcome == Answered && t.runTimes.isQuick(w.request.Route, run):
+		p.applyFailure(w, run, t.breaker.recordFailure)
 	case result.Failed && result.Outcome == Answered:
 		p.applyFailure(w, run, t.breaker.recordFailureStatus)
 	case result.Outcome == Shed:
--- a/internal/admission/run_times.go
+++ b/internal/admission/run_times.go
@@ -71,6 +71,15 @@
 	return 0
 }
 
+// quickShare is the share of the baseline latency up to which a run is quick: the upstream has hardly begun the work.
+const quickShare = 1.0 / 8
+
+// isQuick reports whether a run ended long before the work of the route can be done. A failure status after such a run is
+// strong evidence of a target that fails, and a single one after the usual time is weak evidence.
+func (r runTimes) isQuick(route string, run time.Duration) bool {
+	return run < time.Duration(quickShare*float64(r.baseline(route)))
+}
+
 // expected returns the expected run time of the route, 0 without an estimate. The objective is the route's latency
 // objective, 0 for none.
 func (r runTimes) expected(route string, objective time.Duration, cold bool) time.Duration {
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -30,6 +30,8 @@
 	shortRun      = 60 * time.Millisecond
 	shortDeadline = 800 * time.Millisecond
 	expireEvery   = 50 * time.Millisecond
+	// failTime is the time after which a target that fails at once ends a request.
+	failTime = 2 * time.Millisecond
 	// simRequestBytes is the size of a request with its response.
 	simRequestBytes = 4 << 10
 	// publishInterval is the interval at which the accepting nodes receive load updates of the targets.
@@ -46,6 +48,9 @@
 	// hasObjective means that admission requests carry the latency objective. Otherwise only the deadline bounds queues, and
 	// overdue runs are not detected.
 	hasObjective bool
+	// failsAtOnce means that targets fail requests after failTime in place of hanging, withoutQuick that the end of such a run
+	// shows the usual run time, so that it is no strong evidence.
+	failsAtOnce, withoutQuick bool
 	// multiDomain means that the targets are in several failure domains, sharesLoads that accepting nodes receive load
 	// updates.
 	multiDomain, sharesLoads bool
@@ -324,9 +329,15 @@
 	if hung || duration > remaining {
 		duration, hung = remaining, true
 	}
+	if hung && s.policy.failsAtOnce {
+		duration = s.failDuration(duration)
+	}
 	s.schedule(duration, func() {
 		result := admission.Result{Outcome: admission.Answered}
-		if hung {
+		switch {
+		case hung && s.policy.failsAtOnce:
+			result.Failed = true
+		case hung:
 			result = admission.Result{Outcome: admission.Lost, Failed: true}
 		}
 		for _, g := range s.points[target].Finish(s.now, attempt, result) {
@@ -349,6 +360,14 @@
 	})
 }
 
+// failDuration returns the run time of a request at a target that fails at once.
+func (s *simulation) failDuration(usual time.Duration) time.Duration {
+	if s.policy.withoutQuick {
+		return min(usual, longRun)
+	}
+	return failTime
+}
+
 // finish counts the outcome of a request that arrived after the first window.
 func (r *simRequest) finish(count func(*tally)) {
 	if r.done || r.arrived < hangWindow {
@@ -375,6 +394,7 @@
 func (t *tally) add(other tally) {
 	t.total += other.total
 	t.inTime += other.inTime
+	t.failed += other.failed
 	t.crossDomainRefusals += other.crossDomainRefusals
 }
 
@@ -437,3 +457,27 @@
 			now.inTimeShare(), nowShort.inTimeShare(), before.inTimeShare(), beforeShort.inTimeShare())
 	}
 }
+
+// lostWhereTargetsFail returns the share of non-idempotent requests that are lost at targets that fail at once. The load is a tenth
+// of what the healthy targets can serve.
+func lostWhereTargetsFail(t *testing.T, p policy) float64 {
+	t.Helper()
+	var all tally
+	for seed := range uint64(8) {
+		long, _ := simulateSeed(t, p, seed, healthyCapacity/10, 5)
+		all.add(long)
+	}
+	return float64(all.failed) / float64(all.total)
+}
+
+// Guards against more non-idempotent requests lost at targets that have just begun to fail requests at once, because their breakers
+// trip on the second failure only.
+func TestTargetsThatFailAtOnceLoseFewRequests(t *testing.T) {
+	now := policy{name: "quick failures trip", usesPlan: true, hasObjective: true, failsAtOnce: true}
+	before := now
+	before.name, before.withoutQuick = "two failures trip", true
+	lostBefore, lost := lostWhereTargetsFail(t, before), lostWhereTargetsFail(t, now)
+	if lost > 0.6*lostBefore {
+		t.Errorf("%.4f of the requests are lost, %.4f if two failures trip a breaker", lost, lostBefore)
+	}
+}
