Send requests that can't be retried to few targets

Cause: non-idempotent requests were spread over all targets of a service. Each target that begins to fail loses the first one that it gets, so the more targets are in use, the more requests are lost.

Ruled out: sharing the time of each target's last success between nodes; the order of IDs needs no messages and has the same effect.

Change: among targets that are equal otherwise, requests that can't be retried go in the order of the target IDs, which is the same on all nodes of a failure domain. Idempotent ones go in random order, as before, and show which targets fail.

Measured: TestRequestsThatCannotBeRetriedUseFewTargets (failed before).

--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -51,6 +51,8 @@
 	// failsAtOnce means that targets fail requests after failTime in place of hanging, withoutQuick that the end of such a run
 	// shows the usual run time, so that it is no strong evidence.
 	failsAtOnce, withoutQuick bool
+	// spreads means that non-idempotent requests try the targets in a random order.
+	spreads bool
 	// multiDomain means that the targets are in several failure domains, sharesLoads that accepting nodes receive load
 	// updates.
 	multiDomain, sharesLoads bool
@@ -257,7 +259,7 @@
 // begin creates the plan of the request and sends the first admission request.
 func (r *simRequest) begin() {
 	s := r.sim
-	rq := placement.Request{Idempotent: r.idempotent, Objective: longObjective, Bytes: simRequestBytes}
+	rq := placement.Request{Idempotent: r.idempotent || s.policy.spreads, Objective: longObjective, Bytes: simRequestBytes}
 	r.plan = placement.New(s.pools[r.domain], new(routing.Tried), rq, s.now, s.random)
 	r.tryNext()
 }
@@ -481,3 +483,14 @@
 		t.Errorf("%.4f of the requests are lost, %.4f if two failures trip a breaker", lost, lostBefore)
 	}
 }
+
+// Guards against non-idempotent requests that meet more targets which have just begun to fail, because they are spread over all.
+func TestRequestsThatCannotBeRetriedUseFewTargets(t *testing.T) {
+	now := policy{name: "fixed order", usesPlan: true, hasObjective: true, failsAtOnce: true}
+	before := now
+	before.name, before.spreads = "random order", true
+	lostBefore, lost := lostWhereTargetsFail(t, before), lostWhereTargetsFail(t, now)
+	if lost > 0.8*lostBefore {
+		t.Errorf("%.4f of the requests are lost, %.4f in a random order", lost, lostBefore)
+	}
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -8,6 +8,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -83,11 +84,22 @@
 		p.hasFullTarget = p.hasFullTarget || e.hasLoad && e.load.Free == 0 && e.load.RequiredSuccesses == 0
 		p.entries = append(p.entries, e)
 	}
-	random.Shuffle(len(p.entries), func(i, j int) { p.entries[i], p.entries[j] = p.entries[j], p.entries[i] })
-	slices.SortStableFunc(p.entries, func(a, b entry) int { return a.sortKey - b.sortKey })
+	p.sortEntries(rq.Idempotent, random)
 	return p
 }
 
+// sortEntries sorts the targets by their keys. Idempotent requests go to targets with equal keys in random order, and show which
+// of them fail. Requests that can't be retried go to them in the order of their IDs, so that all nodes use the same few targets,
+// whose successes are recent: fewer of them are the first at a target that has begun to fail.
+func (p *Plan) sortEntries(idempotent bool, random *rand.Rand) {
+	if idempotent {
+		random.Shuffle(len(p.entries), func(i, j int) { p.entries[i], p.entries[j] = p.entries[j], p.entries[i] })
+	} else {
+		slices.SortFunc(p.entries, func(a, b entry) int { return cmp.Compare(a.candidate.Target.ID, b.candidate.Target.ID) })
+	}
+	slices.SortStableFunc(p.entries, func(a, b entry) int { return a.sortKey - b.sortKey })
+}
+
 // Next returns the target of the next admission request, false if none is left.
 func (p *Plan) Next() (Choice, bool) {
 	if i := p.nextUnrequested(routing.SameDomain); i != noEntry {
