--- a/internal/node/caller_watch_test.go
+++ b/internal/node/caller_watch_test.go
@@ -14,7 +14,7 @@
 )
 
 // serveCallers serves the acceptor as the node does and returns the address.
-func serveCallers(t *testing.T, a *acceptor) string {
+func serveCallers(t testing.TB, a *acceptor) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/node/hedge_test.go
+++ b/internal/node/hedge_test.go
@@ -169,7 +169,7 @@
 
 // addRemoteTarget adds a target of the node at the address to the view of the acceptor. The acceptor prefers it to its
 // local target, which is marked as cold.
-func addRemoteTarget(t *testing.T, a *acceptor, address string) {
+func addRemoteTarget(t testing.TB, a *acceptor, address string) {
 	t.Helper()
 	a.peers = peer.NewClient("n1", peer.Options{})
 	t.Cleanup(a.peers.Close)
--- a/internal/node/retried_answer_test.go
+++ b/internal/node/retried_answer_test.go
@@ -42,7 +42,7 @@
 }
 
 // addTarget adds a target of the acceptor's node as the only target of the service.
-func addTarget(t *testing.T, a *acceptor, service *declaration.Service, address string) {
+func addTarget(t testing.TB, a *acceptor, service *declaration.Service, address string) {
 	t.Helper()
 	a.self = model.Node{ID: "n1", Incarnation: 1, Region: "r", Domain: "d"}
 	log := events.New(discardLog{}, time.Now)
