Allocate the buffer of a response once

Cause: the buffer of a response grew by doubling up to its 64 KB, although most responses say their length.

--- a/internal/node/delivery.go
+++ b/internal/node/delivery.go
@@ -90,6 +90,9 @@
 		return errors.New("node: the answer has two heads")
 	}
 	d.head = head
+	if length := head.ContentLength; length > 0 && length <= int64(d.bufferLimit) {
+		d.buffered = slices.Grow(d.buffered, int(length))
+	}
 	return nil
 }
 
