Use connections again only where answers show their requests

Cause: on the own interface upstreams echo no ID.

Ruled out: the users' platform, whose targets echo the ID of the request, and requests that are not idempotent, which have connections of their own.

Change: an upstream that echoes Sardinereach-Attempt gets several requests on a connection, and an answer with another ID, or with none on a reused connection, belongs to no request.

Tests that need reused connections without an echo set the dialect so; they check what they did. The fake upstream echoes.

--- a/internal/dialect/own.go
+++ b/internal/dialect/own.go
@@ -11,5 +11,7 @@
 		AttemptHeader: "Sardinereach-Attempt",
 		TimeoutHeader: "Sardinereach-Timeout-Ms",
 		NotRunHeader:  "Sardinereach-Not-Run",
+		EchoHeader:    "Sardinereach-Attempt",
+		EchoOptional:  true,
 	}
 }
--- a/internal/dialect/upstream.go
+++ b/internal/dialect/upstream.go
@@ -16,6 +16,9 @@
 	// EchoHeader has the same value in a response as in its request, so that a response to another request is detected.
 	// Empty means that upstreams do not echo a header.
 	EchoHeader string
+	// EchoOptional means that an upstream may send responses without EchoHeader. They are accepted on new connections only,
+	// because an earlier response may be sent again on a reused one.
+	EchoOptional bool
 	// SignatureHeader is present in each response that the upstream itself sent. Empty means that responses are not signed.
 	SignatureHeader string
 	// LoadHeader is a response header that is not forwarded. Empty means that there is none.
--- a/internal/fakeupstream/work.go
+++ b/internal/fakeupstream/work.go
@@ -43,6 +43,7 @@
 		defer s.counters.releaseSlot()
 		w.Header().Set(HeaderTarget, s.config.Target)
 		w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+		w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
 		next(w, r)
 		s.countOutcome(r)
 	})
--- a/internal/node/reused_failure_test.go
+++ b/internal/node/reused_failure_test.go
@@ -58,7 +58,10 @@
 		"closed while idle":  {"", false},
 	} {
 		address := answerTwice(t, c.second)
-		client := upstream.NewClient(1<<20, dialect.OwnUpstream())
+		names := dialect.OwnUpstream()
+		// Connections of upstreams that echo no attempt IDs are not used again otherwise.
+		names.EchoHeader, names.EchoOptional = "", false
+		client := upstream.NewClient(1<<20, names)
 		// A body keeps http.Transport from sending the request again itself.
 		head := &peerv1.ForwardHead{Method: http.MethodPut, Uri: "/", Idempotent: true}
 		var result upstream.Result
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -16,10 +16,18 @@
 	return res.Header.Get(c.dialect.NotRunHeader) == "1"
 }
 
-// belongsToOtherRequest reports whether the response echoes the ID of a request other than req.
-func (c *Client) belongsToOtherRequest(req *http.Request, res *http.Response) bool {
+// mayBelongToOtherRequest reports whether the response echoes the ID of a request other than req, or lacks an echo that shows to
+// which request it belongs.
+func (c *Client) mayBelongToOtherRequest(req *http.Request, res *http.Response, reused bool) bool {
 	name := c.dialect.EchoHeader
-	return name != "" && res.Header.Get(name) != req.Header.Get(name)
+	if name == "" {
+		return false
+	}
+	echo := res.Header.Get(name)
+	if echo == "" && c.dialect.EchoOptional {
+		return reused
+	}
+	return echo != req.Header.Get(name)
 }
 
 // lacksSignature reports whether the response lacks the upstream's signature, if the dialect requires one.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -41,6 +41,8 @@
 	dialect   dialect.Upstream
 	pooled    *http.Transport
 	singleUse *http.Transport
+	// echoing holds the addresses whose last response echoed the ID of its request.
+	echoing sync.Map
 }
 
 // NewClient returns a client that accepts response heads of up to maxHeaderBytes.
@@ -82,7 +84,8 @@
 	defer res.Body.Close()
 	result := Result{Status: res.StatusCode, FirstByte: time.Since(started), Reused: state.reused, Received: true}
 	result.RetryAfter = ParseRetryAfter(res.Header.Get("Retry-After"), time.Now())
-	if state.premature.Load() || c.belongsToOtherRequest(req, res) {
+	c.recordEcho(address, res)
+	if state.premature.Load() || c.mayBelongToOtherRequest(req, res, state.reused) {
 		result.Outcome = Lost
 		result.Err = errors.New("upstream: the answer belongs to another request")
 		state.discard()
@@ -125,7 +128,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		res, err := c.transport(head).RoundTrip(req)
+		res, err := c.transport(address, head).RoundTrip(req)
 		if !state.discarded || ctx.Err() != nil {
 			return req, res, err
 		}
@@ -137,13 +140,34 @@
 	}
 }
 
-func (c *Client) transport(head *peerv1.ForwardHead) *http.Transport {
-	if head.Idempotent {
+func (c *Client) transport(address string, head *peerv1.ForwardHead) *http.Transport {
+	if head.Idempotent && c.mayReuse(address) {
 		return c.pooled
 	}
 	return c.singleUse
 }
 
+// mayReuse reports whether connections to the address carry more than one request: a response on a reused one has to show which
+// request it belongs to.
+func (c *Client) mayReuse(address string) bool {
+	if !c.dialect.EchoOptional {
+		return true
+	}
+	_, echoes := c.echoing.Load(address)
+	return echoes
+}
+
+// recordEcho records whether the upstream at the address echoes the IDs of requests.
+func (c *Client) recordEcho(address string, res *http.Response) {
+	switch {
+	case !c.dialect.EchoOptional:
+	case res.Header.Get(c.dialect.EchoHeader) != "":
+		c.echoing.Store(address, struct{}{})
+	default:
+		c.echoing.Delete(address)
+	}
+}
+
 func (c *Client) newRequest(ctx context.Context, state *connState, address string, head *peerv1.ForwardHead, body []byte) (*http.Request, error) {
 	ctx = httptrace.WithClientTrace(ctx, state.trace())
 	// The request has no GetBody, and the body of a non-idempotent request is never nil. Otherwise http.Transport would
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
-	"github.com/sardinereach/sardinereach/internal/dialect"
 )
 
 type discardSink struct{ bytes int }
@@ -78,7 +77,7 @@
 		}
 		return false
 	})
-	client := NewClient(1<<20, dialect.OwnUpstream())
+	client := NewClient(1<<20, withoutEcho())
 	defer client.Close()
 	if r := run(t, client, address, true); r.Outcome != Answered {
 		t.Fatalf("first request: %s %v", r.Outcome, r.Err)
@@ -103,7 +102,7 @@
 			c.Write([]byte(answer))
 			return false
 		})
-		client := NewClient(1<<20, dialect.OwnUpstream())
+		client := NewClient(1<<20, withoutEcho())
 		if r := run(t, client, address, true); r.Outcome != Incomplete {
 			t.Errorf("%s: outcome %s, want %s", name, r.Outcome, Incomplete)
 		}
@@ -118,7 +117,7 @@
 		t.Fatal(err)
 	}
 	closed.Close()
-	client := NewClient(1<<20, dialect.OwnUpstream())
+	client := NewClient(1<<20, withoutEcho())
 	defer client.Close()
 	if r := run(t, client, closed.Addr().String(), false); r.Outcome != Unreachable {
 		t.Errorf("refused connection: outcome %s, want %s", r.Outcome, Unreachable)
--- a/internal/upstream/cut_answer_test.go
+++ b/internal/upstream/cut_answer_test.go
@@ -8,7 +8,6 @@
 	"testing"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
-	"github.com/sardinereach/sardinereach/internal/dialect"
 )
 
 // Guards against an answer that is cut in its head, or in its body, and is taken for a whole one with an empty or short body.
@@ -43,7 +42,7 @@
 		_, _ = c.Write([]byte(answer))
 		return false
 	})
-	names := dialect.OwnUpstream()
+	names := withoutEcho()
 	names.SignatureHeader, names.CloseDelimitedBodies = "Signed", closeDelimited
 	for _, idempotent := range []bool{true, false} {
 		client := NewClient(1<<20, names)
--- a/internal/upstream/final_status_test.go
+++ b/internal/upstream/final_status_test.go
@@ -8,7 +8,6 @@
 	"testing"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
-	"github.com/sardinereach/sardinereach/internal/dialect"
 )
 
 // statusSink records the status of a response.
@@ -33,7 +32,7 @@
 			return err == nil
 		})
 		for _, idempotent := range []bool{true, false} {
-			client := NewClient(1<<20, dialect.OwnUpstream())
+			client := NewClient(1<<20, withoutEcho())
 			ctx, cancel := context.WithTimeout(t.Context(), testLimit)
 			sink := new(statusSink)
 			r := client.Run(ctx, address, &peerv1.ForwardHead{Method: http.MethodPost, Uri: "/", Idempotent: idempotent}, nil, sink)
--- a/internal/upstream/repeated_answer_test.go
+++ b/internal/upstream/repeated_answer_test.go
@@ -37,7 +37,7 @@
 	}{
 		"retry of the same request": {echoDialect(), "first"},
 		"another request":           {echoDialect(), "second"},
-		"upstream without echo":     {dialect.OwnUpstream(), "second"},
+		"upstream without echo":     {withoutEcho(), "second"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			address, _ := connServer(t, func(n int, c net.Conn) bool {
@@ -80,7 +80,7 @@
 // Guards against a refusal that stands behind the refusal of an earlier request, in the same packet, being taken for the
 // answer to the next request, however soon that request is sent.
 func TestSecondRefusalBehindARefusal(t *testing.T) {
-	for name, names := range map[string]dialect.Upstream{"echo": echoDialect(), "no echo": dialect.OwnUpstream()} {
+	for name, names := range map[string]dialect.Upstream{"echo": echoDialect(), "no echo": withoutEcho()} {
 		t.Run(name, func(t *testing.T) {
 			var repeated atomic.Int32
 			address, _ := connServer(t, func(n int, c net.Conn) bool {
@@ -118,7 +118,7 @@
 				_, err := c.Write([]byte(behind))
 				return err == nil
 			})
-			client := NewClient(1<<20, dialect.OwnUpstream())
+			client := NewClient(1<<20, withoutEcho())
 			defer client.Close()
 			for range 200 {
 				if r := run(t, client, address, true); r.Outcome == Answered && r.Status != http.StatusOK {
@@ -181,7 +181,7 @@
 		_, err := c.Write([]byte(refusalFor("any")))
 		return err == nil
 	})
-	client := NewClient(1<<20, dialect.OwnUpstream())
+	client := NewClient(1<<20, withoutEcho())
 	defer client.Close()
 	head := &peerv1.ForwardHead{Method: http.MethodGet, Uri: "/", Idempotent: true}
 	var callers sync.WaitGroup
