--- /dev/null
+++ b/internal/declaration/unsupported_test.go
@@ -0,0 +1,36 @@
+package declaration
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+// Guards against a stored document that ends the node or comes into force although it is not valid, and against a route that is not
+// understood and whose requests count as idempotent.
+func FuzzDecodeStored(f *testing.F) {
+	f.Add([]byte(`{"name":"s","routes":[{"path":"/a"},{"path":"/b","class":"later"},{"path":"/c","timeout_ms":"4s"},{"path":7},null,{"path":"/a"}]}`))
+	f.Add([]byte(`{"name":"s","routes":{"a":1}}`))
+	f.Add([]byte(`{"name":"s","floor_slots":"many","routes":[{"path":"/a"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := DecodeStored(data)
+		if err != nil {
+			return
+		}
+		if err := s.Validate(); err != nil {
+			t.Errorf("a decoded document is not valid: %v", err)
+		}
+		for _, route := range s.UnsupportedRoutes() {
+			if route.Refusal() == nil || route.ClassOf("GET") != NonIdempotent {
+				t.Errorf("route %+v is not refused, or counts as idempotent", route)
+			}
+		}
+		strict, err := Decode(data)
+		if err != nil {
+			return
+		}
+		lenient, _ := json.Marshal(s)
+		if exact, _ := json.Marshal(strict); string(exact) != string(lenient) {
+			t.Errorf("a valid document is decoded as %s, want %s", lenient, exact)
+		}
+	})
+}
--- a/internal/node/hedge_test.go
+++ b/internal/node/hedge_test.go
@@ -147,8 +147,8 @@
 	return &peerv1.AnswerTrailer{}
 }
 
-// startUnresponsivePeer serves the peer on a local port and returns its address.
-func startUnresponsivePeer(t *testing.T, m *unresponsivePeer) string {
+// servePeers serves the handler to other nodes on a local port and returns its address.
+func servePeers(t testing.TB, h peer.Handler) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -158,7 +158,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = peer.NewServer(m, 1<<20, peer.Options{}).Serve(ctx, listener)
+		_ = peer.NewServer(h, 1<<20, peer.Options{}).Serve(ctx, listener)
 	}()
 	t.Cleanup(func() {
 		cancel()
@@ -197,7 +197,7 @@
 	close(own.released)
 	a, address := startHedging(t, own, nil)
 	unresponsive := new(unresponsivePeer)
-	addRemoteTarget(t, a, startUnresponsivePeer(t, unresponsive))
+	addRemoteTarget(t, a, servePeers(t, unresponsive))
 	if got := get(t, address); got != "200 own" {
 		t.Errorf("response %q, want that of the local target", got)
 	}
--- a/internal/node/two_hops_test.go
+++ b/internal/node/two_hops_test.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -15,7 +13,6 @@
 	"github.com/sardinereach/sardinereach/internal/dialect"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
-	"github.com/sardinereach/sardinereach/internal/peer"
 	"github.com/sardinereach/sardinereach/internal/upstream"
 )
 
@@ -70,19 +67,5 @@
 	}); err != nil {
 		t.Fatal(err)
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = peer.NewServer(&handler{node: n}, 1<<20, peer.Options{}).Serve(ctx, listener)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-	return listener.Addr().String()
+	return servePeers(t, &handler{node: n})
 }
