Do not run a request whose connection a planned stop has closed

Cause: when a server ends keep-alives it closes the connections that it takes for idle. Between two pipelined requests a connection counts as idle, although the next request has been read already. That request ran, and its connection was closed without an answer.

Change: a request that begins on a connection that is closed is not run, and a connection whose request has begun is not closed before the request has ended.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -51,6 +51,9 @@
 	for c.readingAhead && len(c.ahead) == 0 {
 		c.cond.Wait()
 	}
+	if c.closing {
+		return 0, net.ErrClosed
+	}
 	if len(c.ahead) > 0 {
 		n := copy(p, c.ahead)
 		c.ahead = c.ahead[n:]
@@ -70,12 +73,13 @@
 }
 
 // Watch calls cancel with ErrCallerClosed when the caller closes the connection. It is called once the request and its body
-// are read: whatever the caller sends from then on belongs to later requests. stop ends the watch.
+// are read: whatever the caller sends from then on belongs to later requests. On a connection that is closed already it calls
+// cancel at once: the request was read in advance and must not run. stop ends the watch.
 func (c *Conn) Watch(cancel func(cause error)) (stop func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = cancel
-	if c.readErr != nil {
+	if c.readErr != nil || c.closing {
 		cancel(ErrCallerClosed)
 		return c.unwatch
 	}
@@ -147,13 +151,15 @@
 	return nil
 }
 
-// Close closes the connection. It returns at once. Unless the caller has closed its side, the rest of what it sends is read
+// Close closes the connection. It returns at once. While a request is watched it does nothing: a server that stops closes the
+// connections that it takes for idle, and the next request of such a one may have begun. The server closes it again when the
+// request has ended. Unless the caller has closed its side, the rest of what it sends is read
 // and dropped for up to lingerTimeout: closing a connection with unread bytes would reset it, and the caller might lose the
 // last response.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.closing || c.cancel != nil {
 		return nil
 	}
 	c.closing = true
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -302,3 +302,78 @@
 		t.Fatal("the connection is still open")
 	}
 }
+
+// Guards against a request that runs, for example at an upstream, and whose connection is closed without its response, because the
+// server took the connection for an idle one between two pipelined requests when it stopped keeping connections alive.
+func TestPlannedStopAnswersWhatItRuns(t *testing.T) {
+	for range 30 {
+		playPlannedStop(t)
+	}
+}
+
+// playPlannedStop stops a server gracefully while clients pipeline.
+func playPlannedStop(t *testing.T) {
+	t.Helper()
+	const callers, group = 8, 3
+	var ran, answered sync.Map
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer FromContext(r.Context()).Watch(cancel)()
+		if ctx.Err() != nil {
+			return
+		}
+		ran.Store(r.URL.Path, true)
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ConnContext: WithConn}
+	go func() { _ = server.Serve(wrappingListener{listener}) }()
+	defer server.Close()
+	var wait sync.WaitGroup
+	for caller := range callers {
+		wait.Go(func() {
+			c, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			_ = c.SetDeadline(time.Now().Add(testLimit))
+			reader := bufio.NewReader(c)
+			for i := 0; ; i += group {
+				var text strings.Builder
+				for j := range group {
+					text.WriteString(getRequest(fmt.Sprintf("/%d/%d", caller, i+j)))
+				}
+				if _, err := io.WriteString(c, text.String()); err != nil {
+					return
+				}
+				for range group {
+					res, err := http.ReadResponse(reader, nil)
+					if err != nil {
+						return
+					}
+					body, err := io.ReadAll(res.Body)
+					if err != nil {
+						return
+					}
+					answered.Store(string(body), true)
+					if res.Close {
+						return
+					}
+				}
+			}
+		})
+	}
+	time.Sleep(5 * time.Millisecond)
+	server.SetKeepAlivesEnabled(false)
+	wait.Wait()
+	ran.Range(func(path, _ any) bool {
+		if _, ok := answered.Load(path); !ok {
+			t.Errorf("%s ran and was not answered", path)
+		}
+		return true
+	})
+}
