Reuse the buffers for reading ahead; end reads of a closed connection

What a caller sends while its closed connection is drained could be read as a request; it was not run, but answered for nothing. Reads end now.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -67,6 +67,9 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	c.inRead = false
+	if c.closing {
+		return 0, net.ErrClosed
+	}
 	c.recordReadError(err)
 	c.readAheadIfNeeded()
 	return n, err
@@ -102,9 +105,13 @@
 	go c.readAhead()
 }
 
+// readAheadBuffers avoids allocating a buffer for each request.
+var readAheadBuffers = sync.Pool{New: func() any { return new([MaxReadAheadBytes]byte) }}
+
 // readAhead reads until the caller closes, the limit is reached, or the request ends.
 func (c *Conn) readAhead() {
-	buffer := make([]byte, MaxReadAheadBytes)
+	buffer := readAheadBuffers.Get().(*[MaxReadAheadBytes]byte)
+	defer readAheadBuffers.Put(buffer)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.cancel != nil && len(c.ahead) < MaxReadAheadBytes {
@@ -153,9 +160,10 @@
 
 // Close closes the connection. It returns at once. While a request is watched it does nothing: a server that stops closes the
 // connections that it takes for idle, and the next request of such a one may have begun. The server closes it again when the
-// request has ended. Unless the caller has closed its side, the rest of what it sends is read
-// and dropped for up to lingerTimeout: closing a connection with unread bytes would reset it, and the caller might lose the
-// last response.
+// request has ended.
+//
+// Unless the caller has closed its side, the rest of what it sends is read and dropped for up to lingerTimeout: closing a
+// connection with unread bytes would reset it, and the caller might lose the last response.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
