Keep the methods of a route that is not understood

Cause: an unsupported route matched every method. Beside a route of every method at the same path its requests reached that one, which may run them by another class.

Measured: TestUnsupportedRouteKeepsItsMethods failed before.

--- a/internal/declaration/unsupported.go
+++ b/internal/declaration/unsupported.go
@@ -9,7 +9,8 @@
 )
 
 // UnsupportedRoute returns a route in place of one that this build cannot serve, for the given reason. It matches the
-// requests at the host and path, whatever their method, so that they are refused and do not reach a less specific route.
+// requests at the host and path, so that they are refused and do not reach a less specific route. The caller may limit its
+// methods.
 func UnsupportedRoute(host, path string, belowOnly bool, reason error) Route {
 	return Route{Host: host, Path: path, BelowOnly: belowOnly, Class: NonIdempotent, Unsupported: reason.Error()}
 }
@@ -37,11 +38,20 @@
 		}
 		seen[route.id()] = true
 		if err != nil {
+			methods := route.Methods
 			*route = UnsupportedRoute(route.Host, route.Path, route.BelowOnly, err)
+			route.limitMethods(methods)
 		}
 	}
 }
 
+// limitMethods limits an unsupported route to the methods of the original one, if they are valid.
+func (r *Route) limitMethods(methods []string) {
+	if validateMethods(methods) == nil {
+		r.Methods = methods
+	}
+}
+
 // UnsupportedRoutes returns the routes of the service that this build cannot serve.
 func (s *Service) UnsupportedRoutes() []*Route {
 	var unsupported []*Route
@@ -95,12 +105,15 @@
 // request.
 func unsupportedFrom(raw json.RawMessage, reason error) Route {
 	var place struct {
-		Host      string `json:"host"`
-		Path      string `json:"path"`
-		BelowOnly bool   `json:"below_only"`
+		Host      string   `json:"host"`
+		Methods   []string `json:"methods"`
+		Path      string   `json:"path"`
+		BelowOnly bool     `json:"below_only"`
 	}
 	if err := json.Unmarshal(raw, &place); err != nil {
 		return UnsupportedRoute("", "", false, reason)
 	}
-	return UnsupportedRoute(place.Host, place.Path, place.BelowOnly, reason)
+	route := UnsupportedRoute(place.Host, place.Path, place.BelowOnly, reason)
+	route.limitMethods(place.Methods)
+	return route
 }
--- a/internal/declaration/unsupported_test.go
+++ b/internal/declaration/unsupported_test.go
@@ -2,9 +2,25 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"testing"
 )
 
+// Guards against an unsupported route of one method that is confused with a route of every method at the same path: its
+// requests would reach the other one.
+func TestUnsupportedRouteKeepsItsMethods(t *testing.T) {
+	for name, odd := range map[string]string{"unknown class": `"later"`, "class of another type": `7`} {
+		s, err := DecodeStored([]byte(`{"name":"s","routes":[{"path":"/a"},{"path":"/a","methods":["POST"],"class":` + odd + `}]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		unsupported := s.UnsupportedRoutes()
+		if len(unsupported) != 1 || !slices.Equal(unsupported[0].Methods, []string{"POST"}) {
+			t.Errorf("%s: unsupported routes %+v, want that of POST", name, unsupported)
+		}
+	}
+}
+
 // Guards against a stored document that ends the node or comes into force although it is not valid, and against a route that is not
 // understood and whose requests count as idempotent.
 func FuzzDecodeStored(f *testing.F) {
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -99,10 +99,8 @@
 			return errors.Errorf("split: service %q with weight %g: use a name and a weight of 0 to %g", share.Service, share.Weight, maxWeight)
 		}
 	}
-	for _, method := range r.Methods {
-		if method == "" || strings.ToUpper(method) != method {
-			return errors.Errorf("method %q: use upper-case letters", method)
-		}
+	if err := validateMethods(r.Methods); err != nil {
+		return err
 	}
 	for _, status := range append(append([]int(nil), r.RetryStatuses...), r.FailStatuses...) {
 		if status < 400 || status > 599 {
@@ -112,6 +110,15 @@
 	return nil
 }
 
+func validateMethods(methods []string) error {
+	for _, method := range methods {
+		if method == "" || strings.ToUpper(method) != method {
+			return errors.Errorf("method %q: use upper-case letters", method)
+		}
+	}
+	return nil
+}
+
 // Encode validates the service and returns its canonical JSON. Equal services have equal encodings.
 func (s *Service) Encode() ([]byte, error) {
 	if err := s.Validate(); err != nil {
