List the members after the registration again

Nodes that start together could stay in groups that do not know each other until the watchers list the members, every ten minutes.

How two groups form although one node of the later group should have listed the earlier one was not traced.

A start costs one call more.

--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -60,10 +60,8 @@
 	ready     atomic.Bool
 	// firstListDone is closed after the first attempt to list the members.
 	firstListDone chan struct{}
-	// firstJoinDone is closed after the first attempt to register, and to list the members if that is still needed.
+	// firstJoinDone is closed after the first attempt to register and list the members.
 	firstJoinDone chan struct{}
-	// peerAnswered means that another node has answered a pull, so that gossip brings the members.
-	peerAnswered atomic.Bool
 	// newEra has a message while a restore of the store requires a check of the own member record.
 	newEra chan struct{}
 	// earlyRound has a message while the own record has a change that has to reach the peers before the next regular
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -21,9 +21,8 @@
 // runMembers lists the members and registers the node. From then on it confirms the member record after each restore
 // of the store. While the node is a watcher, it also lists the members every RelistInterval and after each restore.
 //
-// The start waits for the first list only, if it brings other nodes: the writes are spread out over a longer time. Unless a
-// member has answered meanwhile, another list comes after the write, so that of two nodes that start at the same time at least
-// one finds the other.
+// The start waits for the first list only, if it brings other nodes: the writes are spread out over a longer time. Another list
+// comes after the write, so that of two nodes that start at the same time at least one finds the other.
 func (d *Distributor) runMembers(ctx context.Context) {
 	listDelay := d.randomBelow(d.options.ListJitter)
 	if !sleep(ctx, listDelay) {
@@ -81,16 +80,13 @@
 	}
 }
 
-// join registers the node if it is not registered yet, and lists the members unless one of them has answered.
+// join registers the node if it is not registered yet, and lists the members.
 func (d *Distributor) join(ctx context.Context) error {
 	if !d.Status().Registered {
 		if err := d.register(ctx); err != nil {
 			return err
 		}
 	}
-	if d.peerAnswered.Load() {
-		return nil
-	}
 	return d.listMembers(ctx)
 }
 
--- a/internal/distribution/pull.go
+++ b/internal/distribution/pull.go
@@ -105,7 +105,6 @@
 	if err != nil {
 		return pullResult{}, err
 	}
-	d.peerAnswered.Store(true)
 	result := d.applyPull(request, response, d.received(address, startedAt))
 	d.publish()
 	return result, nil
