Wait for the registration before a test counts calls

TestStoreOutageOfHours bounds the calls of an outage with one node that tries to register. It began the outage when all nodes were ready, which implied that they are registered; since the configuration is read before the turn to register it does not.

--- a/internal/declaration/unsupported.go
+++ b/internal/declaration/unsupported.go
@@ -34,7 +34,7 @@
 		}
 		err := route.validate()
 		if err == nil && seen[route.id()] {
-			err = errDeclaredTwice
+			err = errDeclaredTwice(route)
 		}
 		seen[route.id()] = true
 		if err != nil {
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -41,15 +41,17 @@
 			return errors.Wrapf(err, "service %s: route %q", s.Name, route.Path)
 		}
 		if seen[route.id()] {
-			return errors.Wrapf(errDeclaredTwice, "service %s: route %q", s.Name, route.Path)
+			return errors.Wrapf(errDeclaredTwice(route), "service %s", s.Name)
 		}
 		seen[route.id()] = true
 	}
 	return nil
 }
 
-// errDeclaredTwice is the error of the second of two routes that match the same requests.
-var errDeclaredTwice = errors.New("declared twice for the same host and methods")
+// errDeclaredTwice returns the error of the second of two routes that match the same requests.
+func errDeclaredTwice(r *Route) error {
+	return errors.Errorf("route %q is declared twice for the same host and methods", r.Path)
+}
 
 // id identifies the requests that the route matches.
 func (r *Route) id() string {
--- a/internal/distribution/distributor_test.go
+++ b/internal/distribution/distributor_test.go
@@ -86,6 +86,8 @@
 		f.declare("ledger", "/v1")
 		nodes := f.startMany(12)
 		f.waitFor(time.Minute, "readiness", nodes, ready)
+		// The number of calls below is that of a fleet whose nodes are registered, but for one.
+		f.waitFor(time.Minute, "the registration", nodes, func(n *testNode) bool { return n.Status().Registered })
 		f.storeDown(true)
 		f.waitFor(slowFactor*time.Minute, "the members", nodes, hasLiveMembers(12))
 		time.Sleep(3 * time.Hour)
