--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -7,4 +7,4 @@
 [ -x "$rig" ] && [ -x ../../target/sardinereachd ] || { echo "not built" >&2; exit 2; }
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec "$rig" -case poison -record record.txt -trouble="$trouble"
+exec "$rig" -case crash -record record.txt -trouble="$trouble"
