--- a/review/rig/case_crash.go
+++ b/review/rig/case_crash.go
@@ -33,7 +33,7 @@
 	}
 	routes := w.firstRoutes()
 	routes["r-late"] = route{Host: host, Prefix: latePath, Kind: "idempotent", TimeoutS: 2, ObjectiveS: 1, Priority: 2, Service: "ledger", MaxAttempts: 2}
-	w.store.put("op/config", configuration(9, []string{"ledger"}, routes))
+	w.store.put(names.ConfigurationKey, configuration(9, []string{"ledger"}, routes))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	time.Sleep(3 * time.Second)
--- a/review/rig/case_drain.go
+++ b/review/rig/case_drain.go
@@ -55,7 +55,7 @@
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		if status, _ = leaving.call("instances.heartbeat", late); status != http.StatusOK {
+		if status, _ = leaving.call(names.Heartbeat, late); status != http.StatusOK {
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
--- a/review/rig/case_path.go
+++ b/review/rig/case_path.go
@@ -23,7 +23,7 @@
 		"r-files":   {Host: host, Prefix: filesPath, Kind: "non_idempotent", TimeoutS: 2, ObjectiveS: 1, Priority: 1, Service: "ledger", MaxAttempts: 2},
 		"r-reports": {Host: host, Prefix: reportsPath, Kind: "non_idempotent", TimeoutS: 2, ObjectiveS: 1, Priority: 1, Service: "tariffs", MaxAttempts: 2},
 	}
-	w.store.put("op/config", configuration(7, []string{"ledger", "tariffs"}, routes))
+	w.store.put(names.ConfigurationKey, configuration(7, []string{"ledger", "tariffs"}, routes))
 	for _, service := range []string{"ledger", "ledger", "tariffs", "tariffs"} {
 		if err := w.addMachine("north-a", "north", service, 100*time.Millisecond); err != nil {
 			return false, err
--- a/review/rig/case_poison.go
+++ b/review/rig/case_poison.go
@@ -31,14 +31,14 @@
 		}
 	}
 	services := []string{"ledger", "tariffs"}
-	w.store.put("op/config", configuration(8, services, w.firstRoutes()))
+	w.store.put(names.ConfigurationKey, configuration(8, services, w.firstRoutes()))
 	if err := w.awaitReady(); err != nil {
 		return false, err
 	}
 	routes := w.firstRoutes()
 	routes["r-late"] = route{Host: otherHost, Prefix: getPath, Kind: "idempotent", TimeoutS: 2, ObjectiveS: 1, Priority: 2, Service: "tariffs",
 		MaxAttempts: 2}
-	w.store.put("op/config", configuration(9, services, routes))
+	w.store.put(names.ConfigurationKey, configuration(9, services, routes))
 	time.Sleep(4 * time.Second)
 	for _, t := range w.targets[:4] {
 		t.setPoison(host, poison)
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -70,7 +70,8 @@
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
 	var head bytes.Buffer
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n", s.method, s.path, host, s.id, deadlineMS)
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", s.method, s.path, host,
+		names.RequestID, s.id, names.Deadline, deadlineMS)
 	if s.method == http.MethodPost {
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
 	}
@@ -90,7 +91,7 @@
 		c.close()
 		return fmt.Errorf("body: %w", err)
 	}
-	s.status, s.stamp = res.StatusCode, res.Header.Get("Response-Stamp")
+	s.status, s.stamp = res.StatusCode, res.Header.Get(names.Stamp)
 	if res.Close {
 		c.close()
 	}
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -10,7 +10,7 @@
 
 // startFleet starts four machines of one service in two zones and writes the first configuration.
 func (w *world) startFleet(work time.Duration) error {
-	w.store.put("op/config", configuration(7, []string{"ledger"}, w.firstRoutes()))
+	w.store.put(names.ConfigurationKey, configuration(7, []string{"ledger"}, w.firstRoutes()))
 	for _, zone := range []string{"north-a", "north-a", "north-b", "north-b"} {
 		if err := w.addMachine(zone, "north", "ledger", work); err != nil {
 			return err
--- a/review/rig/machine.go
+++ b/review/rig/machine.go
@@ -140,7 +140,7 @@
 	defer m.mu.Unlock()
 	cmd := exec.Command(filepath.Join(w.repository, "target", "sardinereachd"))
 	cmd.Dir = w.repository
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SARDINEREACH_BOOT=" + m.settingsPath}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names.SettingsVariable + "=" + m.settingsPath}
 	cmd.Stdout, cmd.Stderr = m.log, m.log
 	if err := cmd.Start(); err != nil {
 		return err
@@ -211,24 +211,33 @@
 
 // route is a route of the operator's configuration.
 type route struct {
-	Host        string  `json:"host"`
-	Prefix      string  `json:"prefix"`
-	Kind        string  `json:"kind"`
-	TimeoutS    float64 `json:"timeoutS"`
-	ObjectiveS  float64 `json:"sloLatencyS"`
-	Priority    int     `json:"priority"`
-	Service     string  `json:"service"`
-	MaxAttempts int     `json:"maxAttempts"`
+	Host, Prefix, Kind   string
+	TimeoutS, ObjectiveS float64
+	Priority             int
+	Service              string
+	MaxAttempts          int
 }
 
-// configuration returns the value of op/config.
+// wire returns the route as it stands in the configuration.
+func (r route) wire() map[string]any {
+	return map[string]any{
+		"host": r.Host, "prefix": r.Prefix, "kind": r.Kind, "timeoutS": r.TimeoutS, names.Objective: r.ObjectiveS,
+		"priority": r.Priority, "service": r.Service, "maxAttempts": r.MaxAttempts,
+	}
+}
+
+// configuration returns the value of the operator's configuration.
 func configuration(version int, services []string, routes map[string]route) []byte {
 	declared := map[string]any{}
 	for _, name := range services {
 		declared[name] = map[string]any{"healthPath": "/healthz", "maxConns": 390, "protocol": "h1", "tls": false}
 	}
+	encoded := map[string]any{}
+	for name, r := range routes {
+		encoded[name] = r.wire()
+	}
 	value, _ := json.Marshal(map[string]any{
-		"version": fmt.Sprintf("r%d", version), "routes": routes, "services": declared,
+		"version": fmt.Sprintf("r%d", version), "routes": encoded, "services": declared,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15},
 	})
 	return value
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -45,10 +45,10 @@
 	}
 	s := &kvStore{address: listener.Addr().String(), rev: 1, items: map[string]item{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-key", s.serveKey)
-	mux.HandleFunc("GET /kv-range", s.serveRange)
-	mux.HandleFunc("GET /kv-watch", s.serveWatch)
-	mux.HandleFunc("POST /kv-txn", s.serveTxn)
+	mux.HandleFunc("GET "+names.StoreKey, s.serveKey)
+	mux.HandleFunc("GET "+names.StoreRange, s.serveRange)
+	mux.HandleFunc("GET "+names.StoreWatch, s.serveWatch)
+	mux.HandleFunc("POST "+names.StoreTxn, s.serveTxn)
 	go func() { _ = http.Serve(listener, mux) }()
 	return s, nil
 }
@@ -146,7 +146,7 @@
 	return events, s.rev, s.changed
 }
 
-// transaction is the body of POST /kv-txn.
+// transaction is the body of the transaction call.
 type transaction struct {
 	ExpectedRev []struct {
 		Key string `json:"key"`
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -78,7 +78,7 @@
 func (t *target) sendHeartbeats() {
 	for {
 		if !t.isSilent() {
-			_, _ = t.call("instances.heartbeat", t.heartbeat("ready"))
+			_, _ = t.call(names.Heartbeat, t.heartbeat("ready"))
 		}
 		select {
 		case <-time.After(heartbeatInterval):
@@ -106,8 +106,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sequence++
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"coldLeftS":0,"sequence":%d,"born":%d}`,
-		t.service, t.address, t.zone, slots, state, t.sequence, t.born)
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,%q:0,"sequence":%d,"born":%d}`,
+		t.service, t.address, t.zone, slots, state, names.ColdRemaining, t.sequence, t.born)
 }
 
 // call sends a call to the machine and returns the status of the answer.
@@ -124,7 +124,7 @@
 
 // leave says that the target is gone and returns whether the call was acknowledged.
 func (t *target) leave() bool {
-	status, err := t.call("instances.leave", fmt.Sprintf(`{"born":%d}`, t.born))
+	status, err := t.call(names.Leave, fmt.Sprintf(`{"born":%d}`, t.born))
 	t.rec.say("target %s: leave call: status %d, error %v", t.id, status, err)
 	return status == http.StatusOK
 }
@@ -138,16 +138,16 @@
 
 // ServeHTTP implements http.Handler.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Attempt-Id")
-	w.Header().Set("Attempt-Id", id)
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != t.id {
+	id := r.Header.Get(names.RequestID)
+	w.Header().Set(names.RequestID, id)
+	if expected := r.Header.Get(names.Instance); expected != "" && expected != t.id {
 		w.Header().Set("Instance-Id", t.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if !t.enter() {
 		t.rec.add("target %s rejects %s: full", t.id, id)
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -179,8 +179,8 @@
 		t.rec.add("target %s: the connection of %s is gone", t.id, id)
 		return
 	}
-	w.Header().Set("Response-Stamp", "stamp."+t.id+"."+id)
-	w.Header().Set("Server-Load", strconv.Itoa(len(t.slots))+",0,"+strconv.Itoa(slots))
+	w.Header().Set(names.Stamp, "stamp."+t.id+"."+id)
+	w.Header().Set(names.Load, strconv.Itoa(len(t.slots))+",0,"+strconv.Itoa(slots))
 	_, _ = fmt.Fprintf(w, "%s %s at %s", r.Method, r.URL.RequestURI(), t.id)
 }
 
