Keep departures of targets beyond the process that acknowledged them

Cause: a departure was in the memory of the acknowledging process alone. Peers had it as the phase of a target in that process's member record, which the record of the next process replaced. The next process took a late heartbeat for a new target.

Ruled out: stale sequence numbers (the next process knows none), clocks and a longer pause before readiness, which only move the window.

Change: a departure is acknowledged when it is in the node's member record in the store or, if the store does not take it in 0.4 s, at two peers of two domains; otherwise the call gets 503 (SR0422). Peers keep the departures of all incarnations of a node and send them in answers to its pulls. A starting node restores them (SR0423) from the member list and the record that it replaces, both of which it reads anyway, and from its pulls; until then its targets count as starting. A draining heartbeat is a departure, too. Store calls: one a departure, none a heartbeat or a start.

Why it works: what the node promised is where its next process looks before it uses a target, also if the process is killed, with all nodes of its domain or of the fleet, and while the store is dark or refuses the node.

On the way the tests showed that a peer that had not heard of the departure was believed, and that attempts sent with an old member record were admitted before the departures were restored; both are mended here.

Open: a loss of power of all nodes during an outage of the store loses what only peers kept.

--- a/internal/admission/announce.go
+++ b/internal/admission/announce.go
@@ -27,6 +27,10 @@
 	if t != nil && a.isStale(&t.Announcement) && !t.isSilent() {
 		return nil
 	}
+	previous := model.PhaseStarting
+	if t != nil && t.StartTimeMS == a.StartTimeMS {
+		previous = t.Phase
+	}
 	if t == nil {
 		t = &target{Announcement: a, rampStart: p.activeTime(), runTimes: make(runTimes)}
 		p.targets[a.Target] = t
@@ -40,6 +44,7 @@
 	if t.StartTimeMS != a.StartTimeMS {
 		t.breaker = breaker{}
 	}
+	p.recordDeparture(previous, &a)
 	t.coldUntil = p.activeTime() + a.ColdRemaining
 	t.Announcement = a
 	t.announcedAt = p.activeTime()
@@ -53,7 +58,7 @@
 // even if it seems older than the last one: one odd announcement, or a clock that was set back, must not exclude the
 // target for good.
 func (t *target) isSilent() bool {
-	return t.missing && t.Phase != model.PhaseDraining && t.Phase != model.PhaseLeaving
+	return t.missing && !t.Phase.IsLeaving()
 }
 
 // isReplaced reports whether a target with a later start time announces the same address.
@@ -78,39 +83,6 @@
 	}
 }
 
-// IsDeregistered reports whether the target has deregistered since the start that the announcement belongs to. A delayed
-// announcement must not register the target again.
-func (p *Point) IsDeregistered(a *Announcement) bool {
-	d, ok := p.deregistered[a.Target]
-	return ok && d.covers(a.StartTimeMS)
-}
-
-// Deregister handles a target that leaves without a further announcement. startTimeMS is the target's start time, 0 if it
-// was not sent. receivedMS is the time at which the target said so, in Unix milliseconds. A target that has restarted since
-// then stays registered. Deregister reports whether this process has heard of the target; the announcements of one that it has
-// not heard of may still be on their way.
-func (p *Point) Deregister(now time.Duration, id model.TargetID, startTimeMS, receivedMS int64) bool {
-	p.advance(now)
-	t := p.targets[id]
-	_, repeated := p.deregistered[id]
-	d := deregistration{startTimeMS: startTimeMS, at: p.now}
-	switch {
-	case startTimeMS != 0:
-	case t != nil:
-		d.startTimeMS = t.StartTimeMS
-	default:
-		d.startTimeMS, d.estimated = receivedMS, true
-	}
-	if d.startTimeMS != 0 {
-		p.deregistered[id] = d
-	}
-	if t != nil && d.startTimeMS >= t.StartTimeMS {
-		t.Phase = model.PhaseLeaving
-		p.updateQueue(t)
-	}
-	return t != nil || repeated
-}
-
 // isCold reports whether the announcement comes from a process that has not served requests yet.
 func isCold(t *target, a *Announcement) bool {
 	if t.removed || t.Address != a.Address || t.StartTimeMS != a.StartTimeMS {
--- a/internal/admission/expire.go
+++ b/internal/admission/expire.go
@@ -7,7 +7,7 @@
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
-// sweepInterval is the time between two removals of expired watermarks and deregistrations.
+// sweepInterval is the time between two removals of expired watermarks and departures.
 const sweepInterval = time.Minute
 
 // Expire advances the time and returns the events since the last call of Events or Expire. Call it at least once a second.
@@ -26,7 +26,7 @@
 	if now-p.lastSweep >= sweepInterval {
 		p.lastSweep = now
 		p.watermarks.sweep(now)
-		p.removeExpiredDeregistrations()
+		p.departures.Expire(now)
 	}
 	return p.Events()
 }
--- a/internal/admission/point.go
+++ b/internal/admission/point.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"github.com/sardinereach/sardinereach/internal/departure"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
@@ -26,9 +27,12 @@
 	incarnation model.Incarnation
 	targets     map[model.TargetID]*target
 	// drained holds the targets that an operator drains, whether or not they have announced themselves.
-	drained      map[model.TargetID]bool
-	deregistered map[model.TargetID]deregistration
-	stopping     bool
+	drained map[model.TargetID]bool
+	// departures are those of targets that have deregistered or announced that they leave.
+	departures *departure.Set
+	// held means that ready targets are not used yet, see Hold.
+	held     bool
+	stopping bool
 	// shutdownDeadline is the time by which the runs of a stopping node must end, 0 for none.
 	shutdownDeadline time.Duration
 	records          map[model.AttemptID]*record
@@ -49,13 +53,13 @@
 // NewPoint returns a point without targets for one incarnation of a node.
 func NewPoint(limits Limits, incarnation model.Incarnation) *Point {
 	return &Point{
-		limits:       limits.withBounds(),
-		incarnation:  incarnation,
-		targets:      make(map[model.TargetID]*target),
-		drained:      make(map[model.TargetID]bool),
-		deregistered: make(map[model.TargetID]deregistration),
-		records:      make(map[model.AttemptID]*record),
-		watermarks:   make(watermarks),
+		limits:      limits.withBounds(),
+		incarnation: incarnation,
+		targets:     make(map[model.TargetID]*target),
+		drained:     make(map[model.TargetID]bool),
+		departures:  departure.NewSet(),
+		records:     make(map[model.AttemptID]*record),
+		watermarks:  make(watermarks),
 	}
 }
 
@@ -98,6 +102,8 @@
 		return verdict.NodeStopping
 	case t == nil:
 		return verdict.TargetUnknown
+	case p.held:
+		return verdict.TargetStarting
 	}
 	if reason := t.phaseRefusalReason(); reason != "" {
 		return reason
@@ -120,8 +126,12 @@
 	}
 }
 
-// phase returns the announced phase, or draining if the node is stopping or an operator drains the target.
+// phase returns the announced phase, starting if targets are held, or draining if the node is stopping or an operator drains the
+// target.
 func (p *Point) phase(t *target) model.Phase {
+	if t.Phase == model.PhaseReady && p.held {
+		return model.PhaseStarting
+	}
 	if t.Phase <= model.PhaseReady && (p.stopping || p.drained[t.Target]) {
 		return model.PhaseDraining
 	}
--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sardinereach/sardinereach/internal/config"
+	"github.com/sardinereach/sardinereach/internal/departure"
 	"github.com/sardinereach/sardinereach/internal/membership"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
@@ -34,8 +35,11 @@
 	watching      bool
 	watchingSince time.Duration
 	// synced means that the node has read the complete records of some peer and has been in contact with peers since.
-	synced   bool
-	isolated bool
+	synced     bool
+	isolated   bool
+	departures departures
+	// storedRevision is the revision of the own member record in the store as far as this node knows, 0 if there is none.
+	storedRevision int64
 	// registered means that the member record was written to the store or found there, in registeredEra.
 	registered    bool
 	registeredEra int64
@@ -64,6 +68,10 @@
 	firstJoinDone chan struct{}
 	// newEra has a message while a restore of the store requires a check of the own member record.
 	newEra chan struct{}
+	// recordUnwritten has a message while the own member record has to be written because an earlier write has failed.
+	recordUnwritten chan struct{}
+	// recordWrites has a message while the own member record is written.
+	recordWrites chan struct{}
 	// earlyRound has a message while the own record has a change that has to reach the peers before the next regular
 	// round.
 	earlyRound chan struct{}
@@ -104,12 +112,16 @@
 		lastPeerResponse:   noResponseYet,
 		reportedRejections: map[string]int64{},
 
-		propagation:    newPropagation(),
-		firstListDone:  make(chan struct{}),
-		firstJoinDone:  make(chan struct{}),
-		newEra:         make(chan struct{}, 1),
-		earlyRound:     make(chan struct{}, 1),
-		publishPending: make(chan struct{}, 1),
+		propagation:   newPropagation(),
+		firstListDone: make(chan struct{}),
+		firstJoinDone: make(chan struct{}),
+		newEra:        make(chan struct{}, 1),
+
+		departures:      departures{kept: departure.NewSet()},
+		recordUnwritten: make(chan struct{}, 1),
+		recordWrites:    make(chan struct{}, 1),
+		earlyRound:      make(chan struct{}, 1),
+		publishPending:  make(chan struct{}, 1),
 	}
 	d.publish()
 	return d, nil
@@ -193,6 +205,7 @@
 	tasks.Go(func() { d.runRounds(ctx) })
 	tasks.Go(func() { d.runStart(ctx) })
 	tasks.Go(func() { d.runMembers(ctx) })
+	tasks.Go(func() { d.runDepartures(ctx) })
 	tasks.Go(func() { d.runPublish(ctx) })
 	tasks.Go(func() { d.runPropagation(ctx) })
 	tasks.Go(func() { d.runProbes(ctx) })
--- a/internal/distribution/fault_world_test.go
+++ b/internal/distribution/fault_world_test.go
@@ -161,6 +161,20 @@
 	return changes, revision, err
 }
 
+func (s *worldStore) CompareAndSwap(
+	ctx context.Context, key string, expect int64, value []byte, lease store.LeaseID,
+) (store.KV, error) {
+	faults := s.world.faultsOf(s.node)
+	switch {
+	case faults.cut, faults.mode == storeSilent:
+		<-ctx.Done()
+		return store.KV{}, store.ErrUnknownOutcome
+	case faults.mode == storeRefuses:
+		return store.KV{}, store.ErrUnavailable
+	}
+	return s.Store.CompareAndSwap(ctx, key, expect, value, lease)
+}
+
 func (s *worldStore) Ping(ctx context.Context, key string) error {
 	forgotten := s.world.faultsOf(s.node).forgotten
 	if err := s.reach(ctx); err != nil {
--- a/internal/distribution/handle_pull.go
+++ b/internal/distribution/handle_pull.go
@@ -22,6 +22,8 @@
 	}
 	d.queueAheadCaller(request)
 	response := &peerv1.PullResponse{Incarnation: uint64(d.options.Self.Incarnation), Cursor: request.GetCursor()}
+	response.CallerDepartures = encodeDepartures(d.tables.members.Departures(model.NodeID(request.GetNode())))
+	response.KnowsDepartures = d.departures.ofFleet
 	d.answerConfig(request, response)
 	if request.GetCursor() != cursorDocumentsOnly {
 		d.answerChanges(request, response)
--- a/internal/distribution/members.go
+++ b/internal/distribution/members.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,14 +63,16 @@
 	return true
 }
 
-// awaitMemberCheck waits for RelistInterval, or for a restore of the store and then for a random time, so that the nodes
-// do not check their member records at the same time. It returns false if ctx ended.
+// awaitMemberCheck waits for RelistInterval, for a member record that could not be written, or for a restore of the store and
+// then for a random time, so that the nodes do not check their member records at the same time. It returns false if ctx ended.
 func (d *Distributor) awaitMemberCheck(ctx context.Context) bool {
 	timer := time.NewTimer(d.jitter(d.options.RelistInterval, jitterFraction))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return true
+	case <-d.recordUnwritten:
+		return true
 	case <-d.newEra:
 		return sleep(ctx, d.randomBelow(d.confirmJitter()))
 	case <-ctx.Done():
@@ -98,16 +98,29 @@
 	if d.recordStoreResult(ctx, MemberPrefix, err) != nil {
 		return err
 	}
+	d.mergeList(kvs)
+	d.setDeparturesKnown(true)
+	return nil
+}
+
+// mergeList merges the member records of the store, the own one included.
+func (d *Distributor) mergeList(kvs []store.KV) {
+	var own []model.Departure
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.deadRecords = nil
 	for _, kv := range kvs {
-		if node, ok := decodeMember(kv); ok {
-			d.mergeListed(node)
-			d.queueDeadRecord(node, kv.Revision)
+		member, ok := decodeMember(kv)
+		if !ok {
+			continue
+		}
+		if member.ID == d.options.Self.ID {
+			own = member.Departures
 		}
+		d.mergeListed(member)
+		d.queueDeadRecord(member.Node, kv.Revision)
 	}
-	return nil
+	d.mu.Unlock()
+	d.restoreDepartures(own, true)
 }
 
 // memberRecord is a member record in the store with its revision.
@@ -123,19 +136,9 @@
 	}
 }
 
-// decodeMember decodes a member record. It returns false if the record or its key is not valid.
-func decodeMember(kv store.KV) (model.Node, bool) {
-	var node model.Node
-	if err := json.Unmarshal(kv.Value, &node); err != nil {
-		return node, false
-	}
-	valid := validateNode(node) == nil && strings.HasPrefix(kv.Key, MemberPrefix)
-	return node, valid && kv.Key == MemberKey(node)
-}
-
 // mergeListed merges a member record of the store. Its version and heartbeat are 0, lower than any that the node sends.
-func (d *Distributor) mergeListed(node model.Node) {
-	update := membership.Update{Record: &model.NodeRecord{Node: node}}
+func (d *Distributor) mergeListed(member memberDocument) {
+	update := membership.Update{Record: &model.NodeRecord{Node: member.Node, Departures: member.Departures}}
 	if d.tables.members.Merge(update, d.options.Now()) == membership.Replaced {
 		d.publisher.membersChanged = true
 	}
--- a/internal/distribution/odd_member_test.go
+++ b/internal/distribution/odd_member_test.go
@@ -49,11 +49,11 @@
 	f.Add("members/d/n1", []byte(soundMember))
 	f.Add("members//", []byte(`{"Incarnation":1e99}`))
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
-		node, ok := decodeMember(store.KV{Key: key, Value: value})
-		if ok && (MemberKey(node) != key || validateNode(node) != nil) {
-			t.Errorf("accepted %+v under %q", node, key)
+		member, ok := decodeMember(store.KV{Key: key, Value: value})
+		if ok && (MemberKey(member.Node) != key || validateNode(member.Node) != nil) {
+			t.Errorf("accepted %+v under %q", member, key)
 		}
-		if _, err := json.Marshal(node); err != nil {
+		if _, err := json.Marshal(member); err != nil {
 			t.Error(err)
 		}
 	})
--- a/internal/distribution/options.go
+++ b/internal/distribution/options.go
@@ -28,6 +28,9 @@
 	// OnSnapshot is called with each new snapshot, never concurrently; the first call comes from New. It must not block
 	// and must not call the Distributor. It may be nil.
 	OnSnapshot func(*Snapshot)
+	// OnDepartures is called with the departures that an earlier incarnation of this node has acknowledged, whenever this node
+	// hears of some, and with none when it knows all of them. It must not block and must not call the Distributor. It may be nil.
+	OnDepartures func([]model.Departure)
 
 	// NoEjections means that the fleet writes no ejection permits, so the store is not watched for them.
 	NoEjections bool
@@ -142,6 +145,9 @@
 	if o.Report == nil {
 		o.Report = func(Event) {}
 	}
+	if o.OnDepartures == nil {
+		o.OnDepartures = func([]model.Departure) {}
+	}
 	if o.OnSnapshot == nil {
 		o.OnSnapshot = func(*Snapshot) {}
 	}
--- a/internal/distribution/own_record.go
+++ b/internal/distribution/own_record.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/sardinereach/sardinereach/internal/departure"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
@@ -14,12 +15,14 @@
 	// urgent is set by changes that have to reach the peers before the next regular round, changed by any change.
 	urgent, changed bool
 	stopping        bool
-	heartbeatAt     time.Duration
-	versionAt       time.Duration
+	// departures are those that this incarnation or an earlier one has acknowledged.
+	departures  *departure.Set
+	heartbeatAt time.Duration
+	versionAt   time.Duration
 }
 
 func newOwnRecord(self model.Node) ownRecord {
-	return ownRecord{record: &model.NodeRecord{Node: self, Version: 1, Heartbeat: 1}}
+	return ownRecord{record: &model.NodeRecord{Node: self, Version: 1, Heartbeat: 1}, departures: departure.NewSet()}
 }
 
 func (o *ownRecord) setTargets(targets []model.Target) {
@@ -36,6 +39,15 @@
 	o.urgent, o.changed = true, true
 }
 
+// addDeparture adds a departure at the time now. It reports whether the record did not cover it yet.
+func (o *ownRecord) addDeparture(now time.Duration, d model.Departure) bool {
+	if !o.departures.Add(now, d) {
+		return false
+	}
+	o.urgent, o.changed = true, true
+	return true
+}
+
 // equalExceptLoad reports whether two states of a target differ in load figures only.
 func equalExceptLoad(a, b model.Target) bool {
 	b.InFlight, b.Queued, b.BreakerHalfOpen = a.InFlight, a.Queued, a.BreakerHalfOpen
@@ -45,6 +57,7 @@
 
 // advance returns the record that is due at the time now, nil if the current one stays valid.
 func (o *ownRecord) advance(now, heartbeatInterval, loadInterval time.Duration, configRevision int64) *model.NodeRecord {
+	o.departures.Expire(now)
 	newVersion := o.urgent || o.changed && now-o.versionAt >= loadInterval
 	if !newVersion && now-o.heartbeatAt < heartbeatInterval {
 		return nil
@@ -57,6 +70,7 @@
 		next.Version++
 		next.Targets = o.targets
 		next.Stopping = o.stopping
+		next.Departures = o.departures.List()
 		o.versionAt = now
 		o.urgent, o.changed = false, false
 	}
--- a/internal/distribution/pull.go
+++ b/internal/distribution/pull.go
@@ -99,15 +99,22 @@
 // pullOnce pulls all changes from the address. Another pull may return more if the response reached the record limit or had
 // documents.
 func (d *Distributor) pullOnce(ctx context.Context, address string) (pullResult, error) {
+	result, _, err := d.pullAndApply(ctx, address)
+	return result, err
+}
+
+// pullAndApply pulls from the address, applies the response and returns it.
+func (d *Distributor) pullAndApply(ctx context.Context, address string) (pullResult, *peerv1.PullResponse, error) {
 	request := d.pullRequest(address)
 	startedAt := d.options.Now()
 	response, err := d.call(ctx, address, request)
 	if err != nil {
-		return pullResult{}, err
+		return pullResult{}, nil, err
 	}
 	result := d.applyPull(request, response, d.received(address, startedAt))
+	d.restoreFromPeer(response)
 	d.publish()
-	return result, nil
+	return result, response, nil
 }
 
 // pullDocuments pulls only configuration documents.
--- a/internal/distribution/register.go
+++ b/internal/distribution/register.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,38 +23,74 @@
 
 // register writes the member record if the key is absent. A second write is needed if an earlier incarnation of the node
 // is registered.
-func (d *Distributor) register(ctx context.Context) error { return d.writeRecord(ctx, 0) }
+func (d *Distributor) register(ctx context.Context) error { return d.writeRecord(ctx) }
 
-// writeRecord writes the member record over the one at expectedRevision, 0 if there is none. A write with an unknown
-// outcome is retried: if the first one took effect, the retry conflicts with the node's own record.
-func (d *Distributor) writeRecord(ctx context.Context, expectedRevision int64) error {
-	key := MemberKey(d.options.Self)
-	value, err := d.recordValue()
-	if err != nil {
-		return err
+// writeRecord writes the member record over the one that this node knows of. A write with an unknown outcome is retried: if
+// the first one took effect, the retry conflicts with the node's own record. Departures in a record of an earlier
+// incarnation are restored before it is replaced.
+func (d *Distributor) writeRecord(ctx context.Context) error {
+	select {
+	case d.recordWrites <- struct{}{}:
+		defer func() { <-d.recordWrites }()
+	case <-ctx.Done():
+		return ctx.Err()
 	}
+	key := MemberKey(d.options.Self)
 	for {
-		era := d.currentEra()
-		kv, err := d.swap(ctx, key, expectedRevision, value)
-		var conflict *store.ConflictError
-		if !errors.As(err, &conflict) {
-			if d.recordStoreResult(ctx, key, err) == nil {
-				d.setRegistered(max(era, store.Era(kv.Revision)))
-			}
+		member, revision := d.memberDocument()
+		value, err := member.encode()
+		if err != nil {
 			return err
 		}
-		if bytes.Equal(conflict.Current.Value, value) {
+		era := d.currentEra()
+		kv, err := d.swap(ctx, key, revision, value)
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			d.recordStored(kv.Revision, member)
+			d.setRegistered(max(era, store.Era(kv.Revision)))
+			return d.recordStoreResult(ctx, key, nil)
+		case !errors.As(err, &conflict):
+			return d.recordStoreResult(ctx, key, err)
+		case bytes.Equal(conflict.Current.Value, value):
+			d.recordStored(conflict.Current.Revision, member)
 			d.setRegistered(max(era, store.Era(conflict.Current.Revision)))
 			return nil
 		}
-		expectedRevision = conflict.Current.Revision
+		d.replaceStored(conflict.Current)
+	}
+}
+
+// memberDocument returns the own member record as it has to be in the store, and the revision of the one that it replaces, 0
+// if there is none.
+func (d *Distributor) memberDocument() (memberDocument, int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return memberDocument{Node: d.options.Self, Departures: d.self.departures.List()}, d.storedRevision
+}
+
+// recordStored records that the member record is in the store at the revision.
+func (d *Distributor) recordStored(revision int64, member memberDocument) {
+	d.mu.Lock()
+	d.storedRevision = revision
+	now := d.options.Now()
+	for _, departure := range member.Departures {
+		d.departures.kept.Add(now, departure)
 	}
+	d.departures.unwritten = false
+	d.mu.Unlock()
+	d.setDeparturesKnown(false)
 }
 
-// recordValue returns the member record as it is in the store.
-func (d *Distributor) recordValue() ([]byte, error) {
-	value, err := json.Marshal(d.options.Self)
-	return value, errors.Wrap(err, "member record")
+// replaceStored records that the store has another record of this node, which the next write replaces. The departures in it
+// are kept.
+func (d *Distributor) replaceStored(kv store.KV) {
+	if member, ok := decodeMember(kv); ok {
+		d.restoreDepartures(member.Departures, true)
+	}
+	d.mu.Lock()
+	d.storedRevision = kv.Revision
+	d.mu.Unlock()
 }
 
 func (d *Distributor) swap(ctx context.Context, key string, expectedRevision int64, value []byte) (store.KV, error) {
@@ -94,7 +129,7 @@
 // again if it is lost or belongs to an earlier incarnation.
 func (d *Distributor) confirmRegistration(ctx context.Context) error {
 	if d.Status().Registered {
-		return nil
+		return d.writeUnwritten(ctx)
 	}
 	key, era := MemberKey(d.options.Self), d.currentEra()
 	kv, err := d.get(ctx, key)
@@ -102,11 +137,13 @@
 	if !lost && d.recordStoreResult(ctx, key, err) != nil {
 		return err
 	}
-	value, err := d.recordValue()
+	member, _ := d.memberDocument()
+	value, err := member.encode()
 	if err != nil {
 		return err
 	}
 	if bytes.Equal(kv.Value, value) {
+		d.recordStored(kv.Revision, member)
 		d.recordRegistration(max(era, store.Era(kv.Revision)))
 		return nil
 	}
@@ -116,7 +153,19 @@
 		return nil
 	}
 	d.options.Report(Event{Kind: MemberRecordLost, Node: d.options.Self.ID})
-	return d.writeRecord(ctx, kv.Revision)
+	d.replaceStored(kv)
+	return d.writeRecord(ctx)
+}
+
+// writeUnwritten writes the member record if the one in the store lacks a departure.
+func (d *Distributor) writeUnwritten(ctx context.Context) error {
+	d.mu.Lock()
+	unwritten := d.departures.unwritten
+	d.mu.Unlock()
+	if !unwritten {
+		return nil
+	}
+	return d.writeRecord(ctx)
 }
 
 func (d *Distributor) get(ctx context.Context, key string) (store.KV, error) {
--- a/internal/distribution/wire.go
+++ b/internal/distribution/wire.go
@@ -32,6 +32,7 @@
 	for i := range r.Targets {
 		state.Targets[i] = encodeTarget(&r.Targets[i])
 	}
+	state.Departures = encodeDepartures(r.Departures)
 	return state
 }
 
@@ -77,6 +78,7 @@
 	for i, target := range state.GetTargets() {
 		r.Targets[i] = decodeTarget(target)
 	}
+	r.Departures = decodeDepartures(state.GetDepartures())
 	return membership.Update{Record: r, Light: r.PeerAddress == ""}
 }
 
@@ -101,6 +103,27 @@
 	}
 }
 
+func encodeDepartures(departures []model.Departure) []*peerv1.Departure {
+	var messages []*peerv1.Departure
+	for _, d := range departures {
+		messages = append(messages, &peerv1.Departure{
+			Target: string(d.Target), StartTimeMs: d.StartTimeMS, Estimated: d.Estimated, Sequence: d.Sequence,
+		})
+	}
+	return messages
+}
+
+func decodeDepartures(messages []*peerv1.Departure) []model.Departure {
+	var departures []model.Departure
+	for _, message := range messages {
+		departures = append(departures, model.Departure{
+			Target: model.TargetID(message.GetTarget()), StartTimeMS: message.GetStartTimeMs(),
+			Estimated: message.GetEstimated(), Sequence: message.GetSequence(),
+		})
+	}
+	return departures
+}
+
 func encodeDocument(d config.Document) *peerv1.Document {
 	return &peerv1.Document{Key: d.Key, Value: d.Value, Revision: d.Revision, Deleted: d.Deleted}
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -76,6 +76,8 @@
 	UnknownTargetLeft  = &Event{419, "unknown_target_left", Info, "an upstream that this process has not heard of says that it leaves", []Key{Target}, 0}
 	AnnounceIgnored    = &Event{420, "announce_ignored", Info, "a late announcement of an upstream that has left is ignored", []Key{Target, Service, Phase}, 0}
 	LeaveRefused       = &Event{421, "leave_refused", Info, "this node stops, so it stops using an upstream that leaves but does not acknowledge it", []Key{Target}, 0}
+	DepartureNotKept   = &Event{422, "departure_not_kept", Warning, "neither the store nor enough peers have received the departure of an upstream, so it is not acknowledged", []Key{Target, Cause}, 0}
+	DepartureRestored  = &Event{423, "departure_restored", Info, "an earlier process of this node has acknowledged the departure of an upstream", []Key{Target}, 0}
 )
 
 // Events about requests that crash upstreams.
@@ -121,6 +123,7 @@
 	WatcherStarted, WatcherStopped, StandInStarted, StandInStopped, StandInFailed, ConfirmationLate, ConfirmationReceived, PullFailed, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
 	RegionReachable, LinkBudgetSpent, LoadDigestFailed, TargetAnnounced, TargetPhaseChanged, UnknownTargetLeft, AnnounceIgnored, LeaveRefused,
+	DepartureNotKept, DepartureRestored,
 	TargetMissing, TargetSuspected, TargetEjected, TargetAvoided, TargetReturned,
 	TargetHeldDown, EjectionAtFloor, EjectionWithdrawn, DrainStarted, DrainForced,
 	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, RequestHedged, CrashAttributed, FingerprintQuarantined,
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sardinereach/sardinereach/internal/departure"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
@@ -20,14 +21,45 @@
 	position       uint64
 	recordPosition uint64
 	older, newer   *entry
+	// departures are those that any incarnation of the node has acknowledged, nil if there are none. The record of a new
+	// incarnation may not have them yet.
+	departures *departure.Set
 }
 
-// current returns the record with the current heartbeat and configuration revision.
+// addDepartures adds the departures of a record of the node.
+func (e *entry) addDepartures(record *model.NodeRecord, now time.Duration) {
+	if len(record.Departures) > 0 && e.departures == nil {
+		e.departures = departure.NewSet()
+	}
+	for _, d := range record.Departures {
+		e.departures.Add(now, d)
+	}
+}
+
+func (e *entry) expireDepartures(now time.Duration) {
+	if e.departures == nil {
+		return
+	}
+	if e.departures.Expire(now); e.departures.Len() == 0 {
+		e.departures = nil
+	}
+}
+
+// departureList returns the departures in order of their targets, nil if there are none.
+func (e *entry) departureList() []model.Departure {
+	if e.departures == nil {
+		return nil
+	}
+	return e.departures.List()
+}
+
+// current returns the record with the current heartbeat and configuration revision and all departures.
 func (e *entry) current() *model.NodeRecord {
-	if e.record.Heartbeat == e.heartbeat && e.record.ConfigRevision == e.configRevision {
+	if e.record.Heartbeat == e.heartbeat && e.record.ConfigRevision == e.configRevision && e.departures == nil {
 		return e.record
 	}
 	current := *e.record
+	current.Departures = e.departureList()
 	current.Heartbeat = e.heartbeat
 	current.ConfigRevision = e.configRevision
 	return &current
--- a/internal/membership/expire.go
+++ b/internal/membership/expire.go
@@ -15,6 +15,7 @@
 func (t *Table) Expire(now time.Duration) []Transition {
 	var transitions []Transition
 	for id, e := range t.entries {
+		e.expireDepartures(now)
 		state := t.stateAt(e, now)
 		if id == t.self || state == e.state {
 			continue
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -20,12 +20,22 @@
 	Incomplete
 )
 
-// Merge applies a peer's update of a member at the time now. Updates of the node itself are ignored.
+// Merge applies a peer's update of a member at the time now. Updates of the node itself are ignored. Departures are merged
+// from any full record of a member, whatever its incarnation and version.
 func (t *Table) Merge(update Update, now time.Duration) Result {
 	record := update.Record
 	if record.ID == t.self || record.ID == "" {
 		return Ignored
 	}
+	result := t.mergeRecord(update, now)
+	if e := t.entries[record.ID]; e != nil && !update.Light {
+		e.addDepartures(record, now)
+	}
+	return result
+}
+
+func (t *Table) mergeRecord(update Update, now time.Duration) Result {
+	record := update.Record
 	e := t.entries[record.ID]
 	if e == nil {
 		return t.mergeNew(update, now)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -76,6 +76,15 @@
 	return e.member(), true
 }
 
+// Departures returns the departures that any incarnation of the node has acknowledged, in order of their targets.
+func (t *Table) Departures(id model.NodeID) []model.Departure {
+	e := t.entries[id]
+	if e == nil {
+		return nil
+	}
+	return e.departureList()
+}
+
 // FullUpdate returns the node's own record as a full update.
 func (t *Table) FullUpdate() Update { return Update{Record: t.Self()} }
 
--- a/internal/model/node_record.go
+++ b/internal/model/node_record.go
@@ -12,6 +12,8 @@
 	// ConfigRevision is the store revision up to which the configuration is active on the node.
 	ConfigRevision int64
 	Targets        []Target
+	// Departures are those that this node or an earlier incarnation of it has acknowledged.
+	Departures []Departure
 }
 
 // NewerThan reports whether r replaces other, a record of the same node.
--- a/internal/model/phase.go
+++ b/internal/model/phase.go
@@ -24,6 +24,9 @@
 	return phaseNames[p]
 }
 
+// IsLeaving reports whether the upstream accepts no new requests because it leaves.
+func (p Phase) IsLeaving() bool { return p == PhaseDraining || p == PhaseLeaving }
+
 // ParsePhase returns the phase with the given String form, and false if there is none.
 func ParsePhase(s string) (Phase, bool) {
 	for i, name := range phaseNames {
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -66,11 +66,35 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.now()
+	deregistered = a.point.IsDeregistered(&n)
 	if err := a.point.Announce(now, n); err != nil {
 		return false, err
 	}
 	a.handleEvents(a.point.Expire(now))
-	return a.point.IsDeregistered(&n), nil
+	return deregistered, nil
+}
+
+// departure returns the departure of the target, and false if it has none.
+func (a *admitter) departure(target model.TargetID) (model.Departure, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.point.Departure(target)
+}
+
+// hold sets whether targets are held until the departures that an earlier process has acknowledged are restored.
+func (a *admitter) hold(held bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.point.Hold(held)
+}
+
+// restoreDepartures adds the departures that an earlier process of this node has acknowledged.
+func (a *admitter) restoreDepartures(departures []model.Departure) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.now()
+	a.point.RestoreDepartures(now, departures)
+	a.handleEvents(a.point.Expire(now))
 }
 
 // deregister removes an upstream that leaves without a further announcement. receivedMS is the time at which the upstream
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -87,6 +87,7 @@
 // step applies timeouts and publishes the state of the local targets to the fleet.
 func (c *control) step() {
 	n := c.node
+	n.admitter.hold(!n.distributor.DeparturesKnown())
 	for _, id := range n.admitter.expire() {
 		n.log.Emit(events.TargetMissing, events.TargetField(id))
 	}
--- a/internal/node/deregistration_test.go
+++ b/internal/node/deregistration_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -11,10 +12,15 @@
 	"github.com/sardinereach/sardinereach/internal/upstream"
 )
 
+// keepsDepartures keeps all departures.
+type keepsDepartures struct{}
+
+func (keepsDepartures) KeepDeparture(context.Context, model.Departure) error { return nil }
+
 // Guards against a departure that a stopping process acknowledges, so that the process after it never hears of it.
 func TestStoppingNodeDoesNotAcknowledgeDeparture(t *testing.T) {
 	log := events.New(discardLog{}, time.Now)
-	n := &Node{clock: newClock(), log: log, acceptor: &acceptor{}, control: &control{wakeup: make(chan struct{}, 1)}}
+	n := &Node{clock: newClock(), log: log, acceptor: &acceptor{}, control: &control{wakeup: make(chan struct{}, 1)}, departures: keepsDepartures{}}
 	n.admitter = newAdmitter(n.clock, 1, admission.DefaultLimits(), upstream.NewClient(1<<20, dialect.OwnUpstream()), newCrashTracker(n.clock, model.Node{ID: "n1"}, nil, log))
 	t.Cleanup(n.admitter.upstreams.Close)
 	for _, id := range []model.TargetID{"t1", "t2"} {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,7 @@
 	control     *control
 	crashes     *crashTracker
 	heartbeats  *heartbeats
+	departures  departureKeeper
 
 	// storeFailing is set when a call to the store fails and cleared when the store responds again.
 	storeFailing atomic.Bool
@@ -85,6 +86,7 @@
 	if err := n.buildDistributor(binary.LittleEndian.Uint64(secret[8:])); err != nil {
 		return nil, err
 	}
+	n.admitter.hold(true)
 	n.control = newControl(n)
 	n.admitter.countsAsFailure = n.countsAsFailure
 	n.admitter.onAttemptEnd = n.control.detection.observe
@@ -132,11 +134,12 @@
 		Self: n.self, Store: n.store, Puller: n.peers, Seeds: seeds, Seed: seed, Now: n.clock.now,
 		Report:       n.logDistributionEvent,
 		OnSnapshot:   func(*distribution.Snapshot) { n.views.invalidate() },
+		OnDepartures: n.handleRestoredDepartures,
 		StoreTimeout: n.settings.Store.Timeout,
 		LoadInterval: n.loadInterval(), HeartbeatInterval: heartbeatInterval,
 		NoEjections: !n.settings.Ejection.Detector,
 	})
-	n.distributor = d
+	n.distributor, n.departures = d, d
 	n.crashes.isWatching = func() bool { return d.Status().Watcher }
 	return err
 }
@@ -227,6 +230,9 @@
 	}
 	n.control.detection.recordAnnouncement(a.Target)
 	n.control.wake()
+	if phase.IsLeaving() {
+		return n.keepDeparture(a.Target)
+	}
 	return nil
 }
 
@@ -242,8 +248,8 @@
 // errNodeStopping is the error of a deregistration that ends with this process.
 var errNodeStopping = errors.New("node: stopping; repeat the call")
 
-// handleDeregistration applies the deregistration of an upstream. A stopping node returns an error: the process that follows
-// knows nothing of the deregistration and may take a late announcement for a new upstream, so it must not be acknowledged.
+// handleDeregistration applies the deregistration of an upstream. It returns an error if the deregistration may end with this
+// process. A stopping node leaves the acknowledgement to the next process.
 func (n *Node) handleDeregistration(target model.TargetID, startTime int64) error {
 	if !n.admitter.deregister(target, startTime, time.Now().UnixMilli()) {
 		n.log.Emit(events.UnknownTargetLeft, events.TargetField(target))
@@ -253,7 +259,7 @@
 		n.log.Emit(events.LeaveRefused, events.TargetField(target))
 		return errNodeStopping
 	}
-	return nil
+	return n.keepDeparture(target)
 }
 
 // countsAsFailure reports whether the outcome of an attempt counts as a failure of its target. A failing response does not
--- a/internal/upstream/announce_handler.go
+++ b/internal/upstream/announce_handler.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+
+	"github.com/pkg/errors"
 )
 
 // maxAnnouncementBytes bounds the body of an announcement.
@@ -23,7 +25,12 @@
 			http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 			return
 		}
-		if err := accept(a); err != nil {
+		err := accept(a)
+		if errors.Is(err, ErrRepeat) {
+			http.Error(w, "announcement: "+err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		if err != nil {
 			http.Error(w, "announcement: "+err.Error(), http.StatusConflict)
 			return
 		}
