Name the loss of a target by its own serial

Cause: the requests that a crash breaks share one loss, which the first of them records. The others took the newest serial of the node, which with several targets may be that of another target's loss. The accepting node then counted one crash twice, and two losses quarantine a request.

Change: the newest serial is kept for each target.

--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -31,9 +31,11 @@
 	// isWatching reports whether this node watches the store.
 	isWatching func() bool
 
-	mu     sync.Mutex
-	table  *quarantine.Table
-	serial uint64
+	mu    sync.Mutex
+	table *quarantine.Table
+	// serial is the serial of the newest loss of a local target, lastSerials those of the newest ones of each.
+	serial      uint64
+	lastSerials map[model.TargetID]uint64
 	// documents are the stored entries as the last snapshot has them, by fingerprint.
 	documents map[string]config.Document
 	// mergedDocuments are the merged documents, by fingerprint.
@@ -55,7 +57,7 @@
 		notify:     func(model.ServiceName, []byte) {},
 		isWatching: func() bool { return false },
 		// The serials of two incarnations differ, so that a loss after a restart is not mistaken for an earlier one.
-		serial:          uint64(self.Incarnation),
+		serial: uint64(self.Incarnation), lastSerials: make(map[model.TargetID]uint64),
 		mergedDocuments: make(map[string]config.Document), writes: make(chan quarantine.Entry, maxPendingEntries),
 		restored: make(chan struct{}, 1),
 	}
@@ -115,17 +117,18 @@
 
 // recordLoss records the loss of an upstream, attributes it to the fingerprints in flight there, and returns its serial. A
 // crash breaks all requests at the upstream: the first of them records the loss and ends all runs at the target. The others
-// find no run there and return the latest serial.
+// find no run there and return the latest serial of the target.
 func (c *crashTracker) recordLoss(head *peerv1.ForwardHead) uint64 {
 	target := model.TargetID(head.Target)
 	c.mu.Lock()
 	if c.table.Running(target) == 0 {
-		serial := c.serial
+		serial := c.lastSerials[target]
 		c.mu.Unlock()
 		return serial
 	}
 	c.serial++
 	serial := c.serial
+	c.lastSerials[target] = serial
 	entries := c.table.RecordLoss(c.clock.now(), quarantine.Loss{Target: target, Serial: serial})
 	c.mu.Unlock()
 	c.reportEntries(head, entries)
