Do not take the planned exit of a target for a crash

Cause: a target that has said that it leaves breaks off what still runs when it exits, and its port is closed then. That looks like a crash, and each request in flight got a loss.

Change: a broken connection of a target that leaves ends the run without a loss. A crashing request gets no new runs at such a target, so the bound of crashes does not change.

--- a/internal/admission/load_of.go
+++ b/internal/admission/load_of.go
@@ -15,6 +15,12 @@
 	return p.load(t), true
 }
 
+// IsLeaving reports whether the target has said that it leaves.
+func (p *Point) IsLeaving(id model.TargetID) bool {
+	t := p.targets[id]
+	return t != nil && t.Phase.IsLeaving()
+}
+
 // Target returns one target in the form of Targets, or false if the point has no such target.
 func (p *Point) Target(now time.Duration, id model.TargetID) (model.Target, bool) {
 	p.advance(now)
--- a/internal/node/admitter_run.go
+++ b/internal/node/admitter_run.go
@@ -182,7 +182,7 @@
 
 // finish ends an attempt that was sent to the upstream and returns its trailer.
 func (a *admitter) finish(address string, head *peerv1.ForwardHead, result upstream.Result, answer *admission.Answer, decision trialDecision) *peerv1.AnswerTrailer {
-	lossSerial := a.crashes.recordEnd(address, head, result)
+	lossSerial := a.recordCrash(address, head, result)
 	a.mu.Lock()
 	coldStart := a.inColdStart(model.TargetID(head.Target))
 	a.mu.Unlock()
@@ -202,6 +202,19 @@
 	return trailer
 }
 
+// recordCrash records the end of an attempt with the quarantine. It returns the serial of the loss if the upstream crashed, 0
+// otherwise. An upstream that has said that it leaves exits as planned.
+func (a *admitter) recordCrash(address string, head *peerv1.ForwardHead, result upstream.Result) uint64 {
+	a.mu.Lock()
+	leaving := a.point.IsLeaving(model.TargetID(head.Target))
+	a.mu.Unlock()
+	if leaving && isBrokenConnection(result) {
+		a.crashes.finish(head, false)
+		return 0
+	}
+	return a.crashes.recordEnd(address, head, result)
+}
+
 // end frees the slot of an admitted attempt.
 func (a *admitter) end(head *peerv1.ForwardHead, result admission.Result) {
 	attempt := model.AttemptID(head.Attempt)
