Weigh the losses of one event once, and probe quarantined requests

Cause: each loss was attributed to every request in flight at the target, and two losses before a success quarantined it. The runs of a popular request at the targets of a zone are lost in one event, which counted once a target. Successes of its other runs did not end the quarantine, and a request that never runs again cannot show that it is sound.

Ruled out: the identity of the request (it is the same one), and the number of losses (single targets lost 2 s apart did no harm).

Change: a loss carries evidence. A run that had begun before an earlier loss was known, of a request that has succeeded within the last minute, says nothing (coincident); a run that began after it, alone, says most (isolated). Two losses that are not coincident quarantine. A success ends a quarantine without an isolated loss. Otherwise one request is let through as a probe, 10 s or 30 s after the newest loss, then at four times the interval; the first compare-and-swap of its entry decides which node probes, and all learn the result.

Open: a request that has succeeded and then begins to crash its targets needs two isolated losses more.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -85,6 +85,7 @@
 	CrashAttributed        = &Event{501, "crash_attributed", Warning, "the loss of an upstream is attributed to requests in flight", []Key{Service, Target, Fingerprint, Count}, 0}
 	FingerprintQuarantined = &Event{502, "fingerprint_quarantined", Error, "a request is quarantined on all nodes", []Key{Service, Fingerprint, Count}, 0}
 	FingerprintReleased    = &Event{503, "fingerprint_released", Info, "a request is no longer quarantined", []Key{Fingerprint}, 0}
+	QuarantineProbed       = &Event{505, "quarantine_probed", Info, "one request with a quarantined fingerprint runs, to find out whether the quarantine should end", []Key{Service, Target, Fingerprint, Count}, 0}
 	QuarantineRewritten    = &Event{504, "quarantine_rewritten", Warning, "the store has lost the losses of a request; they are written again", []Key{Fingerprint, Count}, 0}
 )
 
@@ -127,7 +128,7 @@
 	TargetMissing, TargetSuspected, TargetEjected, TargetAvoided, TargetReturned,
 	TargetHeldDown, EjectionAtFloor, EjectionWithdrawn, DrainStarted, DrainForced,
 	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, RequestHedged, CrashAttributed, FingerprintQuarantined,
-	FingerprintReleased, QuarantineRewritten, ApplyAccepted, ApplyConflict, ApplyInForce, ApplyBehind,
+	FingerprintReleased, QuarantineRewritten, QuarantineProbed, ApplyAccepted, ApplyConflict, ApplyInForce, ApplyBehind,
 	OperatorDenied, OperatorCommand, ClaimOutcomeUnwritten, ClaimsCollected,
 	AnswersDropped, AttemptEnded, RequestEnded,
 }
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -64,7 +64,7 @@
 }
 
 // awaitAllowed waits until the fingerprint may run at the target. It returns the refusal if the fingerprint is quarantined
-// or ctx ends.
+// or ctx ends. If the quarantine is due for a probe, the attempt may become the probe.
 func (c *crashTracker) awaitAllowed(ctx context.Context, head *peerv1.ForwardHead) *verdict.Error {
 	for {
 		decision := c.decide(head, false)
@@ -72,7 +72,13 @@
 		case decision.Allowed:
 			return nil
 		case decision.Quarantined:
-			return quarantinedError(head)
+			if head.Probe = c.claimProbe(ctx, head); head.Probe {
+				continue
+			}
+			if c.decide(head, false).Quarantined {
+				return quarantinedError(head)
+			}
+			continue
 		}
 		if err := sleep(ctx, decision.RecheckAfter); err != nil {
 			return err
@@ -98,6 +104,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	fingerprint, target := quarantine.Fingerprint(head.Fingerprint), model.TargetID(head.Target)
+	if head.Probe {
+		return c.decideProbe(fingerprint, target, start)
+	}
 	decision := c.table.MayRun(c.clock.now(), fingerprint, target)
 	if decision.Allowed && start {
 		c.table.Start(fingerprint, target)
--- /dev/null
+++ b/internal/node/probes.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/quarantine"
+	"github.com/sardinereach/sardinereach/internal/store"
+)
+
+// probeClaimTimeout limits the calls of the store that claim a probe.
+const probeClaimTimeout = 500 * time.Millisecond
+
+// claimProbe reports whether the attempt is the probe of its quarantined fingerprint. The store decides which node gets it: the
+// first one that writes the entry with the next probe.
+func (c *crashTracker) claimProbe(ctx context.Context, head *peerv1.ForwardHead) bool {
+	fingerprint := quarantine.Fingerprint(head.Fingerprint)
+	c.mu.Lock()
+	due := c.table.ProbeDue(c.clock.now(), fingerprint)
+	c.mu.Unlock()
+	if !due {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeClaimTimeout)
+	defer cancel()
+	key := quarantineKey(fingerprint)
+	current, err := c.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return false
+	}
+	if err == nil {
+		c.merge(current.Value)
+	}
+	c.mu.Lock()
+	claimed, due := c.table.ClaimProbe(c.clock.now(), fingerprint)
+	c.mu.Unlock()
+	if !due {
+		return false
+	}
+	value, err := json.Marshal(claimed)
+	if err != nil {
+		return false
+	}
+	if _, err := c.store.CompareAndSwap(ctx, key, current.Revision, value, 0); err != nil {
+		return false
+	}
+	c.merge(value)
+	c.log.Emit(events.QuarantineProbed, events.ServiceField(model.ServiceName(head.Service)), events.TargetField(model.TargetID(head.Target)),
+		events.FingerprintField(fingerprint.String()), events.CountField(claimed.Probes))
+	return true
+}
+
+// decideProbe is decide for a probe. c.mu is held.
+func (c *crashTracker) decideProbe(fingerprint quarantine.Fingerprint, target model.TargetID, start bool) quarantine.Decision {
+	decision := c.table.MayProbe(c.clock.now(), fingerprint, target)
+	if decision.Allowed && start {
+		c.table.StartProbe(fingerprint, target)
+	}
+	return decision
+}
--- a/internal/node/quarantine_commands.go
+++ b/internal/node/quarantine_commands.go
@@ -17,7 +17,7 @@
 	c.mu.Lock()
 	for i := range losses {
 		c.serial++
-		losses[i] = quarantine.Loss{Target: operatorLossTarget, Serial: c.serial}
+		losses[i] = quarantine.Loss{Target: operatorLossTarget, Serial: c.serial, Evidence: quarantine.Ordered}
 	}
 	entry := quarantine.Entry{Fingerprint: fingerprint, Losses: losses}
 	if existing, ok := c.find(fingerprint); ok {
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -11,11 +11,11 @@
 // loss has only one possible cause. Accepting nodes call MayRun before they dispatch a request. The admitting node,
 // which handles all requests to the target, calls it before it admits one.
 func (t *Table) MayRun(now time.Duration, fingerprint Fingerprint, target model.TargetID) Decision {
-	losses := t.losses(now, fingerprint)
+	losses := t.lossesOf(now, fingerprint)
 	switch {
-	case losses == 0:
+	case len(losses) == 0:
 		return Decision{Allowed: true}
-	case losses >= LossLimit:
+	case incriminating(losses) >= LossLimit:
 		return Decision{Quarantined: true}
 	case t.runsElsewhere(fingerprint, target) || t.runsOtherWithLoss(now, fingerprint, target):
 		return Decision{RecheckAfter: RecheckDelay}
@@ -23,19 +23,31 @@
 	return Decision{Allowed: true}
 }
 
+// MayProbe is MayRun for a probe of a quarantined fingerprint.
+func (t *Table) MayProbe(now time.Duration, fingerprint Fingerprint, target model.TargetID) Decision {
+	if t.runsElsewhere(fingerprint, target) || t.runsOtherWithLoss(now, fingerprint, target) {
+		return Decision{RecheckAfter: RecheckDelay}
+	}
+	return Decision{Allowed: true}
+}
+
 // losses returns the number of losses that are attributed to the fingerprint now.
 func (t *Table) losses(now time.Duration, fingerprint Fingerprint) int {
+	return len(t.lossesOf(now, fingerprint))
+}
+
+func (t *Table) lossesOf(now time.Duration, fingerprint Fingerprint) []Loss {
 	r := t.records[fingerprint]
 	if r == nil || r.expired(now) {
-		return 0
+		return nil
 	}
-	return len(r.losses)
+	return r.losses
 }
 
 // runsElsewhere reports whether the fingerprint runs at another target.
 func (t *Table) runsElsewhere(fingerprint Fingerprint, target model.TargetID) bool {
 	others := t.targetCounts[fingerprint]
-	if t.running[target][fingerprint] > 0 {
+	if t.running[target][fingerprint].count > 0 {
 		others--
 	}
 	return others > 0
@@ -51,13 +63,14 @@
 	return false
 }
 
-// RecordLoss records the loss of an upstream and attributes it to every fingerprint in flight there. It ends all runs
-// at the target. It returns the changed entries in order of their fingerprints; the caller propagates them to other
+// RecordLoss records the loss of an upstream and attributes it to every fingerprint in flight there, with the evidence that
+// this table has. It ends all runs at the target. It returns the changed entries in order of their fingerprints; the caller propagates them to other
 // nodes.
 func (t *Table) RecordLoss(now time.Duration, loss Loss) []Entry {
 	t.removeExpired(now)
 	var changed []Entry
 	for _, fingerprint := range sortedKeys(t.running[loss.Target]) {
+		loss.Evidence = t.evidence(now, fingerprint, t.running[loss.Target][fingerprint])
 		t.removeRuns(fingerprint, loss.Target)
 		if r, ok := t.attributeLoss(now, fingerprint, loss); ok {
 			changed = append(changed, r.entry(now))
@@ -67,6 +80,17 @@
 	return changed
 }
 
+// evidence returns what the loss of a target that had the runs of the fingerprint says about it.
+func (t *Table) evidence(now time.Duration, fingerprint Fingerprint, lost run) Evidence {
+	switch {
+	case lost.isolated:
+		return Isolated
+	case t.successes.has(now, fingerprint):
+		return Coincident
+	}
+	return Unproven
+}
+
 // Release ends the quarantine of a fingerprint on an operator's command. It returns the changed entry, which the caller
 // propagates to other nodes, and false if the fingerprint has no losses.
 func (t *Table) Release(now time.Duration, fingerprint Fingerprint) (Entry, bool) {
--- a/internal/quarantine/eviction.go
+++ b/internal/quarantine/eviction.go
@@ -31,6 +31,7 @@
 // compareEvictionOrder orders records so that the one to evict first comes first.
 func compareEvictionOrder(a, b *record) int {
 	return cmp.Or(
+		cmp.Compare(incriminating(a.losses), incriminating(b.losses)),
 		cmp.Compare(len(a.losses), len(b.losses)),
 		cmp.Compare(a.since, b.since),
 		cmp.Compare(a.fingerprint, b.fingerprint),
--- a/internal/quarantine/limits.go
+++ b/internal/quarantine/limits.go
@@ -18,3 +18,15 @@
 	// run.
 	RecheckDelay = 50 * time.Millisecond
 )
+
+const (
+	// unconfirmedProbeDelay is the time from a quarantine until its first probe if all losses may have one cause, confirmedProbeDelay
+	// that if one of them came after another was known.
+	unconfirmedProbeDelay = 10 * time.Second
+	confirmedProbeDelay   = 30 * time.Second
+	// probeGrowth is the factor between two intervals. After maxProbeGrowths probes the interval is longer than QuarantineTTL.
+	probeGrowth     = 4
+	maxProbeGrowths = 4
+	// probeRetryDelay is the time after which a node may ask for a probe again.
+	probeRetryDelay = time.Second
+)
--- a/internal/quarantine/merge.go
+++ b/internal/quarantine/merge.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Merge merges an entry of another node and reports whether the table changed. Entries may be received in any order and
 // more than once.
@@ -25,15 +22,18 @@
 	for _, loss := range other.losses {
 		changed = r.add(loss, other.since) || changed
 	}
+	changed = r.mergeProbes(other) || changed
 	return changed
 }
 
 // fromEntry returns the record of an entry that is received now.
 func fromEntry(now time.Duration, entry Entry) *record {
 	r := &record{fingerprint: entry.Fingerprint, epoch: entry.Epoch, since: now - max(0, entry.Age)}
-	losses := slices.Clone(entry.Losses)
-	slices.SortFunc(losses, compareLoss)
-	losses = slices.Compact(losses)
-	r.losses = losses[:min(len(losses), LossLimit)]
+	for _, loss := range entry.Losses {
+		r.losses, _ = insertLoss(r.losses, loss)
+	}
+	if entry.Probes > 0 {
+		r.probes, r.probedAt = entry.Probes, now-max(0, entry.ProbeAge)
+	}
 	return r
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -12,21 +12,31 @@
 	epoch       uint64
 	losses      []Loss
 	since       time.Duration
+	// probes is the number of probes of the quarantine, probedAt the time of the last one.
+	probes   int
+	probedAt time.Duration
+	// nextProbeTry is the time from which this node may ask for a probe again.
+	nextProbeTry time.Duration
 }
 
 // entry returns the form that is propagated to other nodes.
 func (r *record) entry(now time.Duration) Entry {
-	return Entry{
+	entry := Entry{
 		Fingerprint: r.fingerprint,
 		Epoch:       r.epoch,
 		Losses:      slices.Clone(r.losses),
 		Age:         max(0, now-r.since),
+		Probes:      r.probes,
 	}
+	if r.probes > 0 {
+		entry.ProbeAge = max(0, now-r.probedAt)
+	}
+	return entry
 }
 
 // lifetime returns the age at which the record expires.
 func (r *record) lifetime() time.Duration {
-	if len(r.losses) >= LossLimit {
+	if incriminating(r.losses) >= LossLimit {
 		return QuarantineTTL
 	}
 	return LossTTL
@@ -40,18 +50,25 @@
 	r.epoch++
 	r.losses = nil
 	r.since = now
+	r.probes, r.probedAt, r.nextProbeTry = 0, 0, 0
 }
 
 // add adds a loss at the given time. It reports whether the record changed.
 func (r *record) add(loss Loss, at time.Duration) bool {
-	index, found := slices.BinarySearchFunc(r.losses, loss, compareLoss)
-	if found {
-		return false
+	_, known := slices.BinarySearchFunc(r.losses, loss, compareLoss)
+	losses, changed := insertLoss(r.losses, loss)
+	r.losses = losses
+	if !known {
+		r.since = max(r.since, at)
 	}
-	r.losses = slices.Insert(r.losses, index, loss)
-	r.since = max(r.since, at)
-	if len(r.losses) > LossLimit {
-		r.losses = r.losses[:LossLimit]
+	return changed
+}
+
+// mergeProbes takes over the probes of another record of the same epoch if there were more. It reports whether the record changed.
+func (r *record) mergeProbes(other *record) bool {
+	if other.probes <= r.probes {
+		return false
 	}
+	r.probes, r.probedAt = other.probes, other.probedAt
 	return true
 }
--- a/internal/quarantine/running.go
+++ b/internal/quarantine/running.go
@@ -6,29 +6,52 @@
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
+// run is the runs of one fingerprint at one target.
+type run struct {
+	count int
+	// isolated means that all of them began when the fingerprint had a loss, probe that one of them is a probe.
+	isolated, probe bool
+}
+
 // Start records that a request is running at the target. Each Start must be followed by one Finish, or by RecordLoss of
 // the target.
 func (t *Table) Start(fingerprint Fingerprint, target model.TargetID) {
+	t.start(fingerprint, target, false)
+}
+
+// StartProbe is Start for a probe.
+func (t *Table) StartProbe(fingerprint Fingerprint, target model.TargetID) {
+	t.start(fingerprint, target, true)
+}
+
+func (t *Table) start(fingerprint Fingerprint, target model.TargetID, probe bool) {
 	runs := t.running[target]
 	if runs == nil {
-		runs = make(map[Fingerprint]int)
+		runs = make(map[Fingerprint]run)
 		t.running[target] = runs
 	}
-	if runs[fingerprint] == 0 {
+	current := runs[fingerprint]
+	if current.count == 0 {
 		t.targetCounts[fingerprint]++
+		r := t.records[fingerprint]
+		current.isolated = r != nil && len(r.losses) > 0
 	}
-	runs[fingerprint]++
+	current.count++
+	current.probe = current.probe || probe
+	runs[fingerprint] = current
 }
 
-// Finish records that a request passed to Start is no longer running at the target. A success clears the losses of a
-// fingerprint that is not quarantined. In this case, Finish returns the cleared entry, which the caller propagates to
-// other nodes, and true.
+// Finish records that a request passed to Start is no longer running at the target. A success clears the losses of the
+// fingerprint; if it is quarantined and one of its losses came after another was known, only that of a probe does. In this case,
+// Finish returns the cleared entry, which the caller propagates to other nodes, and true.
 func (t *Table) Finish(now time.Duration, fingerprint Fingerprint, target model.TargetID, success bool) (Entry, bool) {
+	probe := t.running[target][fingerprint].probe
 	if !t.removeRun(fingerprint, target) || !success {
 		return Entry{}, false
 	}
+	t.successes.record(now, fingerprint)
 	r := t.records[fingerprint]
-	if r == nil || len(r.losses) == 0 || len(r.losses) >= LossLimit {
+	if r == nil || len(r.losses) == 0 || !probe && incriminating(r.losses) >= LossLimit && confirmed(r.losses) || r.isOrdered() {
 		return Entry{}, false
 	}
 	r.clearLosses(now)
@@ -39,11 +62,12 @@
 // runs of a lost target.
 func (t *Table) removeRun(fingerprint Fingerprint, target model.TargetID) bool {
 	runs := t.running[target]
-	if runs[fingerprint] == 0 {
+	current := runs[fingerprint]
+	if current.count == 0 {
 		return false
 	}
-	runs[fingerprint]--
-	if runs[fingerprint] > 0 {
+	if current.count--; current.count > 0 {
+		runs[fingerprint] = current
 		return true
 	}
 	t.removeRuns(fingerprint, target)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -9,17 +9,19 @@
 // Table holds the losses and the runs of fingerprints on one node. It is not safe for concurrent use.
 type Table struct {
 	records map[Fingerprint]*record
-	running map[model.TargetID]map[Fingerprint]int
+	running map[model.TargetID]map[Fingerprint]run
 	// targetCounts counts, for each fingerprint in flight, the targets that are running it.
 	targetCounts map[Fingerprint]int
+	successes    successes
 }
 
 // New returns an empty table.
 func New() *Table {
 	return &Table{
 		records:      make(map[Fingerprint]*record),
-		running:      make(map[model.TargetID]map[Fingerprint]int),
+		running:      make(map[model.TargetID]map[Fingerprint]run),
 		targetCounts: make(map[Fingerprint]int),
+		successes:    newSuccesses(),
 	}
 }
 
