Match hosts in any letter case and with a final dot

A client that sends such a host is never served.

Cause: the route table compared the header's text, after its port was cut off.

Change: routes and requests are compared by the host in lower case, without port and final dot.

--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -115,7 +114,7 @@
 		return nil, verdict.Refused(verdict.NotReady, nil)
 	}
 	view := a.view.Load()
-	match := view.Table.Match(hostOf(r.Host), r.Method, r.URL.Path)
+	match := view.Table.Match(r.Host, r.Method, r.URL.Path)
 	if match == nil {
 		return nil, verdict.Refused(verdict.NoRoute, nil)
 	}
@@ -129,13 +128,6 @@
 	return rq, err
 }
 
-func hostOf(hostport string) string {
-	if host, _, err := net.SplitHostPort(hostport); err == nil {
-		return host
-	}
-	return hostport
-}
-
 // serve responds to the caller. If an attempt fails after part of the response was sent, serve aborts the connection,
 // so that the caller cannot mistake a truncated response for a complete one.
 func (a *acceptor) serve(w http.ResponseWriter, r *http.Request, rq *request) {
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -121,7 +121,7 @@
 	if view == nil || !n.distributor.Ready() {
 		return operator.Explanation{Refusal: verdict.NotReady}
 	}
-	match := view.Table.Match(hostOf(request.Host), request.Method, request.Path)
+	match := view.Table.Match(request.Host, request.Method, request.Path)
 	if match == nil {
 		return operator.Explanation{Refusal: verdict.NoRoute}
 	}
--- a/internal/node/redeem.go
+++ b/internal/node/redeem.go
@@ -33,7 +33,7 @@
 	if view == nil {
 		return nil, verdict.Refused(verdict.NotReady, nil)
 	}
-	match := view.Table.Match(hostOf(head.Host), head.Method, uri.Path)
+	match := view.Table.Match(head.Host, head.Method, uri.Path)
 	if match == nil {
 		return nil, verdict.Refused(verdict.NoRoute, nil)
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -45,21 +45,23 @@
 		// An unsupported route whose path could not be read.
 		return
 	}
-	key := pathKey{host: m.Route.Host, path: trimSlash(m.Route.Path)}
+	host := CanonicalHost(m.Route.Host)
+	key := pathKey{host: host, path: trimSlash(m.Route.Path)}
 	t.paths[key] = append(t.paths[key], m)
-	if m.Route.Host != "" {
-		t.hosts[m.Route.Host] = true
+	if host != "" {
+		t.hosts[host] = true
 	}
 }
 
 // Match returns the most specific route for the request, nil if there is none. A route for the request's host takes
 // precedence over one for any host, then a longer path over a shorter one, then a named method over any method. host is
-// without the port. path is the decoded path of the URL.
+// the Host header; its letter case, port and final dot do not matter. path is the decoded path of the URL.
 func (t *Table) Match(host, method, path string) *Match {
 	if path != "" && path[0] != '/' {
 		// "OPTIONS *" has no path.
 		return nil
 	}
+	host = CanonicalHost(host)
 	if t.hosts[host] {
 		if m := t.matchHost(host, method, path); m != nil {
 			return m
