Tell crashing requests apart by their host and caller, too

Cause: the fingerprint of losses was a hash of method, URI and body.

Ruled out: the quarantine's rules (they act on what the fingerprint says), a collision of the hash.

Change: the fingerprint has host, caller, method, URI and body, each with its length. Stored entries name the kind of their fingerprint, so that those of earlier builds are ignored. Keys and tickets keep the fingerprint that is stored with them.

Open: a crashing request from machines of several services is one request for each of them.

--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -36,7 +36,7 @@
 	// RequireClosedBreaker means that the request must not be used as a probe of a half-open breaker, because it has no
 	// retries left.
 	RequireClosedBreaker bool
-	// Fingerprint is the hash of method, URI and body.
+	// Fingerprint is the hash of host, caller, method, URI and body.
 	Fingerprint uint64
 }
 
--- a/internal/node/quarantine_commands.go
+++ b/internal/node/quarantine_commands.go
@@ -19,7 +19,7 @@
 		c.serial++
 		losses[i] = quarantine.Loss{Target: operatorLossTarget, Serial: c.serial, Evidence: quarantine.Ordered}
 	}
-	entry := quarantine.Entry{Fingerprint: fingerprint, Losses: losses}
+	entry := quarantine.Entry{Fingerprint: fingerprint, Identity: quarantine.IdentityVersion, Losses: losses}
 	if existing, ok := c.find(fingerprint); ok {
 		entry.Epoch = existing.Epoch
 	}
--- a/internal/node/quarantine_rewrites_test.go
+++ b/internal/node/quarantine_rewrites_test.go
@@ -139,7 +139,7 @@
 		f.crash(c, "t2")
 		f.pass(5 * time.Second)
 		f.store.Restore(from)
-		released, err := json.Marshal(quarantine.Entry{Fingerprint: crashingFingerprint, Epoch: 1})
+		released, err := json.Marshal(quarantine.Entry{Fingerprint: crashingFingerprint, Identity: quarantine.IdentityVersion, Epoch: 1})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/quarantine_writes.go
+++ b/internal/node/quarantine_writes.go
@@ -90,8 +90,16 @@
 
 // covers reports whether a stored value is an entry with everything that the given one has.
 func covers(value []byte, entry quarantine.Entry) bool {
-	var stored quarantine.Entry
-	return json.Unmarshal(value, &stored) == nil && stored.Fingerprint == entry.Fingerprint && stored.Covers(entry)
+	stored, ok := decodeEntry(value)
+	return ok && stored.Fingerprint == entry.Fingerprint && stored.Covers(entry)
+}
+
+// decodeEntry decodes an entry of the store or of a peer. It returns false if the entry is not valid or has a fingerprint of
+// another kind, as those of earlier builds have.
+func decodeEntry(value []byte) (quarantine.Entry, bool) {
+	var entry quarantine.Entry
+	err := json.Unmarshal(value, &entry)
+	return entry, err == nil && entry.Identity == quarantine.IdentityVersion
 }
 
 // currentEntry returns the current entry of the fingerprint, or the given one if the table no longer has one.
@@ -105,8 +113,8 @@
 }
 
 func (c *crashTracker) merge(value []byte) {
-	var entry quarantine.Entry
-	if json.Unmarshal(value, &entry) != nil {
+	entry, ok := decodeEntry(value)
+	if !ok {
 		return
 	}
 	c.mu.Lock()
--- a/internal/node/redeem.go
+++ b/internal/node/redeem.go
@@ -38,15 +38,15 @@
 		return nil, verdict.Refused(verdict.NoRoute, nil)
 	}
 	rq := &request{
-		match:       match,
-		service:     match.Service.Name,
-		started:     time.Now(),
-		class:       match.Route.ClassOf(head.Method),
-		head:        head,
-		body:        body,
-		deadline:    time.Now().Add(time.Duration(head.TimeoutMs) * time.Millisecond),
-		fingerprint: fingerprintOf(head.Method, head.Uri, body),
-		rng:         rand.New(rand.NewPCG(seed, 0)),
+		match:     match,
+		service:   match.Service.Name,
+		started:   time.Now(),
+		class:     match.Route.ClassOf(head.Method),
+		head:      head,
+		body:      body,
+		deadline:  time.Now().Add(time.Duration(head.TimeoutMs) * time.Millisecond),
+		operation: operationFingerprint(head.Method, head.Uri, body),
+		rng:       rand.New(rand.NewPCG(seed, 0)),
 	}
 	head.Service = string(match.Service.Name)
 	head.Idempotent = rq.idempotent()
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -38,10 +38,11 @@
 	head *peerv1.ForwardHead
 	body []byte
 	// started is the arrival time of the request.
-	started     time.Time
-	deadline    time.Time
-	fingerprint uint64
-	rng         *rand.Rand
+	started  time.Time
+	deadline time.Time
+	// operation is the fingerprint that a key or ticket is bound to.
+	operation uint64
+	rng       *rand.Rand
 }
 
 func (rq *request) idempotent() bool { return rq.class == declaration.Idempotent }
@@ -68,7 +69,8 @@
 		rq.service = declaration.Pick(match.Route.Split, rq.rng.Float64())
 	}
 	uri := requestURI(r)
-	rq.fingerprint = fingerprintOf(r.Method, uri, body)
+	rq.operation = operationFingerprint(r.Method, uri, body)
+	identity := requestIdentity{host: r.Host, caller: a.callerOf(), method: r.Method, uri: uri, body: body}
 	rq.head = &peerv1.ForwardHead{
 		Service:       string(rq.service),
 		Idempotent:    rq.idempotent(),
@@ -78,7 +80,7 @@
 		Headers:       a.forwardedHeaders(r),
 		RequestId:     a.requestID(r),
 		Rank:          int32(match.Route.Rank),
-		Fingerprint:   rq.fingerprint,
+		Fingerprint:   uint64(identity.fingerprint()),
 		ContentLength: int64(len(body)),
 		Route:         match.Route.Path,
 		Bulk:          match.Route.Priority == declaration.Bulk,
@@ -170,8 +172,17 @@
 	return body, nil
 }
 
-// fingerprintOf returns a hash of method, URI and body. Requests with equal fingerprints count as the same request.
-func fingerprintOf(method, uri string, body []byte) uint64 {
+// callerOf returns the service on whose behalf the node accepts requests, "" if upstreams are not told.
+func (a *acceptor) callerOf() model.ServiceName {
+	if a.dialect.CallerServiceHeader == "" {
+		return ""
+	}
+	return a.callerService
+}
+
+// operationFingerprint returns a hash of method, URI and body, to which a key or ticket is bound. It is stored with the key, so it
+// must stay the same in later builds. A key belongs to one service.
+func operationFingerprint(method, uri string, body []byte) uint64 {
 	digest := xxhash.New()
 	// The digest never returns an error.
 	_, _ = digest.WriteString(method)
--- /dev/null
+++ b/internal/node/request_identity.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/quarantine"
+	"github.com/sardinereach/sardinereach/internal/routing"
+)
+
+// requestIdentity is what tells a request that crashes its upstreams from others. Two requests with equal identities are the same
+// request, sent again. What changes from one try to the next, like request IDs, deadlines and other headers, is not part
+// of it; the node that accepts it is neither.
+type requestIdentity struct {
+	// host is the Host header. With the path it selects the route, and so the service.
+	host string
+	// caller is the service on whose behalf the request is sent, empty if upstreams are not told.
+	caller model.ServiceName
+	method string
+	// uri is path and query.
+	uri  string
+	body []byte
+}
+
+// fingerprint returns a hash of the identity. The fields are hashed with their lengths, so that no two sequences of fields give the
+// same bytes.
+func (i requestIdentity) fingerprint() quarantine.Fingerprint {
+	digest := xxhash.New()
+	for _, field := range []string{routing.CanonicalHost(i.host), string(i.caller), i.method, i.uri} {
+		writeLength(digest, len(field))
+		// The digest never returns an error.
+		_, _ = digest.WriteString(field)
+	}
+	writeLength(digest, len(i.body))
+	_, _ = digest.Write(i.body)
+	return quarantine.Fingerprint(digest.Sum64())
+}
+
+func writeLength(digest *xxhash.Digest, length int) {
+	var buffer [8]byte
+	binary.LittleEndian.PutUint64(buffer[:], uint64(length))
+	_, _ = digest.Write(buffer[:])
+}
--- a/internal/node/tickets.go
+++ b/internal/node/tickets.go
@@ -64,7 +64,7 @@
 func (o *onceRunner) redeem(ctx context.Context, rq *request, text string, out *delivery) *verdict.Error {
 	for {
 		o.mu.Lock()
-		result, err := o.tickets.Begin(o.acceptor.clock.now(), text, rq.fingerprint)
+		result, err := o.tickets.Begin(o.acceptor.clock.now(), text, rq.operation)
 		o.mu.Unlock()
 		switch {
 		case err != nil:
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -8,6 +8,8 @@
 // Entry is the form in which nodes propagate and store the losses of one fingerprint.
 type Entry struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
+	// Identity is the kind of the fingerprint, IdentityVersion in entries of this build.
+	Identity int `json:"identity,omitempty"`
 	// Epoch increases each time the losses are cleared by a success or a release. An entry with a greater epoch
 	// replaces one with a smaller epoch.
 	Epoch uint64 `json:"epoch"`
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -23,6 +23,7 @@
 func (r *record) entry(now time.Duration) Entry {
 	entry := Entry{
 		Fingerprint: r.fingerprint,
+		Identity:    IdentityVersion,
 		Epoch:       r.epoch,
 		Losses:      slices.Clone(r.losses),
 		Age:         max(0, now-r.since),
