Take the host of the route for the identity of a crashing request

Callers reach routes without a host under the addresses of all nodes, so a crashing request was another one at each node and crashed two targets for each.

Change: the host is that of the matched route, empty if it matches every host.

--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -70,7 +70,7 @@
 	}
 	uri := requestURI(r)
 	rq.operation = operationFingerprint(r.Method, uri, body)
-	identity := requestIdentity{host: r.Host, caller: a.callerOf(), method: r.Method, uri: uri, body: body}
+	identity := requestIdentity{host: match.Route.Host, caller: a.callerOf(), method: r.Method, uri: uri, body: body}
 	rq.head = &peerv1.ForwardHead{
 		Service:       string(rq.service),
 		Idempotent:    rq.idempotent(),
--- a/internal/node/request_identity.go
+++ b/internal/node/request_identity.go
@@ -12,9 +12,10 @@
 
 // requestIdentity is what tells a request that crashes its upstreams from others. Two requests with equal identities are the same
 // request, sent again. What changes from one try to the next, like request IDs, deadlines and other headers, is not part
-// of it; the node that accepts it is neither.
+// of it, nor is the node that accepts it.
 type requestIdentity struct {
-	// host is the Host header. With the path it selects the route, and so the service.
+	// host is that of the route, empty if the route matches every host. With the path it selects the service. Callers may reach a
+	// route without a host under the addresses of all nodes, so the Host header itself is not part of the identity.
 	host string
 	// caller is the service on whose behalf the request is sent, empty if upstreams are not told.
 	caller model.ServiceName
--- a/internal/node/request_identity_test.go
+++ b/internal/node/request_identity_test.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// Guards against a crashing request that is not recognized when its caller writes the host in another way.
+// Guards against a crashing request that is not recognized after the configuration writes the host of its route in another way.
 func TestHostsOfOneRouteHaveOneFingerprint(t *testing.T) {
 	want := requestIdentity{host: "fees.example", method: "GET", uri: "/a"}.fingerprint()
 	for _, host := range []string{"Fees.Example", "fees.example:80", "fees.example.", "FEES.example.:8080"} {
