Acknowledge no repeated draining heartbeat before its departure is kept

Cause: a draining heartbeat that is repeated counts as late, as its own departure covers it, and was answered with 200 even if neither the store nor peers had the departure yet.

Change: each heartbeat that says that the target leaves waits until the departure is kept.

--- a/internal/node/deregistration_test.go
+++ b/internal/node/deregistration_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/sardinereach/sardinereach/internal/admission"
 	"github.com/sardinereach/sardinereach/internal/dialect"
 	"github.com/sardinereach/sardinereach/internal/events"
@@ -44,3 +46,35 @@
 		}
 	}
 }
+
+// refusesDepartures keeps no departures.
+type refusesDepartures struct{}
+
+func (refusesDepartures) KeepDeparture(context.Context, model.Departure) error {
+	return errors.New("not kept")
+}
+
+// Guards against the acknowledgement of a draining heartbeat, or of a repeated one, while only this process knows of the departure.
+func TestDepartureThatIsNotKeptIsNotAcknowledged(t *testing.T) {
+	log := events.New(discardLog{}, time.Now)
+	n := &Node{clock: newClock(), log: log, acceptor: &acceptor{}, control: &control{wakeup: make(chan struct{}, 1)}, departures: refusesDepartures{}}
+	n.control.detection = newDetection(n)
+	n.admitter = newAdmitter(n.clock, 1, admission.DefaultLimits(), upstream.NewClient(1<<20, dialect.OwnUpstream()), newCrashTracker(n.clock, model.Node{ID: "n1"}, nil, log))
+	t.Cleanup(n.admitter.upstreams.Close)
+	announce := func(phase model.Phase, sequence uint64) error {
+		return n.handleAnnouncement(upstream.Announcement{
+			Service: "s", Target: "t1", Address: "127.0.0.1:1", Slots: 1, Phase: phase.String(), Sequence: sequence, StartTimeMS: 1,
+		})
+	}
+	if err := announce(model.PhaseReady, 1); err != nil {
+		t.Errorf("a ready target: %v", err)
+	}
+	for _, sequence := range []uint64{2, 2, 3} {
+		if err := announce(model.PhaseDraining, sequence); !errors.Is(err, upstream.ErrRepeat) {
+			t.Errorf("draining, sequence %d: %v", sequence, err)
+		}
+	}
+	if err := n.handleDeregistration("t1", 0); !errors.Is(err, upstream.ErrRepeat) {
+		t.Errorf("leaving: %v", err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -226,10 +226,10 @@
 	}
 	if deregistered {
 		n.log.Emit(events.AnnounceIgnored, events.TargetField(a.Target), events.ServiceField(a.Service), events.PhaseField(phase))
-		return nil
+	} else {
+		n.control.detection.recordAnnouncement(a.Target)
+		n.control.wake()
 	}
-	n.control.detection.recordAnnouncement(a.Target)
-	n.control.wake()
 	if phase.IsLeaving() {
 		return n.keepDeparture(a.Target)
 	}
