Wait for the registration of all nodes before a test restores the store

Cause: nodes hear of each other before all have written their member records. The test took its copy of the store, and restored it, at that moment. A node that was not registered yet writes its record for the first time, without a read, or its record was not in the copy and counts as a further write. The test was wrong, not the product.

The counts that the test demands are the same.

--- a/internal/distribution/restore_test.go
+++ b/internal/distribution/restore_test.go
@@ -79,11 +79,14 @@
 		f.declare("ledger", "/v1")
 		nodes := f.startMany(8)
 		f.waitFor(time.Minute, "the members", nodes, hasLiveMembers(8))
+		// Members hear of each other before all are registered. One that is not has no record that the restore could lose.
+		f.waitFor(time.Minute, "the registration", nodes, f.isRegistered)
 		from := f.store.Copy()
 		for index := 8; index < 12; index++ {
 			nodes = append(nodes, f.start(index))
 		}
 		f.waitFor(time.Minute, "the members", nodes, hasLiveMembers(12))
+		f.waitFor(time.Minute, "the registration", nodes, f.isRegistered)
 		before, readsBefore := f.store.Counts(), f.reads
 		f.restore(from)
 		f.waitFor(rewriteLimit, "the registration", nodes, f.isRegistered)
