Say what the word of a peer may lack about departures

Cause: the comment of departuresStoreTimeout said that a departure has reached the peers by then.

No code is changed.

--- a/internal/distribution/departures.go
+++ b/internal/distribution/departures.go
@@ -9,8 +9,8 @@
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
-// departuresStoreTimeout is the time after the start for which the departures are expected from the store. By then a departure
-// that was acknowledged just before the end of the process has reached the peers.
+// departuresStoreTimeout is the time after the start for which the departures are expected from the store. After it the word of a
+// peer counts, which may lack a departure that was acknowledged a moment before the process ended. The next pulls bring that one.
 const departuresStoreTimeout = 400 * time.Millisecond
 
 // departures is the state of the departures that this node or an earlier incarnation of it has acknowledged. Distributor.mu
