Let the server of the endless answers allocate its bytes once

The server of these tests wrote with io.WriteString, which copies each piece: the connection has no WriteString. The copies counted as growth of the node's heap. That the collector came late in the failed runs is suspected. Change: the server writes one byte slice. The bounds stay.

--- a/internal/endlesstest/serve.go
+++ b/internal/endlesstest/serve.go
@@ -46,9 +46,11 @@
 	return listener.Addr().String()
 }
 
-// Write writes the piece until the connection is closed.
+// Write writes the piece until the connection is closed. It allocates memory once: io.WriteString would copy each piece, and the
+// copies would count as growth of the heap.
 func Write(c net.Conn, piece string) {
+	data := []byte(piece)
 	for err := error(nil); err == nil; {
-		_, err = io.WriteString(c, piece)
+		_, err = c.Write(data)
 	}
 }
