Do not run a probe whose claim has run out

A request that had claimed the probe of a quarantine and was then delayed, in a paused node or in the queue of its target, ran later although the next probe had been given to another request or an operator had ordered the quarantine. Cause: the head said only that it has a probe; the node of the target could not tell an old claim from the current one, and a node that resumed after its claim used it however late. Change: the head has the number and the epoch of the probe. Both nodes compare them with the entry last before the request is sent. A node that has waited for its claim longer than the time limit of the claim does not use it.

--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -72,9 +72,10 @@
 		case decision.Allowed:
 			return nil
 		case decision.Quarantined:
-			if head.Probe = c.claimProbe(ctx, head); head.Probe {
+			if c.claimProbe(ctx, head) {
 				continue
 			}
+			head.Probe = 0
 			if c.decide(head, false).Quarantined {
 				return quarantinedError(head)
 			}
@@ -103,10 +104,10 @@
 func (c *crashTracker) decide(head *peerv1.ForwardHead, start bool) quarantine.Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	fingerprint, target := quarantine.Fingerprint(head.Fingerprint), model.TargetID(head.Target)
-	if head.Probe {
-		return c.decideProbe(fingerprint, target, start)
+	if head.Probe > 0 {
+		return c.decideProbe(head, start)
 	}
+	fingerprint, target := quarantine.Fingerprint(head.Fingerprint), model.TargetID(head.Target)
 	decision := c.table.MayRun(c.clock.now(), fingerprint, target)
 	if decision.Allowed && start {
 		c.table.Start(fingerprint, target)
--- a/internal/node/probes.go
+++ b/internal/node/probes.go
@@ -14,11 +14,11 @@
 	"github.com/sardinereach/sardinereach/internal/store"
 )
 
-// probeClaimTimeout limits the calls of the store that claim a probe.
+// probeClaimTimeout limits the calls of the store that claim a probe. A node that learns later that it has a probe does not use it.
 const probeClaimTimeout = 500 * time.Millisecond
 
-// claimProbe reports whether the attempt is the probe of its quarantined fingerprint. The store decides which node gets it: the
-// first one that writes the entry with the next probe.
+// claimProbe reports whether the attempt is the probe of its quarantined fingerprint, and notes it in head. The store decides which
+// node gets it: the first one that writes the entry with the next probe.
 func (c *crashTracker) claimProbe(ctx context.Context, head *peerv1.ForwardHead) bool {
 	fingerprint := quarantine.Fingerprint(head.Fingerprint)
 	c.mu.Lock()
@@ -27,6 +27,7 @@
 	if !due {
 		return false
 	}
+	began := c.clock.now()
 	ctx, cancel := context.WithTimeout(ctx, probeClaimTimeout)
 	defer cancel()
 	key := quarantineKey(fingerprint)
@@ -51,14 +52,21 @@
 		return false
 	}
 	c.merge(value)
+	if c.clock.now()-began > probeClaimTimeout {
+		// The process was paused: another node may have the next probe by now.
+		return false
+	}
+	head.Probe, head.ProbeEpoch = uint32(claimed.Probes), claimed.Epoch
 	c.log.Emit(events.QuarantineProbed, events.ServiceField(model.ServiceName(head.Service)), events.TargetField(model.TargetID(head.Target)),
 		events.FingerprintField(fingerprint.String()), events.CountField(claimed.Probes))
 	return true
 }
 
-// decideProbe is decide for a probe. c.mu is held.
-func (c *crashTracker) decideProbe(fingerprint quarantine.Fingerprint, target model.TargetID, start bool) quarantine.Decision {
-	decision := c.table.MayProbe(c.clock.now(), fingerprint, target)
+// decideProbe is decide for an attempt with a claimed probe. c.mu is held.
+func (c *crashTracker) decideProbe(head *peerv1.ForwardHead, start bool) quarantine.Decision {
+	fingerprint, target := quarantine.Fingerprint(head.Fingerprint), model.TargetID(head.Target)
+	probe := quarantine.ClaimedProbe{Epoch: head.ProbeEpoch, Number: int(head.Probe)}
+	decision := c.table.MayProbe(c.clock.now(), fingerprint, target, probe)
 	if decision.Allowed && start {
 		c.table.StartProbe(fingerprint, target)
 	}
--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -23,8 +23,11 @@
 	return Decision{Allowed: true}
 }
 
-// MayProbe is MayRun for a probe of a quarantined fingerprint.
-func (t *Table) MayProbe(now time.Duration, fingerprint Fingerprint, target model.TargetID) Decision {
+// MayProbe is MayRun for a request with the claimed probe of a quarantined fingerprint.
+func (t *Table) MayProbe(now time.Duration, fingerprint Fingerprint, target model.TargetID, probe ClaimedProbe) Decision {
+	if r := t.records[fingerprint]; r != nil && !r.expired(now) && r.endsProbe(probe) {
+		return Decision{Quarantined: true}
+	}
 	if t.runsElsewhere(fingerprint, target) || t.runsOtherWithLoss(now, fingerprint, target) {
 		return Decision{RecheckAfter: RecheckDelay}
 	}
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -116,7 +116,7 @@
 		t.Error("the claim allows other requests")
 	}
 	table.StartProbe(crashing, "c")
-	if table.MayProbe(unconfirmedProbeDelay, crashing, "d").Allowed {
+	if table.MayProbe(unconfirmedProbeDelay, crashing, "d", claimed.Probe()).Allowed {
 		t.Error("a second run during the probe")
 	}
 	if _, cleared := table.Finish(unconfirmedProbeDelay, crashing, "c", true); !cleared {
--- a/internal/quarantine/probe.go
+++ b/internal/quarantine/probe.go
@@ -55,6 +55,14 @@
 	return interval
 }
 
+// endsProbe reports whether the quarantine has outdated the claim of the probe.
+func (r *record) endsProbe(probe ClaimedProbe) bool {
+	if incriminating(r.losses) < LossLimit {
+		return false
+	}
+	return r.isOrdered() || r.epoch > probe.Epoch || r.epoch == probe.Epoch && r.probes > probe.Number
+}
+
 // isOrdered reports whether an operator has ordered the quarantine. Only an operator ends it.
 func (r *record) isOrdered() bool {
 	for _, loss := range r.losses {
