Log the time that a stopping node has left with each attempt and each final response

An engineer could not tell whether a request of a stopping node was refused for lack of its own time or of the node's: the lines of its attempts had the time until the caller's deadline only. TestEveryField covers it.

--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -149,5 +149,13 @@
 // RemainingField is the time until the deadline of the request.
 func RemainingField(d time.Duration) Field { return text(Remaining, d.String()) }
 
+// CutoffField is the time until a stopping node ends its open requests, "" on a node that is not stopping.
+func CutoffField(d time.Duration, stopping bool) Field {
+	if !stopping {
+		return text(Cutoff, "")
+	}
+	return text(Cutoff, d.String())
+}
+
 // StatusField is the HTTP status of a response.
 func StatusField(status int) Field { return number(Status, int64(status)) }
--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -37,5 +37,6 @@
 	Source      Key = "source"
 	Rank        Key = "rank"
 	Remaining   Key = "remaining"
+	Cutoff      Key = "cutoff"
 	Age         Key = "age"
 )
--- a/internal/events/sink_test.go
+++ b/internal/events/sink_test.go
@@ -73,6 +73,7 @@
 		`age="2s"`:              events.AgeField(2 * time.Second),
 		`rank="1"`:              events.RankField(1),
 		`remaining="3s"`:        events.RemainingField(3 * time.Second),
+		`cutoff="4s"`:           events.CutoffField(4*time.Second, true),
 	}
 	listed := make(map[events.Key]*events.Event)
 	for _, event := range events.All() {
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -168,7 +168,7 @@
 	}
 	a.log.Emit(events.RequestEnded, events.RequestField(rq.head.RequestId), events.ServiceField(rq.service),
 		events.RouteField(rq.match.Route.Path), events.TextOutcomeField(outcome), events.StatusField(status),
-		events.DurationField(time.Since(rq.started)), events.RevisionField(a.view.Load().Revision))
+		events.DurationField(time.Since(rq.started)), events.CutoffField(a.cutoff.left()), events.RevisionField(a.view.Load().Revision))
 }
 
 // serveNonIdempotent runs the request at most once. In a dialect with operations callers use a new ID for each request
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -82,7 +82,7 @@
 	}
 	a.log.Emit(events.AttemptEnded, events.RequestField(rq.head.RequestId), events.AttemptField(model.AttemptID(head.Attempt)),
 		events.TargetField(choice.Candidate.Target.ID), events.RouteField(head.Route), events.RankField(int(head.Rank)),
-		events.RemainingField(rq.remaining()), events.ModeField(choice.Mode.String()),
+		events.RemainingField(rq.remaining()), events.CutoffField(a.cutoff.left()), events.ModeField(choice.Mode.String()),
 		events.TextOutcomeField(outcome), events.WaitField(wait), events.DurationField(took), events.DoubtField(requiredSuccesses),
 		events.RevisionField(a.view.Load().Revision))
 }
--- a/internal/node/shutdown_cutoff.go
+++ b/internal/node/shutdown_cutoff.go
@@ -32,3 +32,13 @@
 
 // remaining returns the time until the cutoff. It must be called only after announced is closed.
 func (c *shutdownCutoff) remaining() time.Duration { return time.Until(c.at) }
+
+// left returns the time until the cutoff, and false if the node is not stopping.
+func (c *shutdownCutoff) left() (time.Duration, bool) {
+	select {
+	case <-c.announced:
+		return c.remaining(), true
+	default:
+		return 0, false
+	}
+}
