Tell admitting nodes the time that a stopping accepting node has left

Callers of a stopping node got 504 for requests that were dispatched although their usual run did not fit before the node's last moment, or that waited until then behind requests which had their whole deadline left. Cause: from its SIGTERM a node has a last moment, known to it alone. Its attempts carried the time until the caller's deadline, and the queues and the check of the usual run used that. Change: attempts carry the time that a stopping accepting node has left, and a notice of it goes to all nodes at which attempts are open, so that it applies to their queues as well. A run whose usual time no longer fits is refused while "not run" is still true (acceptor_stopping, SR1033); a request that is not idempotent needs the time after which its run would be overdue. Two tests of hedges announced a cutoff that had passed already, where a run can no longer end.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -12,6 +12,10 @@
 // shutdownRunFactor multiplies the expected run time of a request to decide whether it ends before the node stops.
 const shutdownRunFactor = 2.0
 
+// acceptorRunFactor does the same for an idempotent request whose accepting node stops. It is lower than shutdownRunFactor,
+// because no other node could return the response.
+const acceptorRunFactor = 1.0
+
 // Admit decides whether to run, queue or refuse one attempt. A refusal is final for the attempt ID. IDs must come from
 // model.NewAttemptID. IDs of another form have no watermark, so duplicates of them are not detected once their record
 // has been removed.
@@ -59,6 +63,9 @@
 	if p.endsAfterShutdown(t, r) {
 		return verdict.NodeStopping
 	}
+	if p.latestStart(t, r) < now {
+		return verdict.AcceptorStopping
+	}
 	return ""
 }
 
@@ -67,8 +74,30 @@
 	if p.shutdownDeadline == 0 {
 		return false
 	}
-	expected := t.runTimes.expected(r.Route, r.Objective, t.coldUntil > p.activeTime())
-	return expected == 0 || p.now+time.Duration(shutdownRunFactor*float64(expected)) > p.shutdownDeadline
+	expected := p.expectedRun(t, r)
+	return expected == 0 || p.now+runAllowance(expected, r, shutdownRunFactor) > p.shutdownDeadline
+}
+
+// latestStart returns the time until which a run may start so that it probably ends before the accepting node stops.
+func (p *Point) latestStart(t *target, r *Request) time.Duration {
+	if r.AnswerBy == 0 {
+		return r.Deadline
+	}
+	return r.end() - runAllowance(p.expectedRun(t, r), r, acceptorRunFactor)
+}
+
+// expectedRun returns the expected time of a run that starts now, 0 without an estimate.
+func (p *Point) expectedRun(t *target, r *Request) time.Duration {
+	return t.runTimes.expected(r.Route, r.Objective, t.coldUntil > p.activeTime())
+}
+
+// runAllowance returns the time that a run of the request is allowed in a shutdown. A run of a request that is not idempotent
+// gets the time after which it would be overdue: if it is cut off, nobody can find out whether it took effect.
+func runAllowance(expected time.Duration, r *Request, factor float64) time.Duration {
+	if !r.Idempotent {
+		factor = max(factor, overdueFactor)
+	}
+	return time.Duration(factor * float64(expected))
 }
 
 // queueRefusalReason returns "" or the reason for which the request is not queued for a slot of the target.
@@ -81,7 +110,7 @@
 		return verdict.SlotsFull
 	}
 	wait := p.expectedWait(t, t.queuePosition(r))
-	if wait > t.maxWait(now, r) || now+wait+t.runTimes.baseline(r.Route) >= r.Deadline {
+	if wait > t.maxWait(now, r) || now+wait+t.runTimes.baseline(r.Route) >= r.end() {
 		return verdict.QueueDeadline
 	}
 	return ""
@@ -95,7 +124,7 @@
 }
 
 func (p *Point) enqueue(t *target, r Request) Decision {
-	w := &work{request: r, target: t, queueDeadline: min(r.latest(), p.now+t.maxWait(p.now, &r))}
+	w := &work{request: r, target: t, queueDeadline: min(r.latest(), p.now+t.maxWait(p.now, &r), p.latestStart(t, &r))}
 	p.records[r.Attempt] = &record{work: w, state: StateRunning}
 	t.enqueue(w)
 	return Decision{Kind: Queued, Load: p.load(t)}
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -18,6 +18,8 @@
 	AdmitBefore time.Duration
 	// Deadline is the time at which the accepting node times out.
 	Deadline time.Duration
+	// AnswerBy is the time by which the accepting node needs the response because it stops, 0 if it does not stop.
+	AnswerBy time.Duration
 	// Bulk requests queue behind interactive ones and may not take the last queue place.
 	Bulk bool
 	// Route is the name of the route. The target keeps a baseline latency for each route.
@@ -51,5 +53,13 @@
 	return r.Objective < other.Objective
 }
 
+// end returns the time after which a response is of no use.
+func (r *Request) end() time.Duration {
+	if r.AnswerBy == 0 {
+		return r.Deadline
+	}
+	return min(r.AnswerBy, r.Deadline)
+}
+
 // latest returns the time from which the attempt is no longer admitted.
 func (r *Request) latest() time.Duration { return min(r.AdmitBefore, r.Deadline) }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -76,6 +76,7 @@
 	UnknownTargetLeft  = &Event{419, "unknown_target_left", Info, "an upstream that this process has not heard of says that it leaves", []Key{Target}, 0}
 	AnnounceIgnored    = &Event{420, "announce_ignored", Info, "a late announcement of an upstream that has left is ignored", []Key{Target, Service, Phase}, 0}
 	LeaveRefused       = &Event{421, "leave_refused", Info, "this node stops, so it stops using an upstream that leaves but does not acknowledge it", []Key{Target}, 0}
+	StopNoticeFailed   = &Event{424, "stop_notice_failed", Warning, "a node at which attempts of this stopping node are in progress does not take the notice; they may run until this node ends them", []Key{Address, Cause}, 0}
 	DepartureNotKept   = &Event{422, "departure_not_kept", Warning, "neither the store nor enough peers have received the departure of an upstream, so it is not acknowledged", []Key{Target, Cause}, 0}
 	DepartureRestored  = &Event{423, "departure_restored", Info, "an earlier process of this node has acknowledged the departure of an upstream", []Key{Target}, 0}
 )
@@ -127,7 +128,7 @@
 	DepartureNotKept, DepartureRestored,
 	TargetMissing, TargetSuspected, TargetEjected, TargetAvoided, TargetReturned,
 	TargetHeldDown, EjectionAtFloor, EjectionWithdrawn, DrainStarted, DrainForced,
-	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, RequestHedged, CrashAttributed, FingerprintQuarantined,
+	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, RequestHedged, StopNoticeFailed, CrashAttributed, FingerprintQuarantined,
 	FingerprintReleased, QuarantineRewritten, QuarantineProbed, ApplyAccepted, ApplyConflict, ApplyInForce, ApplyBehind,
 	OperatorDenied, OperatorCommand, ClaimOutcomeUnwritten, ClaimsCollected,
 	AnswersDropped, AttemptEnded, RequestEnded,
--- a/internal/events/reason_numbers.go
+++ b/internal/events/reason_numbers.go
@@ -37,6 +37,7 @@
 	verdict.TargetDoubtful:      1030,
 	verdict.RepeatsSpent:        1031,
 	verdict.RouteUnsupported:    1032,
+	verdict.AcceptorStopping:    1033,
 	verdict.UpstreamLost:        1101,
 	verdict.UpstreamTimeout:     1102,
 	verdict.NodeLost:            1103,
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -52,11 +52,13 @@
 	// lameDuck means that the node still serves requests but fails health checks, so that load balancers stop using it.
 	lameDuck atomic.Bool
 
-	peers      *peer.Client
-	admitter   *admitter
-	paths      *paths
-	regionLink *linkBudget
-	budgets    *budgets
+	peers *peer.Client
+	// openAttempts are the attempts in progress at other nodes.
+	openAttempts *openAttempts
+	admitter     *admitter
+	paths        *paths
+	regionLink   *linkBudget
+	budgets      *budgets
 	// answerSizes are the average response sizes in bytes, attemptDurations the average times from the admission request
 	// to the complete response.
 	answerSizes      *routeAverages[int64]
--- a/internal/node/acceptor_test.go
+++ b/internal/node/acceptor_test.go
@@ -33,7 +33,8 @@
 	service := &declaration.Service{Name: "s", Routes: []declaration.Route{{Path: "/s"}}}
 	a := &acceptor{
 		limits: settings.Limits{MaxBodyBytes: 100, MaxRequests: 10}, ready: func() bool { return true }, cutoff: newShutdownCutoff(),
-		dialect: dialect.OwnCaller(), budgets: newBudgets(testRetries()), answerSizes: newRouteAverages[int64](), attemptDurations: newRouteAverages[time.Duration](), metrics: metrics.New(), log: events.New(discardLog{}, time.Now), clock: newClock(),
+		openAttempts: newOpenAttempts(),
+		dialect:      dialect.OwnCaller(), budgets: newBudgets(testRetries()), answerSizes: newRouteAverages[int64](), attemptDurations: newRouteAverages[time.Duration](), metrics: metrics.New(), log: events.New(discardLog{}, time.Now), clock: newClock(),
 	}
 	a.once = &onceRunner{acceptor: a, nodeOf: func(model.NodeID) (model.Node, bool) { return model.Node{}, false }}
 	a.view.Store(core.BuildView(core.Inputs{Config: &config.Snapshot{
--- a/internal/node/admitter_run.go
+++ b/internal/node/admitter_run.go
@@ -82,6 +82,7 @@
 		Incarnation: model.Incarnation(head.Incarnation),
 		AdmitBefore: time.Duration(head.AdmitBeforeMs) * time.Millisecond,
 		Deadline:    deadline,
+		AnswerBy:    answerBy(a.clock.now(), head),
 		Bulk:        head.Bulk,
 		Fingerprint: head.Fingerprint,
 		Route:       head.Route,
@@ -112,6 +113,23 @@
 	}
 }
 
+// answerBy returns the time by which the accepting node needs the response because it stops, 0 if it does not stop.
+func answerBy(now time.Duration, head *peerv1.ForwardHead) time.Duration {
+	if head.AnswerWithinMs <= 0 {
+		return 0
+	}
+	return now + time.Duration(head.AnswerWithinMs)*time.Millisecond
+}
+
+// acceptorStops shortens the waits of the queued attempts of a node that stops.
+func (a *admitter) acceptorStops(node model.NodeID, incarnation model.Incarnation, within time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.now()
+	a.point.AcceptorStops(now, node, incarnation, now+within)
+	a.handleEvents(a.point.Events())
+}
+
 // leaveQueue removes an attempt from the queue because its accepting node canceled it or its timeout expired. A slot that was
 // granted meanwhile is returned unused: the request was not run in either case.
 func (a *admitter) leaveQueue(ctx context.Context, attempt model.AttemptID, ch chan slotOrRefusal) (string, *verdict.Error) {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -37,6 +37,7 @@
 	head.TimeoutMs = rq.remaining().Milliseconds()
 	head.ObjectiveMs = rq.match.Route.ObjectiveMS
 	head.ObjectiveLeftMs = (rq.objective() - time.Since(rq.started)).Milliseconds()
+	head.AnswerWithinMs = a.answerWithin(rq.deadline).Milliseconds()
 	head.IdleOnly = choice.Mode != placement.Queue
 	head.LastResort = choice.Mode == placement.LastResort
 	head.ReportOverdue = out.onOverdue != nil
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime/debug"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -86,6 +87,12 @@
 // Warn implements peer.Handler.
 func (h *handler) Warn(req *peerv1.WarnRequest) { h.node.crashes.merge(req.Entry) }
 
+// Stopping implements peer.Handler.
+func (h *handler) Stopping(req *peerv1.StoppingRequest) {
+	within := time.Duration(req.AnswerWithinMs) * time.Millisecond
+	h.node.admitter.acceptorStops(model.NodeID(req.Node), model.Incarnation(req.Incarnation), within)
+}
+
 // Reports implements peer.Handler.
 func (h *handler) Reports(req *peerv1.ReportsRequest) *peerv1.ReportsResponse {
 	return h.node.control.detection.reports(model.ServiceName(req.Service))
--- a/internal/node/hedge_cutoff_test.go
+++ b/internal/node/hedge_cutoff_test.go
@@ -47,6 +47,13 @@
 	}
 }
 
+// usualDurationInTest is the usual duration of an attempt in the tests of repeated hedges, and aheadInTest the time that their
+// stopping node has left: a hedge is due within usualDurationInTest, and there is time to repeat it.
+const (
+	usualDurationInTest = time.Second
+	aheadInTest         = hedgeDelayFactor * usualDurationInTest
+)
+
 // cutoffInTest is the time that a stopping node has left for its open requests.
 const cutoffInTest = 500 * time.Millisecond
 
@@ -76,6 +83,7 @@
 	first, second := newBlockingTarget(t, "one"), newBlockingTarget(t, "two")
 	close(second.released)
 	a, address := startHedging(t, first, second)
+	a.attemptDurations.add("/s", usualDurationInTest)
 	both := a.view.Load()
 	a.view.Store(viewWithTargets(a, "t1"))
 	response := make(chan string, 1)
@@ -84,8 +92,8 @@
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(2 * minHedgeDelay)
-	a.cutoff.announce(time.Now())
-	time.Sleep(refusedHedgeInterval / 2)
+	a.cutoff.announce(time.Now().Add(aheadInTest))
+	time.Sleep(usualDurationInTest)
 	a.view.Store(both)
 	select {
 	case got := <-response:
@@ -120,6 +128,7 @@
 	first, second := newBlockingTarget(t, "one"), newBlockingTarget(t, "two")
 	close(second.released)
 	a, address := startHedging(t, first, second)
+	a.attemptDurations.add("/s", usualDurationInTest)
 	log := new(hedgeLog)
 	a.log = events.New(log, time.Now)
 	a.admitter.setOperatorDrains(map[model.TargetID]bool{"t2": true})
@@ -128,7 +137,7 @@
 	for first.runs.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	a.cutoff.announce(time.Now())
+	a.cutoff.announce(time.Now().Add(aheadInTest))
 	for !log.refused.Load() {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/node/hedge_response_test.go
+++ b/internal/node/hedge_response_test.go
@@ -26,7 +26,7 @@
 	}
 	defer res.Body.Close()
 	a.admitter.setOperatorDrains(nil)
-	a.cutoff.announce(time.Now())
+	a.cutoff.announce(time.Now().Add(cutoffInTest))
 	// Without the check both timers of the hedge have fired by then.
 	time.Sleep(cutoffInTest)
 	close(first.released)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,7 +110,7 @@
 		self: n.self, clock: n.clock, limits: n.settings.Limits,
 		dialect: n.ports.Callers, callerService: n.settings.Upstream.Service, retryStatuses: n.settings.Retries.Statuses,
 		ready: n.ready.Load, cutoff: newShutdownCutoff(),
-		peers: n.peers, admitter: n.admitter, paths: n.paths, regionLink: newLinkBudget(n.settings.Limits.LinkBytesPerSecond),
+		peers: n.peers, openAttempts: newOpenAttempts(), admitter: n.admitter, paths: n.paths, regionLink: newLinkBudget(n.settings.Limits.LinkBytesPerSecond),
 		budgets: newBudgets(n.settings.Retries), answerSizes: newRouteAverages[int64](), attemptDurations: newRouteAverages[time.Duration](), metrics: n.metrics, log: n.log, seed: seed,
 	}
 }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -41,6 +41,7 @@
 	defer cutoffTimer.Stop()
 	n.acceptor.cutoff.announce(started.Add(cutoff))
 	n.admitter.admitUntil(n.clock.now() + cutoff)
+	n.acceptor.noticeStop(ctx)
 	// Callers' connections close after their next response, so that a request already sent is still served.
 	s.callers.SetKeepAlivesEnabled(false)
 	n.acceptor.lameDuck.Store(true)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -143,6 +143,14 @@
 	})
 }
 
+// Stopping tells an admitting node that this node stops.
+func (c *Client) Stopping(ctx context.Context, address string, req *peerv1.StoppingRequest) error {
+	return c.call(ctx, address, func(ctx context.Context, k *conn) error {
+		_, err := k.client.Stopping(ctx, req)
+		return err
+	})
+}
+
 // call makes one unary call. If the call fails on a reused connection, it is retried once on a new one. This is safe
 // because all unary calls are idempotent.
 func (c *Client) call(ctx context.Context, address string, do func(context.Context, *conn) error) error {
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -24,4 +24,6 @@
 	Reports(*peerv1.ReportsRequest) *peerv1.ReportsResponse
 	// Warn processes another node's notice about a request that crashes its upstreams.
 	Warn(*peerv1.WarnRequest)
+	// Stopping processes the notice that an accepting node stops.
+	Stopping(*peerv1.StoppingRequest)
 }
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -65,6 +65,12 @@
 	return &peerv1.WarnResponse{}, nil
 }
 
+// Stopping implements the generated interface.
+func (s *service) Stopping(_ context.Context, req *peerv1.StoppingRequest) (*peerv1.StoppingResponse, error) {
+	s.handler.Stopping(req)
+	return &peerv1.StoppingResponse{}, nil
+}
+
 // Forward implements the generated interface.
 func (s *service) Forward(stream peerv1.DRPCPeer_ForwardStream) error {
 	return s.serve(stream, s.handler.Forward)
--- a/internal/peer/sink.go
+++ b/internal/peer/sink.go
@@ -1,6 +1,10 @@
 package peer
 
-import "github.com/sardinereach/sardinereach/api/peerv1"
+import (
+	"time"
+
+	"github.com/sardinereach/sardinereach/api/peerv1"
+)
 
 // Sink receives a response as it arrives. Head is called once and first, then Body for each piece. An implementation
 // must not retain a piece after the call. An error ends the attempt.
@@ -15,6 +19,19 @@
 	Overdue()
 }
 
+// CutOffSink is a Sink that is notified when its admitting node stops and will cut off the attempt after the given time.
+// WillBeCutOff may be called concurrently with the other methods and must not block.
+type CutOffSink interface {
+	WillBeCutOff(in time.Duration)
+}
+
+// ReportCutOff notifies the sink that its attempt will be cut off, if the sink implements CutOffSink.
+func ReportCutOff(sink Sink, in time.Duration) {
+	if s, ok := sink.(CutOffSink); ok {
+		s.WillBeCutOff(in)
+	}
+}
+
 // ReportOverdue notifies the sink that its attempt is overdue, if the sink implements OverdueSink.
 func ReportOverdue(sink Sink) {
 	if s, ok := sink.(OverdueSink); ok {
--- a/internal/peer/stream_call.go
+++ b/internal/peer/stream_call.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/watchdog"
 )
@@ -92,6 +94,9 @@
 	if frame.Overdue {
 		ReportOverdue(c.sink)
 	}
+	if frame.CutOffInMs > 0 {
+		ReportCutOff(c.sink, time.Duration(frame.CutOffInMs)*time.Millisecond)
+	}
 	if frame.Head != nil {
 		c.headReceived = true
 		decodeAnswerHead(frame.Head)
--- a/internal/peer/stream_sink.go
+++ b/internal/peer/stream_sink.go
@@ -99,6 +99,14 @@
 // Overdue implements OverdueSink. As in tick, a failure is reported by the next frame.
 func (s *streamSink) Overdue() { _ = s.sendNow(&peerv1.AnswerFrame{Overdue: true}) }
 
+// minCutOffMS replaces a time to the cutoff that would be sent as 0, which means none.
+const minCutOffMS = 1
+
+// WillBeCutOff implements CutOffSink. As in tick, a failure is reported by the next frame.
+func (s *streamSink) WillBeCutOff(in time.Duration) {
+	_ = s.sendNow(&peerv1.AnswerFrame{CutOffInMs: max(in.Milliseconds(), minCutOffMS)})
+}
+
 // proceed requests the body from the accepting node.
 func (s *streamSink) proceed() error { return s.sendNow(&peerv1.AnswerFrame{Proceed: true}) }
 
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -130,7 +130,7 @@
 func isAdmissionRefusal(reason verdict.Reason) bool {
 	switch reason {
 	case verdict.SlotsFull, verdict.QueueDeadline, verdict.TargetDraining, verdict.TargetStarting, verdict.TargetOnTrial, verdict.TargetDoubtful, verdict.RepeatsSpent,
-		verdict.TargetUnknown, verdict.AttemptFenced, verdict.AdmitExpired, verdict.WrongIncarnation, verdict.NodeStopping,
+		verdict.TargetUnknown, verdict.AttemptFenced, verdict.AcceptorStopping, verdict.AdmitExpired, verdict.WrongIncarnation, verdict.NodeStopping,
 		verdict.UpstreamUnreachable, verdict.NodeUnreachable:
 		return true
 	}
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -77,7 +77,7 @@
 		verdict.SlotsFull: true, verdict.QueueDeadline: true, verdict.TargetDraining: true, verdict.TargetStarting: true,
 		verdict.TargetUnknown: true, verdict.AttemptFenced: true, verdict.AdmitExpired: true, verdict.WrongIncarnation: true,
 		verdict.NodeStopping: true, verdict.TargetOnTrial: true, verdict.TargetDoubtful: true, verdict.UpstreamUnreachable: true,
-		verdict.NodeUnreachable: true, verdict.RepeatsSpent: true,
+		verdict.NodeUnreachable: true, verdict.RepeatsSpent: true, verdict.AcceptorStopping: true,
 	}
 	retries := map[verdict.Reason]bool{
 		verdict.UpstreamShed: true, verdict.NoTarget: true,
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -70,6 +70,8 @@
 	// RepeatsSpent means that the admission point has admitted as many additional attempts as its share of the service's
 	// retry budget allows.
 	RepeatsSpent Reason = "repeats_spent"
+	// AcceptorStopping means that the accepting node stops before the run would probably end.
+	AcceptorStopping Reason = "acceptor_stopping"
 	// CallerGone means that the caller closed its connection before the request was dispatched.
 	CallerGone Reason = "caller_gone"
 )
@@ -117,7 +119,7 @@
 		NoRoute, RouteUnsupported, NoTarget, SlotsFull, QueueDeadline, TargetDraining, TargetStarting, TargetOnTrial, TargetDoubtful, TargetUnknown, AttemptFenced,
 		AttemptDuplicate, AdmitExpired, WrongIncarnation, UpstreamShed, UpstreamUnreachable, NodeUnreachable,
 		NodeStopping, NotReady, Overloaded, DeadlineExceeded, BodyTooLarge, BodyIncomplete, BadRequest, KeyMissing, KeyInvalid,
-		KeyReused, StoreUnavailable, Quarantined, LinkBudget, RepeatsSpent, CallerGone,
+		KeyReused, StoreUnavailable, Quarantined, LinkBudget, RepeatsSpent, AcceptorStopping, CallerGone,
 		UpstreamLost, UpstreamTimeout, NodeLost, AnswerIncomplete, AnswerDropped, ClaimRunning, ClaimHolderLost,
 		TicketLost, TicketUnreachable, CallerCancelled, ShutdownCutoff,
 		RetryBudget, UpstreamStatus, RetryAttempts,
