Let repeats of runs that a stop cuts off wait and spend a reserve of the budget

Callers got 504 because the hedges of their hanging requests at stopping nodes were refused with repeats_spent, or with queue_deadline although the run still fitted: the queue limits the wait by the latency objective, which such a request has missed. Cause: the last chance of a request competed as an ordinary repeat. When nodes stop one after the other, most admission points have just started and allow next to no repeats, because what the process before allowed still counts. A repeat also waited for a slot, up to a second, before the budget refused it. Change: an attempt says that it repeats a run which the stop of a node cuts off. It waits for as long as its run can end, goes ahead within its rank, and may take from a reserve of 0.18 of the extra, which is there from the start of the process. Repeats of other requests have the same share as before; TestAdmissionPointsShareTheRetryBudget spends both shares and holds its bound. The budget is checked before the queue, too. TestRepeatOfCutRunWaitsWhileItsRunFits, TestBudgetIsReservedForRunsThatAreCutOff and TestRepeatBeyondTheBudgetDoesNotWaitForASlot fail without the changes.

--- a/internal/admission/acceptor_stop_test.go
+++ b/internal/admission/acceptor_stop_test.go
@@ -96,3 +96,24 @@
 		t.Fatalf("events %+v, want the refusal of %s: %s", events, attempt, reason)
 	}
 }
+
+// Guards against giving up a request whose run is cut off because its latency objective is missed, while its caller waits.
+func TestRepeatOfCutRunWaitsWhileItsRunFits(t *testing.T) {
+	for _, c := range []struct {
+		replacesCutRun bool
+		timeout        time.Duration
+		want           Kind
+	}{
+		{false, 10 * time.Second, Refused},
+		{true, 10 * time.Second, Queued},
+		{true, usualRun * 3 / 2, Refused},
+	} {
+		p, now, serial := newUsedPoint(t)
+		p.Admit(now, testRequest(now, serial+1, 10*time.Second))
+		r := testRequest(now, serial+2, c.timeout)
+		r.Objective, r.ReplacesCutRun = usualRun, c.replacesCutRun
+		if d := p.Admit(now, r); d.Kind != c.want {
+			t.Errorf("%+v: decision %+v", c, d)
+		}
+	}
+}
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -20,6 +20,9 @@
 	Deadline time.Duration
 	// AnswerBy is the time by which the accepting node needs the response because it stops, 0 if it does not stop.
 	AnswerBy time.Duration
+	// ReplacesCutRun means that an earlier run of the request was, or will be, cut off by the stop of a node. The caller can't be
+	// told that the request did not run, so it waits for as long as its run can end in time.
+	ReplacesCutRun bool
 	// Bulk requests queue behind interactive ones and may not take the last queue place.
 	Bulk bool
 	// Route is the name of the route. The target keeps a baseline latency for each route.
@@ -28,8 +31,9 @@
 	Objective time.Duration
 	// ObjectiveRemaining is the part of the objective that remains when the request arrives.
 	ObjectiveRemaining time.Duration
-	// Rank orders queued requests, 0 first. Within a rank, requests with a shorter objective go first: they are short, and
-	// most of them are calls for which a run at another target waits.
+	// Rank orders queued requests, 0 first. Within a rank, those that replace a cut run go first, because they have no other
+	// chance and few are in this state. After them, requests with a shorter objective go first: they are short, and most of
+	// them are calls for which a run at another target waits.
 	Rank int
 	// IdleOnly means that the request is refused instead of queued if no slot is free.
 	IdleOnly bool
@@ -50,6 +54,9 @@
 	if r.Rank != other.Rank {
 		return r.Rank < other.Rank
 	}
+	if r.ReplacesCutRun != other.ReplacesCutRun {
+		return r.ReplacesCutRun
+	}
 	return r.Objective < other.Objective
 }
 
--- a/internal/admission/wait.go
+++ b/internal/admission/wait.go
@@ -18,12 +18,12 @@
 // Requests that can no longer meet it may wait for a share of the objective. Under sustained overload a longer queue would
 // make every response late without serving more requests. Without an objective, only the deadline limits the wait. A short
 // request may wait until its deadline: it takes little capacity, and in most cases the run of another request waits for it
-// and fails with it.
+// and fails with it. So may one whose earlier run is cut off.
 func (t *target) maxWait(now time.Duration, r *Request) time.Duration {
 	if r.Objective == 0 {
 		return r.Deadline - now
 	}
-	if t.isShort(r) {
+	if t.isShort(r) || r.ReplacesCutRun {
 		return r.Deadline - now - t.runTimes.baseline(r.Route)
 	}
 	lateWait := time.Duration(missedObjectiveShare * float64(r.Objective))
--- a/internal/node/admitter_run.go
+++ b/internal/node/admitter_run.go
@@ -74,6 +74,11 @@
 	attempt := model.AttemptID(head.Attempt)
 	ch := make(chan slotOrRefusal, 1)
 	a.mu.Lock()
+	// A repeat that the budget does not allow must not wait for a slot first: its time is better spent at another target.
+	if refusal := a.retryWindows.check(a.clock.now(), head); refusal != nil {
+		a.mu.Unlock()
+		return "", refusal
+	}
 	d := a.point.Admit(a.clock.now(), admission.Request{
 		Attempt:     attempt,
 		Service:     model.ServiceName(head.Service),
@@ -84,6 +89,9 @@
 		Deadline:    deadline,
 		AnswerBy:    answerBy(a.clock.now(), head),
 		Bulk:        head.Bulk,
+
+		ReplacesCutRun: head.ReplacesCutRun,
+
 		Fingerprint: head.Fingerprint,
 		Route:       head.Route,
 		Objective:   time.Duration(head.ObjectiveMs) * time.Millisecond,
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -43,6 +43,7 @@
 	head.ReportOverdue = out.onOverdue != nil
 	head.TrustedOnly = out.onOverdue == nil
 	head.Repeat = out.isAdditional
+	head.ReplacesCutRun = out.isAdditional && (out.replacesCutRun || head.AnswerWithinMs > 0)
 	head.BodyOnAdmission = head.IdleOnly && c.Distance != routing.SameDomain && len(rq.body) > maxBodyBytesBeforeAdmission
 	// Routes with a latency objective have no progress timeout. They are hedged instead, and a hedge cancels no run
 	// before another one has responded.
--- a/internal/node/delivery.go
+++ b/internal/node/delivery.go
@@ -44,6 +44,8 @@
 	unmodifiedHead bool
 	// isAdditional means that a target has received, or may receive, the request in another attempt.
 	isAdditional bool
+	// replacesCutRun means that the stop of a node has cut off an earlier attempt, or will do so.
+	replacesCutRun bool
 	// onOverdue is called when the attempt is overdue. It is nil if the request cannot be hedged.
 	onOverdue func()
 	// mayCommit reports whether the response may be sent to the caller; nil means that it always may.
--- a/internal/node/retry_limits.go
+++ b/internal/node/retry_limits.go
@@ -14,6 +14,10 @@
 	// extraShare is the share of Retries.WindowExtra that the admission points allow together. The rest covers nested
 	// requests of retries, which are not refused, and differences in the number of targets that admission points count.
 	extraShare = 0.7
+	// cutRunShare is the share that is reserved for repeats of runs that the stop of a node cuts off: their callers get no
+	// response otherwise. It is available from the start of the process, because nodes that stop one after the other leave only
+	// admission points that have just started.
+	cutRunShare = 0.18
 	// minAssumedTargets is the least number of targets among which the extra retries are divided. It bounds the part that
 	// one admission point allows while it has not received the other targets yet.
 	minAssumedTargets = 6
@@ -25,12 +29,14 @@
 	// targetsOf returns the number of targets of the service.
 	targetsOf func(model.ServiceName) int
 	windows   map[model.ServiceName]*retry.Window
+	// reserves count the additional attempts that were taken from the reserve for cut runs.
+	reserves map[model.ServiceName]*retry.Window
 }
 
 func newRetryWindows(limits settings.Retries) *retryWindows {
 	return &retryWindows{
 		limits: limits, targetsOf: func(model.ServiceName) int { return 1 },
-		windows: make(map[model.ServiceName]*retry.Window),
+		windows: make(map[model.ServiceName]*retry.Window), reserves: make(map[model.ServiceName]*retry.Window),
 	}
 }
 
@@ -43,11 +49,7 @@
 		return nil
 	}
 	service := model.ServiceName(head.Service)
-	window := r.windows[service]
-	if window == nil {
-		window = retry.NewWindow(settings.RetryWindow, r.limits.Share)
-		r.windows[service] = window
-	}
+	window := r.window(service)
 	switch {
 	case head.Repeat:
 	case head.OfRepeat:
@@ -57,17 +59,59 @@
 		window.AddFirst(now)
 		return nil
 	}
+	if refusal := r.check(now, head); refusal != nil {
+		return refusal
+	}
 	if !window.Allows(now, r.extraRetries(now, service)) {
-		return verdict.Refused(verdict.RepeatsSpent, nil)
+		r.reserve(service).AddRetry(now)
 	}
 	window.AddRetry(now)
 	return nil
 }
 
+// check returns the error of an additional attempt that the budget does not allow now. It counts nothing.
+func (r *retryWindows) check(now time.Duration, head *peerv1.ForwardHead) *verdict.Error {
+	if !r.enabled() || !head.Repeat {
+		return nil
+	}
+	service := model.ServiceName(head.Service)
+	if r.window(service).Allows(now, r.extraRetries(now, service)) {
+		return nil
+	}
+	if head.ReplacesCutRun && r.reserve(service).Allows(now, r.part(cutRunShare, service)) {
+		return nil
+	}
+	return verdict.Refused(verdict.RepeatsSpent, nil)
+}
+
+// window returns the window that counts all attempts of the service.
+func (r *retryWindows) window(service model.ServiceName) *retry.Window {
+	return windowOf(r.windows, service, r.limits.Share)
+}
+
+// reserve returns the window that counts the attempts of the service that were taken from the reserve for cut runs.
+func (r *retryWindows) reserve(service model.ServiceName) *retry.Window {
+	return windowOf(r.reserves, service, 0)
+}
+
 // extraRetries returns the number of additional attempts in a window that the local targets may get without first
 // attempts. It grows linearly over the first window after the start of the process, because retries that the previous
 // process allowed still count for one window. The clock starts at zero with the process.
 func (r *retryWindows) extraRetries(now time.Duration, service model.ServiceName) float64 {
-	part := extraShare * r.limits.WindowExtra / float64(max(r.targetsOf(service), minAssumedTargets))
-	return part * min(now.Seconds()/settings.RetryWindow.Seconds(), 1)
+	return r.part(extraShare, service) * min(now.Seconds()/settings.RetryWindow.Seconds(), 1)
+}
+
+// part returns this admission point's part of a share of Retries.WindowExtra.
+func (r *retryWindows) part(share float64, service model.ServiceName) float64 {
+	return share * r.limits.WindowExtra / float64(max(r.targetsOf(service), minAssumedTargets))
+}
+
+// windowOf returns the window of the service, which allows the share of its first attempts.
+func windowOf(windows map[model.ServiceName]*retry.Window, service model.ServiceName, share float64) *retry.Window {
+	window := windows[service]
+	if window == nil {
+		window = retry.NewWindow(settings.RetryWindow, share)
+		windows[service] = window
+	}
+	return window
 }
--- a/internal/node/retry_limits_test.go
+++ b/internal/node/retry_limits_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -15,9 +16,14 @@
 
 // admittedRetries returns how many of 100 retries at the same time are admitted.
 func admittedRetries(r *retryWindows, now time.Duration) int {
+	return admittedOf(r, now, &peerv1.ForwardHead{Service: "s", Repeat: true})
+}
+
+// admittedOf returns how many of 100 attempts with the head are admitted at the same time.
+func admittedOf(r *retryWindows, now time.Duration, head *peerv1.ForwardHead) int {
 	count := 0
 	for range 100 {
-		if r.admit(now, &peerv1.ForwardHead{Service: "s", Repeat: true}) == nil {
+		if r.admit(now, head) == nil {
 			count++
 		}
 	}
@@ -36,17 +42,32 @@
 	for range targets {
 		before := newRetryWindows(limits)
 		before.targetsOf = func(model.ServiceName) int { return targets }
-		total += admittedRetries(before, time.Hour)
+		total += admittedRetries(before, time.Hour) + admittedOf(before, time.Hour, cutRunRepeat)
 		// The restarted process has not received the other targets yet.
 		after := newRetryWindows(limits)
 		after.targetsOf = func(model.ServiceName) int { return 0 }
-		total += admittedRetries(after, time.Second)
+		total += admittedRetries(after, time.Second) + admittedOf(after, time.Second, cutRunRepeat)
 	}
 	if total > extra {
 		t.Errorf("%d retries, want at most %d", total, extra)
 	}
 }
 
+// cutRunRepeat is the head of a repeat of a run that the stop of a node cuts off.
+var cutRunRepeat = &peerv1.ForwardHead{Service: "s", Repeat: true, ReplacesCutRun: true}
+
+// Guards against a request whose run is cut off by a stop and that is refused because other repeats have spent the budget.
+func TestBudgetIsReservedForRunsThatAreCutOff(t *testing.T) {
+	r := newRetryWindows(settings.Retries{Share: 0.2, WindowExtra: 60})
+	r.targetsOf = func(model.ServiceName) int { return 8 }
+	for name, now := range map[string]time.Duration{"after the start": time.Second, "later": time.Hour} {
+		admittedRetries(r, now)
+		if got := admittedOf(r, now, cutRunRepeat); got != 1 {
+			t.Errorf("%s: %d repeats of cut runs beyond the spent budget, want 1", name, got)
+		}
+	}
+}
+
 // Guards against refusing first attempts because of the budget, and against refused retries that are not reported as
 // not-run.
 func TestFirstAttemptsAllowRetries(t *testing.T) {
@@ -105,3 +126,27 @@
 		t.Errorf("%d requests recorded as running, want none", running)
 	}
 }
+
+// Guards against a repeat that waits for a slot which the budget does not let it use.
+func TestRepeatBeyondTheBudgetDoesNotWaitForASlot(t *testing.T) {
+	a := newAdmitter(newClock(), 1, admission.DefaultLimits(), nil, nil)
+	a.retryWindows = newRetryWindows(settings.Retries{Share: 0.2, WindowExtra: 0.1})
+	if _, err := a.announce(admission.Announcement{Service: "s", Target: "t", Address: "127.0.0.1:1", Slots: 1, Phase: model.PhaseReady}); err != nil {
+		t.Fatal(err)
+	}
+	head := func(serial uint64, repeat bool) *peerv1.ForwardHead {
+		return &peerv1.ForwardHead{
+			Attempt: string(model.NewAttemptID("n", 1, serial)), Service: "s", Target: "t", Incarnation: 1, Idempotent: true, Repeat: repeat,
+			AdmitBeforeMs: maxLocalAdmitAhead.Milliseconds(),
+		}
+	}
+	deadline := a.clock.now() + time.Minute
+	if _, refusal := a.admit(t.Context(), head(1, false), deadline); refusal != nil {
+		t.Fatal(refusal)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if _, refusal := a.admit(ctx, head(2, true), deadline); refusal == nil || refusal.Reason != verdict.RepeatsSpent {
+		t.Errorf("%v, want %s at once", refusal, verdict.RepeatsSpent)
+	}
+}
