Hedge a run that its admitting node will cut off until another target takes it

Callers got 504, or waited for seconds longer, for requests whose run was cut by the planned end of the node beside the target, although other targets became free before that. Cause: the admitting node reported its running attempts once, at the end of its lame duck and as overdue. If the hedge was refused, or no other target was known at that moment, nothing followed until the cut. Change: a stopping node tells the accepting nodes at its SIGTERM when it will cut off their attempts (SR0425), also those that it admits later. The hedge is due when the usual duration is left before the cut, and repeated until a target takes it. It leaves out targets whose part of the retry budget is spent, tries a target again whose node has restarted, and goes on to the last resort. A target that left the pool no longer counts when the hedge looks for another one. If attempts are left, an attempt that ended is replaced, too.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -72,6 +72,7 @@
 	TargetDoubted      = &Event{416, "target_doubted", Warning, "a run has failed or is overdue; the circuit breaker of the target admits only a few idempotent requests", []Key{Target, Attempt, Route, Cause, Duration, Limit, Count}, 0}
 	TargetTrusted      = &Event{417, "target_trusted", Info, "a doubtful target has succeeded; its circuit breaker is closed and it receives all requests again", []Key{Target, Attempt, Route, Duration, Limit}, 0}
 	RequestHedged      = &Event{418, "request_hedged", Info, "a run takes much longer than usual; a hedge is sent to another target", []Key{Request, Service}, 0}
+	RunWillBeCutOff    = &Event{425, "run_will_be_cut_off", Info, "the admitting node of an attempt stops and cuts it off at the limit, unless it ends before", []Key{Request, Count, Limit}, requestLinesPerSecond}
 	AnnounceRefused    = &Event{415, "announce_refused", Warning, "an announcement of an upstream is not valid", []Key{Address, Cause}, 0}
 	UnknownTargetLeft  = &Event{419, "unknown_target_left", Info, "an upstream that this process has not heard of says that it leaves", []Key{Target}, 0}
 	AnnounceIgnored    = &Event{420, "announce_ignored", Info, "a late announcement of an upstream that has left is ignored", []Key{Target, Service, Phase}, 0}
@@ -128,7 +129,7 @@
 	DepartureNotKept, DepartureRestored,
 	TargetMissing, TargetSuspected, TargetEjected, TargetAvoided, TargetReturned,
 	TargetHeldDown, EjectionAtFloor, EjectionWithdrawn, DrainStarted, DrainForced,
-	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, RequestHedged, StopNoticeFailed, CrashAttributed, FingerprintQuarantined,
+	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, RequestHedged, RunWillBeCutOff, StopNoticeFailed, CrashAttributed, FingerprintQuarantined,
 	FingerprintReleased, QuarantineRewritten, QuarantineProbed, ApplyAccepted, ApplyConflict, ApplyInForce, ApplyBehind,
 	OperatorDenied, OperatorCommand, ClaimOutcomeUnwritten, ClaimsCollected,
 	AnswersDropped, AttemptEnded, RequestEnded,
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -39,6 +39,8 @@
 	point        *admission.Point
 	waiting      map[model.AttemptID]chan slotOrRefusal
 	running      map[model.AttemptID]*progressSink
+	// runsCutOffAt is the time at which this node cuts off its runs because it stops, 0 if it does not stop.
+	runsCutOffAt time.Duration
 }
 
 func newAdmitter(c clock, incarnation model.Incarnation, limits admission.Limits, upstreams *upstream.Client, crashes *crashTracker) *admitter {
@@ -164,17 +166,18 @@
 	a.handleEvents(a.point.Expire(a.clock.now()))
 }
 
-// reportRunningAsOverdue reports the running attempts to their accepting nodes as overdue, because they may not end before
-// this node exits. The accepting nodes can then send those that may be retried to other targets in time.
-func (a *admitter) reportRunningAsOverdue() {
+// cutOffRunsAt tells the accepting nodes of the running attempts, and of those that will run, that this node stops and cuts
+// the runs off at the given time. The accepting nodes can then send requests that may be retried to other targets in time.
+func (a *admitter) cutOffRunsAt(at time.Duration) {
 	a.mu.Lock()
+	a.runsCutOffAt = at
 	sinks := make([]peer.Sink, 0, len(a.running))
 	for _, p := range a.running {
 		sinks = append(sinks, p.next)
 	}
 	a.mu.Unlock()
 	for _, sink := range sinks {
-		peer.ReportOverdue(sink)
+		peer.ReportCutOff(sink, at-a.clock.now())
 	}
 }
 
--- a/internal/node/admitter_run.go
+++ b/internal/node/admitter_run.go
@@ -202,7 +202,11 @@
 	}
 	a.mu.Lock()
 	a.running[model.AttemptID(head.Attempt)] = p
+	cutOffAt := a.runsCutOffAt
 	a.mu.Unlock()
+	if cutOffAt > 0 {
+		peer.ReportCutOff(sink, cutOffAt-a.clock.now())
+	}
 	return p
 }
 
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -157,7 +157,7 @@
 	if !rq.idempotent() || !in.HasAttemptsLeft() {
 		return a.runAttempt(ctx, rq, choice, g, out)
 	}
-	h := &hedge{acceptor: a, rq: rq, budget: budget, out: out, results: make(chan hedgeResult, maxConcurrentAttempts)}
+	h := newHedge(a, rq, budget, in.AttemptsLeft(), out)
 	err := h.run(ctx, choice)
 	in.Attempt += h.extraAttempts
 	return err
--- a/internal/node/delivery.go
+++ b/internal/node/delivery.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -48,6 +49,8 @@
 	replacesCutRun bool
 	// onOverdue is called when the attempt is overdue. It is nil if the request cannot be hedged.
 	onOverdue func()
+	// onCutOff is called when the admitting node stops and will cut off the attempt. It may be nil.
+	onCutOff func(in time.Duration)
 	// mayCommit reports whether the response may be sent to the caller; nil means that it always may.
 	mayCommit func() bool
 
@@ -147,6 +150,13 @@
 	}
 }
 
+// WillBeCutOff implements peer.CutOffSink.
+func (d *delivery) WillBeCutOff(in time.Duration) {
+	if d.onCutOff != nil {
+		d.onCutOff(in)
+	}
+}
+
 // finalHead returns the head with the verdict and attempt headers for the caller.
 func (d *delivery) finalHead() *peerv1.AnswerHead {
 	if d.unmodifiedHead {
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -5,17 +5,20 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/placement"
+	"github.com/sardinereach/sardinereach/internal/retry"
 	"github.com/sardinereach/sardinereach/internal/routing"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
-// maxConcurrentAttempts is the largest number of parallel attempts of one request.
-const maxConcurrentAttempts = 2
+// firstAttempt is the number of the first attempt of a hedge.
+const firstAttempt = 1
 
 // hedge runs an idempotent request at one target and, when that takes much longer than the baseline, at a second one in
-// parallel. The first complete response wins and cancels the other attempt. Hedging handles targets that hang. The
+// parallel. When a node stops that the request depends on, it also replaces attempts that were refused or have ended. The first complete response wins and cancels the other attempt. Hedging handles targets that hang. The
 // first run continues in the meantime: cancelling it before another target has admitted the request would fail requests
 // that are merely slow.
 type hedge struct {
@@ -26,12 +29,34 @@
 	// winner is the number of the attempt whose response may be sent to the caller, 0 while there is none.
 	winner  atomic.Int32
 	results chan hedgeResult
-	// extraAttempts is the number of attempts after the first that a target has admitted or may still admit. Only run
-	// uses it.
+	// cutOff receives the time after which an attempt is cut off, when its admitting node stops.
+	cutOff chan time.Duration
+	// maxExtraAttempts is the number of attempts that the request may have after the first.
+	maxExtraAttempts int
+
+	// The fields below are used by run only.
+
+	// attempts is the number of attempts that were started.
+	attempts int32
+	// extraAttempts is the number of attempts after the first that a target has admitted or may still admit.
 	extraAttempts int
-	// hedged means that the second attempt was started. A stopping node resets it to repeat one that was refused. Only run
-	// uses it.
+	// tried holds the targets that have admitted an attempt.
+	tried routing.Tried
+	// spent holds the targets whose part of the retry budget is exhausted.
+	spent []model.TargetID
+	// hedged means that another attempt was started. It is reset to make one more because a node stops.
 	hedged bool
+	// stopping means that this node, or the admitting node of an attempt, stops.
+	stopping bool
+	// lastChance fires when another attempt is due because a node stops.
+	lastChance earliestTimer
+}
+
+func newHedge(a *acceptor, rq *request, budget *lockedBudget, maxExtraAttempts int, out *delivery) *hedge {
+	return &hedge{
+		acceptor: a, rq: rq, budget: budget, out: out, maxExtraAttempts: maxExtraAttempts,
+		results: make(chan hedgeResult, maxExtraAttempts+1), attempts: firstAttempt, cutOff: make(chan time.Duration, 1),
+	}
 }
 
 // hedgeResult is the result of one attempt.
@@ -39,6 +64,10 @@
 	number int32
 	out    *delivery
 	err    *verdict.Error
+	// target has admitted the attempt, or refused it last.
+	target model.TargetID
+	// spent are the targets that refused the attempt because their part of the retry budget is exhausted.
+	spent []model.TargetID
 }
 
 // failed reports whether the attempt has no response or a server error, so that the other attempt may succeed.
@@ -55,15 +84,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	overdue := make(chan struct{}, 1)
-	first := h.newAttemptDelivery(1)
+	first := h.newAttemptDelivery(firstAttempt)
 	first.onOverdue = func() { signal(overdue) }
-	h.start(1, first, func() *verdict.Error { return h.acceptor.runAttempt(ctx, h.rq, choice, openGate{}, first) })
+	h.tried.Add(choice.Candidate.Target.ID)
+	h.start(first, firstAttempt, func(*hedgeResult) *verdict.Error { return h.acceptor.runAttempt(ctx, h.rq, choice, openGate{}, first) })
 	started := time.Now()
 	baseline := baselineOrDefault(h.acceptor.attemptDurations.of(h.rq.head.Route), h.rq.objective())
 	overdueTimer := time.NewTimer(hedgeDelay(baseline))
 	defer overdueTimer.Stop()
+	defer h.lastChance.stop()
 	shutdown := h.acceptor.cutoff.announced
-	var beforeCutoff <-chan time.Time
 	running := 1
 	var best *hedgeResult
 	for {
@@ -72,29 +102,30 @@
 			signal(overdue)
 		case <-shutdown:
 			shutdown = nil
-			beforeCutoff = time.After(hedgeDelayBeforeCutoff(baseline, time.Since(started), h.acceptor.cutoff.remaining()))
-		case <-beforeCutoff:
-			// Targets may have become free since a second attempt was refused.
-			h.hedged = h.extraAttempts > 0
+			h.expectStop(hedgeDelayBeforeCutoff(baseline, time.Since(started), h.acceptor.cutoff.remaining()))
+		case in := <-h.cutOff:
+			h.expectStop(hedgeDelayBeforeNodeEnds(baseline, in))
+		case <-h.lastChance.channel():
+			h.lastChance.stop()
+			// Targets may have become free since another attempt was refused.
+			h.hedged = false
 			signal(overdue)
 		case <-overdue:
-			if running > 1 || h.hedged {
+			if running > 1 || h.hedged || h.extraAttempts >= h.maxExtraAttempts {
 				continue
 			}
 			if !h.takeHedgeBudget() {
-				beforeCutoff = h.retryBeforeCutoff()
+				h.retryIfStopping()
 				continue
 			}
 			h.hedged = true
 			running++
-			h.extraAttempts = 1
-			h.startSecondAttempt(ctx, choice)
+			h.extraAttempts++
+			h.startNextAttempt(ctx)
 		case r := <-h.results:
 			running--
-			if r.number != 1 && r.wasRefused() {
-				h.extraAttempts = 0
-				beforeCutoff = h.retryBeforeCutoff()
-			}
+			h.recordExtraAttempt(&r)
+			h.retryIfStopping()
 			if h.isDecided(&r) {
 				return h.useResult(&r)
 			}
@@ -120,15 +151,47 @@
 	return h.winner.CompareAndSwap(0, number) || h.winner.Load() == number
 }
 
-// retryBeforeCutoff returns a channel that delivers when a second attempt that was refused, or could not be made, is tried
-// again. It returns nil if the node is not stopping.
-func (h *hedge) retryBeforeCutoff() <-chan time.Time {
-	select {
-	case <-h.acceptor.cutoff.announced:
-		return time.After(refusedHedgeInterval)
+// expectStop makes another attempt after the delay because a node stops.
+func (h *hedge) expectStop(delay time.Duration) {
+	h.stopping = true
+	h.lastChance.fireWithin(delay)
+}
+
+// retryIfStopping makes one more attempt later if a node stops: an attempt was refused, could not be made or has ended.
+func (h *hedge) retryIfStopping() {
+	if h.stopping {
+		h.lastChance.fireWithin(refusedHedgeInterval)
+	}
+}
+
+// recordExtraAttempt records the result of an attempt after the first.
+func (h *hedge) recordExtraAttempt(r *hedgeResult) {
+	switch {
+	case r.number == firstAttempt:
+	case r.wasRefused():
+		h.extraAttempts--
+		h.recordSpent(r.spent)
 	default:
-		return nil
+		h.tried.Add(r.target)
+	}
+}
+
+// recordSpent leaves the targets out of the next attempt. If no others are known, all may be tried again.
+func (h *hedge) recordSpent(targets []model.TargetID) {
+	if len(targets) == 0 {
+		h.spent = nil
+		return
+	}
+	h.spent = append(h.spent, targets...)
+}
+
+// excluded returns the targets that the next attempt leaves out.
+func (h *hedge) excluded() *routing.Tried {
+	excluded := h.tried.Clone()
+	for _, id := range h.spent {
+		excluded.Add(id)
 	}
+	return excluded
 }
 
 // signal sends on the channel without blocking.
@@ -166,11 +229,22 @@
 func (h *hedge) newAttemptDelivery(number int32) *delivery {
 	d := newDelivery(h.out.next, h.out.bufferLimit)
 	d.unmodifiedHead = h.out.unmodifiedHead
-	d.isAdditional = h.out.isAdditional
+	d.isAdditional, d.replacesCutRun = h.out.isAdditional, h.out.replacesCutRun
+	d.onCutOff = func(in time.Duration) { h.reportCutOff(number, in) }
 	d.mayCommit = func() bool { return h.claim(number) }
 	return d
 }
 
+// reportCutOff receives the notice that the admitting node of an attempt stops.
+func (h *hedge) reportCutOff(number int32, in time.Duration) {
+	a := h.acceptor
+	a.log.Emit(events.RunWillBeCutOff, events.RequestField(h.rq.head.RequestId), events.CountField(int(number)), events.LimitField(in))
+	select {
+	case h.cutOff <- in:
+	default:
+	}
+}
+
 // takeHedgeBudget takes a retry from the budget for the second attempt. It returns false if a response is already being
 // sent, if no other target or no time remains, or if the budget is exhausted.
 func (h *hedge) takeHedgeBudget() bool {
@@ -178,8 +252,7 @@
 		return false
 	}
 	a := h.acceptor
-	service := a.view.Load().Service(h.rq.service)
-	if service == nil || service.Pool.Len() < 2 {
+	if !h.hasOtherTarget(a.view.Load().Service(h.rq.service)) {
 		return false
 	}
 	if h.rq.remaining() <= 0 || !h.budget.take(a.clock.now()) {
@@ -190,8 +263,21 @@
 	return true
 }
 
+// hasOtherTarget reports whether the service has a target that has not admitted an attempt. The targets that have may have left.
+func (h *hedge) hasOtherTarget(service *core.ServiceView) bool {
+	if service == nil {
+		return false
+	}
+	for candidate := range service.Pool.All {
+		if !h.tried.Has(candidate.Target.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // start runs an attempt in the background and sends its result. A panic ends only the attempt: its request may have run.
-func (h *hedge) start(number int32, out *delivery, attempt func() *verdict.Error) {
+func (h *hedge) start(out *delivery, number int32, attempt func(*hedgeResult) *verdict.Error) {
 	go func() {
 		result := hedgeResult{number: number, out: out}
 		defer func() { h.results <- result }()
@@ -201,34 +287,41 @@
 				result.err = verdict.Uncertain(verdict.NodeLost, nil)
 			}
 		}()
-		result.err = attempt()
+		result.err = attempt(&result)
 	}()
 }
 
-// startSecondAttempt tries the other targets until one admits the request. It also waits in their queues: at high load no
+// startNextAttempt tries the other targets until one admits the request. It also waits in their queues: at high load no
 // slot is free, and the first run may hang until the deadline.
-func (h *hedge) startSecondAttempt(ctx context.Context, first placement.Choice) {
-	var tried routing.Tried
-	tried.Add(first.Candidate.Target.ID)
-	out := h.newAttemptDelivery(2)
-	out.isAdditional = true
-	h.start(2, out, func() *verdict.Error { return h.tryOtherTargets(ctx, &tried, out) })
+func (h *hedge) startNextAttempt(ctx context.Context) {
+	h.attempts++
+	out := h.newAttemptDelivery(h.attempts)
+	out.isAdditional, out.replacesCutRun = true, out.replacesCutRun || h.stopping
+	excluded := h.excluded()
+	h.start(out, h.attempts, func(r *hedgeResult) *verdict.Error { return h.tryOtherTargets(ctx, excluded, r) })
 }
 
-// tryOtherTargets tries the targets of a new plan until one of them runs or may have run the request. It ends before
-// the last resort.
-func (h *hedge) tryOtherTargets(ctx context.Context, tried *routing.Tried, out *delivery) *verdict.Error {
-	a := h.acceptor
-	plan := a.newPlan(h.rq, a.view.Load().Service(h.rq.service), tried)
+// tryOtherTargets tries the targets of a new plan until one of them runs or may have run the request. Only if a node stops, it
+// goes on to the last resort.
+func (h *hedge) tryOtherTargets(ctx context.Context, excluded *routing.Tried, r *hedgeResult) *verdict.Error {
+	a, out := h.acceptor, r.out
+	plan := a.newPlan(h.rq, a.view.Load().Service(h.rq.service), excluded)
 	for {
 		choice, ok := plan.Next()
-		if !ok || choice.Mode == placement.LastResort {
+		if !ok || choice.Mode == placement.LastResort && !out.replacesCutRun {
 			return verdict.Refused(verdict.NoTarget, nil)
 		}
+		r.target = choice.Candidate.Target.ID
 		err := a.runAttempt(ctx, h.rq, choice, openGate{}, out)
+		if err != nil && retry.IsStaleRefusal(err.Reason) {
+			err = a.runAttempt(ctx, h.rq, choice, openGate{}, out)
+		}
 		if err == nil || err.Verdict != verdict.NotRun {
 			return err
 		}
+		if err.Reason == verdict.RepeatsSpent {
+			r.spent = append(r.spent, r.target)
+		}
 		plan.RecordRefusal(placementRefusal(err))
 	}
 }
--- a/internal/node/hedge_delay.go
+++ b/internal/node/hedge_delay.go
@@ -10,8 +10,8 @@
 	minHedgeDelay = 150 * time.Millisecond
 	// noBaselineShare is the share of the latency objective that is assumed as the baseline of a route without one.
 	noBaselineShare = 0.2
-	// refusedHedgeInterval is the time after which a stopping node tries a refused hedge again. Other nodes that stop at the
-	// same time refuse it until they have restarted.
+	// refusedHedgeInterval is the time after which a refused hedge is tried again because a node stops. Other nodes that stop at
+	// the same time refuse it until they have restarted.
 	refusedHedgeInterval = 300 * time.Millisecond
 )
 
@@ -36,3 +36,9 @@
 func hedgeDelayBeforeCutoff(baseline, elapsed, remaining time.Duration) time.Duration {
 	return max(remaining-hedgeDelay(baseline), min(baseline-elapsed, remaining/2), 0)
 }
+
+// hedgeDelayBeforeNodeEnds returns how much longer an attempt may take before its request is hedged, because its admitting node
+// ends the attempt after the given time. The hedge gets the baseline duration. The request itself goes on after that.
+func hedgeDelayBeforeNodeEnds(baseline, remaining time.Duration) time.Duration {
+	return max(remaining-baseline, 0)
+}
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -42,6 +42,7 @@
 	n.acceptor.cutoff.announce(started.Add(cutoff))
 	n.admitter.admitUntil(n.clock.now() + cutoff)
 	n.acceptor.noticeStop(ctx)
+	n.admitter.cutOffRunsAt(n.clock.now() + time.Duration(exitShare*float64(grace)))
 	// Callers' connections close after their next response, so that a request already sent is still served.
 	s.callers.SetKeepAlivesEnabled(false)
 	n.acceptor.lameDuck.Store(true)
@@ -71,7 +72,6 @@
 	n.admitter.stop()
 	n.distributor.SetStopping()
 	n.views.invalidate()
-	n.admitter.reportRunningAsOverdue()
 	s.callersListener.refuseConnections()
 }
 
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -122,7 +122,13 @@
 	if in.Refusals > 1 {
 		return false
 	}
-	return in.Err.Reason == verdict.AdmitExpired || in.Err.Reason == verdict.WrongIncarnation
+	return IsStaleRefusal(in.Err.Reason)
+}
+
+// IsStaleRefusal reports whether the reason only means that the accepting node's cached state of the admitting node was stale.
+// The next attempt at the same target uses the new state.
+func IsStaleRefusal(reason verdict.Reason) bool {
+	return reason == verdict.AdmitExpired || reason == verdict.WrongIncarnation
 }
 
 // isAdmissionRefusal reports whether the request ended at an admission point or at a connection that could not be opened.
--- a/internal/retry/input.go
+++ b/internal/retry/input.go
@@ -51,5 +51,8 @@
 	return in
 }
 
+// AttemptsLeft returns the number of attempts that are allowed after the current one.
+func (in *Input) AttemptsLeft() int { return max(maxAttempts(in)-in.Attempt, 0) }
+
 // HasAttemptsLeft reports whether another attempt is allowed after the current one.
-func (in *Input) HasAttemptsLeft() bool { return in.Attempt < maxAttempts(in) }
+func (in *Input) HasAttemptsLeft() bool { return in.AttemptsLeft() > 0 }
--- a/internal/routing/tried.go
+++ b/internal/routing/tried.go
@@ -1,6 +1,10 @@
 package routing
 
-import "github.com/sardinereach/sardinereach/internal/model"
+import (
+	"maps"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
 
 // Tried is the set of targets that were tried for a request. The zero value is empty.
 type Tried struct {
@@ -50,6 +54,13 @@
 	return t.more[id]
 }
 
+// Clone returns a copy that later changes of the set do not affect.
+func (t *Tried) Clone() *Tried {
+	c := *t
+	c.more = maps.Clone(t.more)
+	return &c
+}
+
 // Empty reports whether no target was added.
 func (t *Tried) Empty() bool { return t.count == 0 && len(t.more) == 0 }
 
