Try a request whose run was cut off until its deadline

Callers got 504 with seconds of their time left: after the end of a node had cut the run, one round of refusals ended the request. Cause: rounds of refusals are counted (MaxCapacityWaits), which is right for a request that has not run, as its caller can be told so and come back. A request whose run was cut can only be answered with 504. Change: for such a request, and for one that may have run at a node that stops itself, rounds are repeated every 0.3 s and limited by the time in which its usual run still fits, until the deadline or the cutoff of its own node. Its attempts may wait and spend the reserve, as hedges of cut runs do. TestDecideInvariants bounds the old wait as before, and the new one by time.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -46,7 +46,9 @@
 		if err != nil {
 			plan.RecordRefusal(placementRefusal(err))
 		}
-		in.Err, in.Status, in.Remaining = err, out.status(), rq.remaining()
+		in.Err, in.Status, in.Remaining = err, out.status(), a.remaining(rq)
+		in.RunWasCut = a.runWasCut(uncertain)
+		in.UsualRun = a.attemptDurations.of(rq.head.Route)
 		in.RetryAfter = retryAfterOf(out)
 		in.Untried = plan.Remaining()
 		in.Saturated = plan.Saturated()
@@ -65,10 +67,27 @@
 			plan = nil
 		}
 		in = in.Next(decision)
-		out.isAdditional = in.Attempt > 1
+		out.isAdditional, out.replacesCutRun = in.Attempt > 1, in.RunWasCut
 	}
 }
 
+// remaining returns the time until the deadline of the request, or until this node ends its open requests if that is earlier.
+func (a *acceptor) remaining(rq *request) time.Duration {
+	if left := a.answerWithin(rq.deadline); left > 0 {
+		return left
+	}
+	return rq.remaining()
+}
+
+// runWasCut reports whether the stop of a node has ended the run with the outcome, or leaves the request no other node.
+func (a *acceptor) runWasCut(uncertain *verdict.Error) bool {
+	if uncertain == nil {
+		return false
+	}
+	_, stopping := a.cutoff.left()
+	return stopping || uncertain.Reason == verdict.NodeLost
+}
+
 // retryStatusesOf returns the response statuses that are retried on the route.
 func (a *acceptor) retryStatusesOf(route *declaration.Route) []int {
 	if len(route.RetryStatuses) > 0 {
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -21,6 +21,9 @@
 	// MaxCapacityWaits is the number of waits after rounds in which every target refused the request. The second round
 	// can use what has changed in the meantime. Further rounds would only delay requests that cannot be served.
 	MaxCapacityWaits = 1
+	// CutRunWait is the least wait between two rounds for a request whose run was cut off. Nodes that stop at the same time refuse
+	// it until they have restarted.
+	CutRunWait = 300 * time.Millisecond
 	// MinAttemptTime is the minimum time that must remain for another attempt.
 	MinAttemptTime = 10 * time.Millisecond
 )
@@ -41,6 +44,9 @@
 	if mayTryNextTarget(&in) {
 		return Decision{Retry: true, Reason: reason, TryNextTarget: true, SameTarget: isStaleRefusal(&in)}
 	}
+	if wasOnlyRefused(&in) && in.RunWasCut {
+		return decideCutRunWait(&in, reason, rng)
+	}
 	if wasOnlyRefused(&in) {
 		return decideCapacityWait(&in, reason, rng)
 	}
@@ -68,6 +74,15 @@
 	return Decision{Retry: true, After: after, Reason: reason, WaitForCapacity: true}
 }
 
+// decideCutRunWait decides the same for a request whose run was cut off. Its rounds are limited by time only.
+func decideCutRunWait(in *Input, reason verdict.Reason, rng *rand.Rand) Decision {
+	after := Backoff(1, max(retryAfter(in), CutRunWait), rng)
+	if after+max(in.UsualRun, MinAttemptTime) > in.Remaining {
+		return Decision{Reason: reason}
+	}
+	return Decision{Retry: true, After: after, Reason: reason, WaitForCapacity: true}
+}
+
 func decideBackoff(in *Input, reason verdict.Reason, budget *Budget, now time.Duration, rng *rand.Rand) Decision {
 	if in.Attempt >= maxAttempts(in) {
 		return Decision{Reason: verdict.RetryAttempts}
--- a/internal/retry/input.go
+++ b/internal/retry/input.go
@@ -21,6 +21,11 @@
 	CapacityWaits int
 	// Saturated means that a healthy target had no free capacity for the request, so that another round would not help.
 	Saturated bool
+	// RunWasCut means that a run of the request was cut off by the end of a node, or will be. The caller can't be told that the
+	// request did not run, so rounds of refusals are repeated while a run can still end in time.
+	RunWasCut bool
+	// UsualRun is the usual duration of an attempt on the route, 0 if it is not known.
+	UsualRun time.Duration
 	// Untried is the number of usable targets that were not tried since the last backoff.
 	Untried int
 	// Err is the failure or refusal, nil if the upstream responded.
