Let requests end by their own deadline in the last part of the grace period

Callers got 504 at the cutoff of a stopping node, although their own deadline came before the process would be killed, and their target could still answer. Cause: the cutoff ended all open requests at 0.9 of the grace period. The rest is for writing responses, but a request whose deadline lies in it ends by itself. Change: the cutoff does not apply to requests whose deadline comes before 0.95 of the grace period. Each request is bound to the cutoff with its deadline, in place of one context for all.

--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -103,6 +103,9 @@
 	_ = control.SetWriteDeadline(rq.deadline.Add(writeGrace))
 	r, stop := watchCaller(r)
 	defer stop()
+	ctx, release := a.cutoff.bind(r.Context(), rq.deadline)
+	defer release()
+	r = r.WithContext(ctx)
 	a.serve(w, r, rq)
 	a.metrics.Latency(rq.service, time.Since(started))
 }
--- a/internal/node/hedge_cutoff_test.go
+++ b/internal/node/hedge_cutoff_test.go
@@ -71,7 +71,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	a.admitter.setOperatorDrains(nil)
-	a.cutoff.announce(time.Now().Add(cutoffInTest))
+	announceCutoff(a, cutoffInTest)
 	if got := <-response; got != "200 two" {
 		t.Errorf("response %q, want that of the second target", got)
 	}
@@ -92,7 +92,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(2 * minHedgeDelay)
-	a.cutoff.announce(time.Now().Add(aheadInTest))
+	announceCutoff(a, aheadInTest)
 	time.Sleep(usualDurationInTest)
 	a.view.Store(both)
 	select {
@@ -137,7 +137,7 @@
 	for first.runs.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	a.cutoff.announce(time.Now().Add(aheadInTest))
+	announceCutoff(a, aheadInTest)
 	for !log.refused.Load() {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/node/hedge_response_test.go
+++ b/internal/node/hedge_response_test.go
@@ -26,7 +26,7 @@
 	}
 	defer res.Body.Close()
 	a.admitter.setOperatorDrains(nil)
-	a.cutoff.announce(time.Now().Add(cutoffInTest))
+	announceCutoff(a, cutoffInTest)
 	// Without the check both timers of the hedge have fired by then.
 	time.Sleep(cutoffInTest)
 	close(first.released)
@@ -49,7 +49,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		a.admitter.setOperatorDrains(nil)
-		a.cutoff.announce(time.Now().Add(cutoffInTest))
+		announceCutoff(a, cutoffInTest)
 		for second.runs.Load() == 0 {
 			time.Sleep(time.Millisecond)
 		}
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -86,7 +86,6 @@
 	}
 	s.callers.ConnState = s.callersActive.record
 	s.callers.ConnContext = callerconn.WithConn
-	s.callers.BaseContext = func(net.Listener) context.Context { return n.acceptor.cutoff.requests }
 	group.Go(func() error {
 		return serveHTTP(s.callers, s.callersListener)
 	})
--- a/internal/node/once_runner.go
+++ b/internal/node/once_runner.go
@@ -45,8 +45,8 @@
 	}
 	// A dispatched request continues after its caller has disconnected: its outcome is recorded for a client retry. It ends at
 	// the cutoff of a shutdown.
-	ctx, cancelAtCutoff := context.WithCancelCause(context.WithoutCancel(r.Context()))
-	defer context.AfterFunc(o.acceptor.cutoff.requests, func() { cancelAtCutoff(errShutdownCutoff) })()
+	ctx, release := o.acceptor.cutoff.bind(context.WithoutCancel(r.Context()), rq.deadline)
+	defer release()
 	ctx, cancel := context.WithDeadline(ctx, rq.deadline)
 	defer cancel()
 	switch {
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -21,6 +21,9 @@
 // response. The rest of the grace period is for sending these responses before the process is killed.
 const requestCutoffShare = 0.9
 
+// finalDeadlineShare is the share of the grace period up to which an open request may go on if its own deadline comes before.
+const finalDeadlineShare = 0.95
+
 // exitShare is the share of the grace period after which the process exits in any case, so that it is not killed.
 const exitShare = 0.97
 
@@ -39,7 +42,7 @@
 	cutoff := time.Duration(requestCutoffShare * float64(grace))
 	cutoffTimer := time.AfterFunc(cutoff, func() { n.cutOffRequests(started) })
 	defer cutoffTimer.Stop()
-	n.acceptor.cutoff.announce(started.Add(cutoff))
+	n.acceptor.cutoff.announce(started.Add(cutoff), started.Add(time.Duration(finalDeadlineShare*float64(grace))))
 	n.admitter.admitUntil(n.clock.now() + cutoff)
 	n.acceptor.noticeStop(ctx)
 	n.admitter.cutOffRunsAt(n.clock.now() + time.Duration(exitShare*float64(grace)))
--- a/internal/node/stop_notice.go
+++ b/internal/node/stop_notice.go
@@ -18,7 +18,7 @@
 // 0 if the node does not stop before the deadline.
 func (a *acceptor) answerWithin(deadline time.Time) time.Duration {
 	left, stopping := a.cutoff.left()
-	if !stopping || time.Until(deadline) <= left {
+	if !stopping || !a.cutoff.applies(deadline) {
 		return 0
 	}
 	return max(left-answerTransferTime, minAnswerWithin)
