Cut off the runs that are left before a stopping process ends

Callers of other nodes waited for the outcome of a run that had ended with its node, and a stopping process was killed at the end of its grace period with what it held: Node.Run waits for the calls of other nodes, and a run that is not idempotent is not cancelled with its call. Change: at 0.96 of the grace period, and in any case before the process ends, the admitting node cuts off the runs that are left and reports them as may-have-run (node_lost), so that idempotent requests are tried elsewhere at once. TestStoppingNodeCutsOffRunsThatAreNotCancelled fails without the change (the run goes on).

--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -39,12 +40,19 @@
 	point        *admission.Point
 	waiting      map[model.AttemptID]chan slotOrRefusal
 	running      map[model.AttemptID]*progressSink
+	// runs ends when this node cuts off its runs.
+	runs context.Context
+	// cutOffRuns ends runs.
+	cutOffRuns context.CancelFunc
 	// runsCutOffAt is the time at which this node cuts off its runs because it stops, 0 if it does not stop.
 	runsCutOffAt time.Duration
 }
 
 func newAdmitter(c clock, incarnation model.Incarnation, limits admission.Limits, upstreams *upstream.Client, crashes *crashTracker) *admitter {
+	runs, cutOffRuns := context.WithCancel(context.Background())
 	return &admitter{
+		runs:           runs,
+		cutOffRuns:     cutOffRuns,
 		clock:          c,
 		incarnation:    incarnation,
 		upstreams:      upstreams,
--- a/internal/node/admitter_run.go
+++ b/internal/node/admitter_run.go
@@ -161,6 +161,8 @@
 	if timer := a.watchOverdue(head, sink); timer != nil {
 		defer timer.Stop()
 	}
+	ctx, release := a.untilCutOff(ctx)
+	defer release()
 	result := a.upstreams.Run(ctx, address, head, body, a.track(head, sink))
 	return a.finish(address, head, result, nil, decision)
 }
@@ -180,12 +182,24 @@
 	return time.AfterFunc(limit, func() { peer.ReportOverdue(sink) })
 }
 
+// untilCutOff returns a context that also ends when this node cuts off its runs.
+func (a *admitter) untilCutOff(ctx context.Context) (limited context.Context, release func()) {
+	limited, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(a.runs, cancel)
+	return limited, func() {
+		stop()
+		cancel()
+	}
+}
+
 // runNonIdempotent runs an admitted non-idempotent attempt. The attempt continues when the connection to the accepting node
 // is lost. Its response is retained so that the accepting node can fetch it over another connection.
 func (a *admitter) runNonIdempotent(ctx context.Context, address string, head *peerv1.ForwardHead, body []byte, sink peer.Sink, decision trialDecision) *peerv1.AnswerTrailer {
 	deadline, _ := ctx.Deadline()
 	uncanceled, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
+	uncanceled, release := a.untilCutOff(uncanceled)
+	defer release()
 	retaining := &retainingSink{next: sink, limit: maxRetainedAnswerBytes}
 	result := a.upstreams.Run(uncanceled, address, head, body, a.track(head, retaining))
 	return a.finish(address, head, result, retaining.answer(), decision)
@@ -226,12 +240,21 @@
 	}
 	a.end(head, admission.Result{Outcome: outcomeOf(result.Outcome), Failed: a.countsAsFailure(o), Answer: answer})
 	a.onAttemptEnd(o)
-	trailer := a.trailer(head, errorOf(result))
+	trailer := a.trailer(head, a.outcomeOfRun(result))
 	trailer.TotalBytes = result.Bytes
 	trailer.LossSerial = lossSerial
 	return trailer
 }
 
+// outcomeOfRun returns the outcome of a run, nil for a complete response. A run that this node has cut off may be retried
+// elsewhere, unlike one that its accepting node has cancelled.
+func (a *admitter) outcomeOfRun(result upstream.Result) *verdict.Error {
+	if result.Outcome == upstream.Cancelled && a.runs.Err() != nil {
+		return verdict.Uncertain(verdict.NodeLost, errShutdownCutoff)
+	}
+	return errorOf(result)
+}
+
 // recordCrash records the end of an attempt with the quarantine. It returns the serial of the loss if the upstream crashed, 0
 // otherwise. An upstream that has said that it leaves exits as planned.
 func (a *admitter) recordCrash(address string, head *peerv1.ForwardHead, result upstream.Result) uint64 {
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -24,6 +24,10 @@
 // finalDeadlineShare is the share of the grace period up to which an open request may go on if its own deadline comes before.
 const finalDeadlineShare = 0.95
 
+// endRunsShare is the share of the grace period after which the runs that are still in progress are cut off, so that their
+// accepting nodes get the outcome before the connections end.
+const endRunsShare = 0.96
+
 // exitShare is the share of the grace period after which the process exits in any case, so that it is not killed.
 const exitShare = 0.97
 
@@ -45,7 +49,10 @@
 	n.acceptor.cutoff.announce(started.Add(cutoff), started.Add(time.Duration(finalDeadlineShare*float64(grace))))
 	n.admitter.admitUntil(n.clock.now() + cutoff)
 	n.acceptor.noticeStop(ctx)
-	n.admitter.cutOffRunsAt(n.clock.now() + time.Duration(exitShare*float64(grace)))
+	untilRunsEnd := time.Duration(endRunsShare * float64(grace))
+	n.admitter.cutOffRunsAt(n.clock.now() + untilRunsEnd)
+	endRunsTimer := time.AfterFunc(untilRunsEnd, n.admitter.cutOffRuns)
+	defer endRunsTimer.Stop()
 	// Callers' connections close after their next response, so that a request already sent is still served.
 	s.callers.SetKeepAlivesEnabled(false)
 	n.acceptor.lameDuck.Store(true)
@@ -65,6 +72,8 @@
 	for _, server := range s.auxiliary {
 		_ = server.Close()
 	}
+	// Run waits for the calls of other nodes, which wait for their runs.
+	n.admitter.cutOffRuns()
 	n.log.Emit(events.NodeStopped, events.NodeField(n.self.ID), events.DurationField(time.Since(started)))
 }
 
