Refuse a request that usually outlasts the stopping node before it runs

Callers that sent a request late in the lame duck got 504 at the cutoff, although the node knew from the start that a usual run would not end before: they could not tell whether it had run. Change: a stopping node answers a request with 503, not run, if the usual duration of its route exceeds the time that the node has left. Requests that fit are accepted as before: their callers may have nobody else for two seconds.

--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -127,7 +127,7 @@
 		return nil, err
 	}
 	rq, err := a.readRequest(w, r, match, a.seed^a.serial.Add(1))
-	if err == nil && a.stopping.Load() {
+	if err == nil && (a.stopping.Load() || a.outlastsShutdown(rq)) {
 		return nil, verdict.Refused(verdict.NodeStopping, nil)
 	}
 	return rq, err
--- a/internal/node/stop_notice.go
+++ b/internal/node/stop_notice.go
@@ -24,6 +24,13 @@
 	return max(left-answerTransferTime, minAnswerWithin)
 }
 
+// outlastsShutdown reports whether this node stops before the request would usually end. Its caller can still be told that it has
+// not run.
+func (a *acceptor) outlastsShutdown(rq *request) bool {
+	within := a.answerWithin(rq.deadline)
+	return within > 0 && a.attemptDurations.of(rq.head.Route) > within
+}
+
 // noticeStop tells all nodes at which attempts of this node are in progress that this node stops. Attempts that start later
 // carry the time that is left.
 func (a *acceptor) noticeStop(ctx context.Context) {
