Do not take a part of an answer for a whole one when the upload is reset

Callers saw a 200 with a part of its body as a complete answer: an upstream answers a long upload at once with a head that has no length, sends a part of the body and resets the connection while the upload is still being written.

Cause: the kernel reports a reset once, to the call that comes first. Where that is the write of the upload, the read sees a plain end of the stream, which is the end of a body that has no length. The end of a stream was believed without a look at the writes.

Ruled out: a part that only looks complete because the upstream ends in order (the stand-in resets with SO_LINGER 0, and reads see ECONNRESET in the other tries); the reader of http.Transport (conn.Read itself returned io.EOF).

The connection now keeps the first error of its writes, and a read that sees the end of the stream returns it. A read may see the end before the write that took the error has returned, so it waits for the write that runs at that time, but for no later one. The wait ends with the connection, which http.Transport closes when the context of the request ends.

Open: an upstream that ends its stream in order and reads no more, while a write waits for it, now times out at the deadline of the request; it was taken as complete. An orderly end in the middle of a body without a length still cannot be told from its end.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+
+	"github.com/pkg/errors"
 )
 
 // conn is a connection to an upstream. http.Transport puts the connection of a response without a body back into its pool
@@ -20,6 +23,7 @@
 	// reads counts the reads that returned bytes. readsBeforeRequest is its value when the request was written, or notSent.
 	reads              atomic.Int64
 	readsBeforeRequest atomic.Int64
+	writes             writeState
 }
 
 // notSent is the value of conn.readsBeforeRequest while no byte of the request was written.
@@ -36,19 +40,35 @@
 	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. The kernel reports a reset once, to the call that comes first. If that is a write, a read sees
+// the end of the stream, which would be the end of a body without a length. Read returns the error of the write instead.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.reads.Add(1)
 	}
+	if errors.Is(err, io.EOF) {
+		err = c.endOfStream()
+	}
 	return n, err
 }
 
+// endOfStream returns the error of the writes, or io.EOF if there is none. A write that still runs may have taken the error.
+// It returns when the connection is closed, which http.Transport does when the context of the request ends.
+func (c *conn) endOfStream() error {
+	if err := c.writes.wait(); err != nil {
+		return errors.Wrap(err, "upstream: the connection failed while the request was written")
+	}
+	return io.EOF
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	c.readsBeforeRequest.CompareAndSwap(notSent, c.reads.Load())
-	return c.Conn.Write(p)
+	c.writes.begin()
+	n, err := c.Conn.Write(p)
+	c.writes.end(err)
+	return n, err
 }
 
 // receivedSinceRequest reports whether bytes were received after the request was sent.
