Believe nothing in the head of an answer that is no proper one

Callers got answers with the status 600 or 999, answers whose length was ignored because of a blank ("Content-Length : 2", "Content Length: 2"), and raw chunks as a body ("Transfer-Encoding : chunked", or chunks in HTTP/1.0). Answers with both a length and chunks, with one length twice, or with fields such as "A B: c" were passed on. A head of any of these kinds with the field that declares "not run" was believed, also with status 000, 099, +20 or -00: the request was refused as not run, and a non-idempotent request could then be run a second time.

Cause: the reader of http.Transport accepts these heads and removes what shows the fault: the length beside chunks, the second length, the blank before a status, the heads of informational responses. Status and fields were taken from what is left. The declaration "not run" was looked at first.

Ruled out: control bytes and bytes above ASCII in names, signs and blanks that change the length of the status, two different lengths, lists of lengths, empty, negative and odd lengths, and unknown transfer encodings are errors of http.Transport, and count as lost.

The connection now checks the heads of an answer, informational ones included, in the bytes that it reads: status line, names of fields (a token of RFC 9110), and the fields that say where the body ends (RFC 9112, section 6). The client looks at the result before anything else of the head. A head with a fault is incomplete: may-have-run, a failure of its target, nothing goes to the caller, no Retry-After and no echo is taken from it, and its connection is closed. A declaration "not run" in a broken head is not believed: the head may belong to another answer, and a request that counts as not run by mistake may run twice, while the other mistake costs one request.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -83,6 +83,12 @@
 	}
 	defer res.Body.Close()
 	result := Result{Status: res.StatusCode, FirstByte: time.Since(started), Reused: state.reused, Received: true}
+	if err := state.headFault(); err != nil && !state.premature.Load() {
+		// Nothing in the head is believed, not even that the request did not run.
+		result.Outcome, result.Err = Incomplete, err
+		state.discard()
+		return result
+	}
 	result.RetryAfter = ParseRetryAfter(res.Header.Get("Retry-After"), time.Now())
 	c.recordEcho(address, res)
 	if state.premature.Load() || c.mayBelongToOtherRequest(req, res, state.reused) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -24,6 +24,7 @@
 	reads              atomic.Int64
 	readsBeforeRequest atomic.Int64
 	writes             writeState
+	head               headCheck
 }
 
 // notSent is the value of conn.readsBeforeRequest while no byte of the request was written.
@@ -46,6 +47,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.reads.Add(1)
+		c.head.read(p[:n])
 	}
 	if errors.Is(err, io.EOF) {
 		err = c.endOfStream()
--- a/internal/upstream/conn_state.go
+++ b/internal/upstream/conn_state.go
@@ -30,6 +30,7 @@
 	c := info.Conn.(*conn)
 	c.exchange.Lock()
 	c.readsBeforeRequest.Store(notSent)
+	c.head.reset()
 	s.locked = true
 	s.conn.Store(c)
 	s.premature.Store(false)
@@ -53,6 +54,9 @@
 	}
 }
 
+// headFault returns an error if the head of the response is no proper one.
+func (s *connState) headFault() error { return s.conn.Load().head.fault() }
+
 // discard closes the connection, so that it carries no further request. It must be called before release.
 func (s *connState) discard() {
 	c := s.conn.Load()
