Believe a declaration or an ID in an answer only if no other line contradicts it

An answer with the field that declares "not run" twice, first with 1 and then with 0 or nothing, counted as a refusal: callers were told that the request did not run. An answer with two different request IDs belonged to the request if the first one was its own.

Cause: the first of several values was taken.

--- a/internal/upstream/broken_head_test.go
+++ b/internal/upstream/broken_head_test.go
@@ -156,3 +156,35 @@
 		return err == nil
 	})
 }
+
+// Guards against believing a refusal of which another line of the head says the opposite.
+func TestContradictedRefusalIsNoRefusal(t *testing.T) {
+	for _, fields := range []string{"Not-Run: 1\r\nNot-Run: 0\r\n", "Not-Run: 0\r\nNot-Run: 1\r\n", "Not-Run: 1\r\nnot-run:\r\n", "Not-Run: 1, 0\r\n"} {
+		address, _ := rawServer(t, func(_ int32, c net.Conn) bool {
+			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\n%sContent-Length: 0\r\n\r\n", fields)
+			return false
+		})
+		client := NewClient(1<<20, untilClose())
+		if r := run(t, client, address, false); r.Outcome == Shed {
+			t.Errorf("%q: outcome %s", fields, r.Outcome)
+		}
+		client.Close()
+	}
+}
+
+// Guards against taking an answer for that of the request because the first of several IDs in its head is that of the request.
+func TestAnswerWithTwoIDsBelongsToNoRequest(t *testing.T) {
+	for _, ids := range []string{"Request-Id: mine\r\nRequest-Id: other\r\n", "Request-Id: other\r\nRequest-Id: mine\r\n", "Request-Id: mine\r\nrequest-id:\r\n"} {
+		for _, answer := range []string{"200 OK\r\n", "503 Busy\r\nNot-Run: 1\r\n"} {
+			address, _ := rawServer(t, func(_ int32, c net.Conn) bool {
+				fmt.Fprintf(c, "HTTP/1.1 %s%sContent-Length: 0\r\n\r\n", answer, ids)
+				return false
+			})
+			client := NewClient(1<<20, echoDialect())
+			if r := runWithID(t, client, address, "mine"); r.Outcome != Lost {
+				t.Errorf("%q: outcome %s, want %s", ids, r.Outcome, Lost)
+			}
+			client.Close()
+		}
+	}
+}
