Do not take an answer with a broken trailer for a complete one

A chunked answer followed by a trailer such as "A B: c", "Content-Length : 2" or "Transfer-Encoding: chunked" was complete for its caller, and its connection carried further requests. Such lines show that the end of the body is not where it seems to be, or that the bytes belong to something else.

Cause: the reader of http.Transport accepts blanks in the names of trailers, and fields that say where a body ends, which trailers must not have (RFC 9110, section 6.5.1). Nobody looked at them, as trailers are not forwarded. Control bytes, empty names and lines without a colon were errors before.

The client now checks the trailers at the end of the body. With a fault, the answer is incomplete: may-have-run, a failure of the target, and the caller's response ends as broken off, as that of a cut body does. http.Transport offers the connection to the next request before the client sees the end of the body, so the connection stays locked until then; a request that got it meanwhile is sent on another one. A field that declares "not run" in a trailer is not believed, before and after.

Before, TestBrokenTrailerEndsNoAnswer failed in 16 of 26 cases, each with

outcome answered: <nil>, received true, reused false; want incomplete

and in the 8 idempotent ones also with "the connection of the broken trailer was used again". All pass now, five runs of five.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -121,8 +121,11 @@
 		result.Err = errors.Errorf("upstream: status %d without the declaration that the request did not run", res.StatusCode)
 		return result
 	}
-	state.release()
-	c.copyResponse(ctx, res, sink, progressTimer, &result)
+	if res.Body == http.NoBody {
+		// http.Transport may have given the connection to the next request already.
+		state.release()
+	}
+	c.copyResponse(ctx, state, res, sink, progressTimer, &result)
 	return result
 }
 
@@ -236,7 +239,7 @@
 }
 
 // copyResponse copies the response to the sink and sets the outcome.
-func (c *Client) copyResponse(ctx context.Context, res *http.Response, sink peer.Sink, progressTimer *watchdog.Timer, result *Result) {
+func (c *Client) copyResponse(ctx context.Context, state *connState, res *http.Response, sink peer.Sink, progressTimer *watchdog.Timer, result *Result) {
 	if !c.dialect.CloseDelimitedBodies && !hasKnownEnd(res) {
 		result.Outcome = Incomplete
 		result.Err = errors.New("upstream: the answer has neither a length nor chunks, so its end cannot be told")
@@ -256,6 +259,9 @@
 		progressTimer.Start()
 		n, err := res.Body.Read(buf)
 		progressTimer.Stop()
+		if errors.Is(err, io.EOF) {
+			err = state.endBody(res.Trailer)
+		}
 		if n > 0 {
 			result.Bytes += int64(n)
 			if err := sink.Body(buf[:n]); err != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -17,7 +17,7 @@
 type conn struct {
 	net.Conn
 	// exchange is locked from the time at which a request obtains the connection until the client has examined the head of
-	// its response. discarded is read and written with the lock held.
+	// its response, and the trailers if it has a body. discarded is read and written with the lock held.
 	exchange  sync.Mutex
 	discarded bool
 	// reads counts the reads that returned bytes. readsBeforeRequest is its value when the request was written, or notSent.
--- a/internal/upstream/conn_state.go
+++ b/internal/upstream/conn_state.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"io"
+	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 )
@@ -57,6 +59,17 @@
 // headFault returns an error if the head of the response is no proper one.
 func (s *connState) headFault() error { return s.conn.Load().head.fault() }
 
+// endBody checks the trailers behind a complete body and lets the next request use the connection. It returns io.EOF, or the
+// fault of the trailers, which closes the connection.
+func (s *connState) endBody(trailers http.Header) error {
+	if err := checkTrailers(trailers); err != nil {
+		s.discard()
+		return err
+	}
+	s.release()
+	return io.EOF
+}
+
 // discard closes the connection, so that it carries no further request. It must be called before release.
 func (s *connState) discard() {
 	c := s.conn.Load()
--- /dev/null
+++ b/internal/upstream/trailer_check.go
@@ -0,0 +1,24 @@
+package upstream
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// checkTrailers returns an error if a trailer has a name that is no token, or says where the body ends.
+func checkTrailers(trailers http.Header) error {
+	for name, values := range trailers {
+		if len(values) == 0 {
+			// It was announced but not sent.
+			continue
+		}
+		if !isToken(name) {
+			return errors.Errorf("upstream: %q is no name of a trailer", name)
+		}
+		if new(framing).add([]byte(name), nil) {
+			return errors.Errorf("upstream: the trailer %s says where the body ends", name)
+		}
+	}
+	return nil
+}
