Print no part of a cut answer in sardinereachctl

Callers saw: where the connection to the node ended within an answer that had no length, sardinereachctl printed the rows that had arrived, or nothing, and exited with 0. An apply would have reported no changes as done.

The change: the client takes only answers that show their end (framing.RequireEnd). Nodes answer with a length or in chunks.

--- a/cmd/sardinereachctl/client.go
+++ b/cmd/sardinereachctl/client.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/api/operatorv1"
+	"github.com/sardinereach/sardinereach/internal/framing"
 )
 
 const (
@@ -36,7 +37,7 @@
 		base = "http://" + base
 	}
 	transport := &http.Transport{Proxy: nil, DisableKeepAlives: true}
-	httpClient := &http.Client{Transport: transport, Timeout: call.timeout + 2*answerGrace}
+	httpClient := &http.Client{Transport: framing.RequireEnd(transport), Timeout: call.timeout + 2*answerGrace}
 	return operatorv1.NewOperatorClient(httpClient, base,
 		connect.WithInterceptors(withToken(token)),
 		connect.WithReadMaxBytes(maxAnswerBytes),
