Believe no answer of the store whose head is no HTTP

Callers saw: an answer with a field name such as "A B", "Content-Length " or "Content Length" counted like any other. A read with it was a value, an empty list or "key not found", a renewal a success, a swap done, a conflict or refused ("certainly not executed"). A write answered with status 000, 600 or 999 failed with an error that is neither "not executed" nor "outcome unknown".

The cause: net/http takes such names and any status of three digits. "Content-Length : 2" is not the field Content-Length for it: the length is ignored, and the body runs to the end of the connection. A head that is broken in one place proves nothing in another.

--- a/internal/store/dial.go
+++ b/internal/store/dial.go
@@ -34,7 +34,7 @@
 		observe = func(string) {}
 	}
 	transport := newTransport()
-	return &client{rpc: newRPC(address, framing.RequireEnd(transport)), observe: observe, transport: transport}
+	return &client{rpc: newRPC(address, framing.RequireEnd(framing.RequireHead(transport))), observe: observe, transport: transport}
 }
 
 func newRPC(address string, transport http.RoundTripper) storev1.StoreClient {
