Take a redirect of the store as its answer instead of following it

With 307 and 308 the connect client sent the write a second time.

The cause: the http.Client follows redirects by default. Found while the statuses without a promise were tried.

The change: the redirect is the answer: a read is unavailable, the outcome of a write unknown.

--- a/internal/store/dial.go
+++ b/internal/store/dial.go
@@ -38,7 +38,10 @@
 }
 
 func newRPC(address string, transport http.RoundTripper) storev1.StoreClient {
-	httpClient := &http.Client{Transport: collectLarge{newAnswerLimiter(transport, maxAnswerBytes)}}
+	httpClient := &http.Client{
+		Transport:     collectLarge{newAnswerLimiter(transport, maxAnswerBytes)},
+		CheckRedirect: framing.KeepRedirects,
+	}
 	return storev1.NewStoreClient(httpClient, "http://"+address, connect.WithReadMaxBytes(maxAnswerBytes))
 }
 
