Refuse a POST of HTTP/1.0 without a length instead of running it without its body

Callers saw: a POST, PUT or PATCH of HTTP/1.0 whose body ended with the connection, or was sent in chunks, ran with an empty body and was answered with the upstream's 200.

The cause: net/http reads such a request as one without a body, and drops Transfer-Encoding from requests of HTTP/1.0 before the handler sees it. HTTP/1.0 demands a length on requests with a body (RFC 1945, 8.3), and RFC 9112 calls a Transfer-Encoding in them faulty framing (6.1).

The test failed before for these two of 24 cases, each with the connection left open, closed and reset:

no_length,_HTTP/1.0,open: status 200, run with [""]; want no run no_length,_HTTP/1.0,reset: status 0, run with [""]; want no run chunks,_HTTP/1.0,open: status 200, run with [""]; want no run chunks,_HTTP/1.0,reset: status 0, run with [""]; want no run

The others passed before: cut bodies and chunks, odd trailers and chunk sizes, conflicting and signed lengths, blanks in and behind field names, other encodings. No case took a request out of the body of another.

The change: the request is refused with 400, body_incomplete, not run. One with "Content-Length: 0", and GET, HEAD, OPTIONS and DELETE without a length, run as before (TestWholeRequestsAreRun). Open: HTTP/1.0 with both a length and chunks runs with that many raw bytes, because net/http hides the second field.

--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -14,6 +14,7 @@
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/framing"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/routing"
 	"github.com/sardinereach/sardinereach/internal/upstream"
@@ -149,8 +150,14 @@
 	return min(timeout, time.Duration(ms)*time.Millisecond), nil
 }
 
+// errNoLength means that the end of a request's body is not known.
+var errNoLength = errors.New("node: a request of HTTP/1.0 has no length")
+
 // readBody reads the complete body. A caller that has not sent it by the deadline loses its connection.
 func readBody(w http.ResponseWriter, r *http.Request, maxBody int64, deadline time.Time) ([]byte, *verdict.Error) {
+	if framing.LacksLength(r) {
+		return nil, verdict.Refused(verdict.BodyIncomplete, errNoLength)
+	}
 	if r.ContentLength > maxBody {
 		return nil, verdict.Refused(verdict.BodyTooLarge, nil)
 	}
