Take a redirect as the answer in sardinereachctl, too

Callers saw: sardinereachctl followed a redirect, printed what its destination answered and exited with 0; with 307 and 308 it sent the statement or the declarations there.

The cause: as for the clients of stores, the http.Client follows redirects by default.

The test failed before for each of 301, 302, 303, 307 and 308:

307 X: exit code 0, want 5; printed "done\n", ""

The change: framing.KeepRedirects, as for the stores. A node sends no redirect; the exit code is 5, unreachable.

--- a/cmd/sardinereachctl/client.go
+++ b/cmd/sardinereachctl/client.go
@@ -37,7 +37,11 @@
 		base = "http://" + base
 	}
 	transport := &http.Transport{Proxy: nil, DisableKeepAlives: true}
-	httpClient := &http.Client{Transport: framing.RequireEnd(framing.RequireHead(transport)), Timeout: call.timeout + 2*answerGrace}
+	httpClient := &http.Client{
+		Transport:     framing.RequireEnd(framing.RequireHead(transport)),
+		CheckRedirect: framing.KeepRedirects,
+		Timeout:       call.timeout + 2*answerGrace,
+	}
 	return operatorv1.NewOperatorClient(httpClient, base,
 		connect.WithInterceptors(withToken(token)),
 		connect.WithReadMaxBytes(maxAnswerBytes),
