--- /dev/null
+++ b/internal/framing/doc.go
@@ -0,0 +1,3 @@
+// Package framing checks that messages of HTTP/1 are delimited as RFC 9112 demands before they are believed. net/http is more
+// tolerant.
+package framing
--- a/internal/store/dial.go
+++ b/internal/store/dial.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/sardinereach/sardinereach/api/storev1"
+	"github.com/sardinereach/sardinereach/internal/framing"
 )
 
 const (
@@ -33,11 +34,14 @@
 		observe = func(string) {}
 	}
 	transport := newTransport()
-	return &client{rpc: newRPC(address, transport), observe: observe, transport: transport}
+	return &client{rpc: newRPC(address, framing.RequireEnd(framing.RequireHead(transport))), observe: observe, transport: transport}
 }
 
 func newRPC(address string, transport http.RoundTripper) storev1.StoreClient {
-	httpClient := &http.Client{Transport: collectLarge{newAnswerLimiter(transport, maxAnswerBytes)}}
+	httpClient := &http.Client{
+		Transport:     collectLarge{newAnswerLimiter(transport, maxAnswerBytes)},
+		CheckRedirect: framing.KeepRedirects,
+	}
 	return storev1.NewStoreClient(httpClient, "http://"+address, connect.WithReadMaxBytes(maxAnswerBytes))
 }
 
