Stop without becoming ready when SIGTERM comes first

What callers saw: a node that gets SIGTERM before it has a configuration reads it during the lame duck, logs SR0102 and begins to accept requests that it may have to cut, although callers could only have learnt of it by its refusals.

Cause: the view publisher sets ready as soon as the distributor is, also in a shutdown.

Evidence: TestNodeStoppedBeforeItIsReadyAcceptsNoRequests failed:

stopping_node_not_ready_test.go:28: request to a node that stops before it is ready: {status:404 ... not-run: no_route}, want 503 stopping_node_not_ready_test.go:34: the stopping node has become ready 22:48:10.829 SR0103 node_stopping node="n1" count="0" 22:48:11.421 SR0102 node_ready node="n1" revision="1"

Now readiness is taken over, and logged, only while the node is not stopping. A node that was ready stays so in its lame duck.

--- a/internal/node/event_log.go
+++ b/internal/node/event_log.go
@@ -73,7 +73,7 @@
 		n.log.Emit(events.ConfirmationReceived, events.RevisionField(e.Revision), events.DurationField(e.Age))
 	case distribution.BecameReady:
 		n.views.invalidate()
-		n.log.Emit(events.NodeReady, events.NodeField(n.self.ID), events.RevisionField(e.Revision), events.DurationField(n.clock.now()))
+		n.logReady(e)
 	case distribution.EraReceived:
 		n.log.Emit(events.StoreEraReceived, events.EraField(store.Era(e.Revision)), events.RevisionField(store.WithinEra(e.Revision)))
 	case distribution.MemberRecordLost:
@@ -82,3 +82,11 @@
 		n.log.Emit(events.ConfigStale, events.RevisionField(e.Revision))
 	}
 }
+
+// logReady logs that the node accepts callers. A node that is already stopping does not begin to.
+func (n *Node) logReady(e distribution.Event) {
+	if n.acceptor.lameDuck.Load() {
+		return
+	}
+	n.log.Emit(events.NodeReady, events.NodeField(n.self.ID), events.RevisionField(e.Revision), events.DurationField(n.clock.now()))
+}
--- a/internal/node/view_publisher.go
+++ b/internal/node/view_publisher.go
@@ -73,7 +73,7 @@
 		p.memberLogger.logChanges(n.clock.now(), snapshot.Members)
 		n.acceptor.budgets.setNodes(snapshot.Members.Live(), n.clock.now())
 	}
-	if ready {
+	if ready && !n.acceptor.lameDuck.Load() {
 		n.ready.Store(true)
 	}
 	p.buildCount++
