Stop gracefully on a SIGTERM that comes right after the start

What callers saw: a daemon that gets SIGTERM as soon as it takes connections ends at once, without a shutdown and without a log line, and its connections are reset.

Cause: the signal was registered in a goroutine that runs only when the main one first blocks, after the listeners are open.

Now the signals are registered before the node is created, so that the shutdown begins as soon as the node runs.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 // of NotifyReload.
 func Run(config string, s *settings.Settings, reloads <-chan os.Signal, prepare func(*settings.Settings)) error {
 	debug.SetGCPercent(gcPercent)
+	stops := notifyStop()
 	log := events.New(events.Klog{}, time.Now)
 	m := metrics.New()
 	if err := metrics.Publish("sardinereach", m); err != nil {
@@ -38,7 +39,7 @@
 	if prepare != nil {
 		prepare(s)
 	}
-	go shutDownOnSignal(n, s.Node.ID, log)
+	go shutDownOnSignal(n, s.Node.ID, stops, log)
 	go checkSettingsOnSignal(config, s, reloads, log)
 	return n.Run()
 }
@@ -46,11 +47,17 @@
 // stopSignalBuffer is the number of signals to stop that can arrive before the first one is logged.
 const stopSignalBuffer = 4
 
-// shutDownOnSignal starts the graceful shutdown on the first SIGTERM or SIGINT. Later signals are only logged: the process
-// is killed one grace period after the first.
-func shutDownOnSignal(n *node.Node, id model.NodeID, log *events.Log) {
+// notifyStop returns a channel that receives SIGTERM and SIGINT from now on. It is called before the node takes connections: until
+// then the signals end the process.
+func notifyStop() <-chan os.Signal {
 	signals := make(chan os.Signal, stopSignalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	return signals
+}
+
+// shutDownOnSignal starts the graceful shutdown on the first SIGTERM or SIGINT. Later signals are only logged: the process
+// is killed one grace period after the first.
+func shutDownOnSignal(n *node.Node, id model.NodeID, signals <-chan os.Signal, log *events.Log) {
 	first := time.Time{}
 	for count := 1; ; count++ {
 		received := <-signals
