Do not refuse requests of stopping nodes for a run time that is only assumed

Cause: without runs of the route, the expected run time is a share of its latency objective, 6 s for an objective of 20 s, so that the hedge was refused. After a restart of its node no target has runs to judge by. Change: only a measured run time speaks against a run. TestRouteWithoutRunsIsNotRefusedToAStoppingNode failed before.

--- a/internal/admission/acceptor_stop_test.go
+++ b/internal/admission/acceptor_stop_test.go
@@ -57,6 +57,16 @@
 	return d.Err.Reason
 }
 
+// Guards against refusing a request of a stopping node for a run time that is only assumed from the objective of its route.
+func TestRouteWithoutRunsIsNotRefusedToAStoppingNode(t *testing.T) {
+	p, now := newReadyPoint(t, DefaultLimits(), 1)
+	r := testRequest(now, 1, 10*time.Second)
+	r.Objective, r.AnswerBy = time.Minute, now+time.Second
+	if d := p.Admit(now, r); d.Kind != Admitted {
+		t.Errorf("decision %+v, want admitted", d)
+	}
+}
+
 // Guards against a queue that gives a slot to a request whose accepting node stops before the run ends.
 func TestQueueRefusesRequestOfStoppingNodeWhenItsRunNoLongerFits(t *testing.T) {
 	p, now, serial := newUsedPoint(t)
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -78,11 +78,15 @@
 	return expected == 0 || p.now+runAllowance(expected, r, shutdownRunFactor) > p.shutdownDeadline
 }
 
-// latestStart returns the time until which a run may start so that it probably ends before the accepting node stops.
+// latestStart returns the time until which a run may start so that it probably ends before the accepting node stops. Without
+// runs of the route to judge by, it may start at any time: only a caller's objective would speak against it.
 func (p *Point) latestStart(t *target, r *Request) time.Duration {
 	if r.AnswerBy == 0 {
 		return r.Deadline
 	}
+	if t.runTimes.baseline(r.Route) == 0 {
+		return r.end()
+	}
 	return r.end() - runAllowance(p.expectedRun(t, r), r, acceptorRunFactor)
 }
 
