--- a/internal/framing/require_head.go
+++ b/internal/framing/require_head.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -23,29 +22,9 @@
 		return errors.Errorf("framing: status %03d is not valid", response.StatusCode)
 	}
 	for name := range response.Header {
-		if !isToken(name) {
+		if !IsToken(name) {
 			return errors.Errorf("framing: field name %q is not valid", name)
 		}
 	}
 	return nil
 }
-
-// tokenSymbols are the characters of a token beside letters and digits.
-const tokenSymbols = "!#$%&'*+-.^_`|~"
-
-func isToken(name string) bool {
-	for i := range len(name) {
-		if !isTokenByte(name[i]) {
-			return false
-		}
-	}
-	return name != ""
-}
-
-func isTokenByte(c byte) bool {
-	switch {
-	case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9':
-		return true
-	}
-	return strings.IndexByte(tokenSymbols, c) >= 0
-}
--- a/internal/upstream/token.go
+++ b/internal/framing/token.go
@@ -1,4 +1,4 @@
-package upstream
+package framing
 
 // tokenSymbols are the characters of a token beside letters and digits (RFC 9110, section 5.6.2).
 const tokenSymbols = "!#$%&'*+-.^_`|~"
@@ -13,8 +13,8 @@
 	return allowed
 }
 
-// isToken reports whether the text is a token, which the name of a field has to be.
-func isToken[T string | []byte](text T) bool {
+// IsToken reports whether the text is a token, which the name of a field has to be.
+func IsToken[T string | []byte](text T) bool {
 	for i := range len(text) {
 		if !tokenBytes[text[i]] {
 			return false
--- a/internal/upstream/framing.go
+++ b/internal/upstream/framing_fields.go
@@ -13,9 +13,9 @@
 	zeroLength       = []byte("0")
 )
 
-// framing holds the fields of a head that say where its body ends, as the upstream wrote them. http.Transport removes some of
+// framingFields holds the fields of a head that say where its body ends, as the upstream wrote them. http.Transport removes some of
 // them.
-type framing struct {
+type framingFields struct {
 	lengths int
 	// nonzero means that the last length is not 0.
 	nonzero   bool
@@ -23,7 +23,7 @@
 }
 
 // add records a field if it says where the body ends, and reports whether it does.
-func (f *framing) add(name, value []byte) bool {
+func (f *framingFields) add(name, value []byte) bool {
 	switch {
 	case bytes.EqualFold(name, contentLength):
 		f.lengths++
@@ -38,7 +38,7 @@
 
 // check returns an error if the fields contradict each other, or the status and the version of the head (RFC 9112, section 6).
 // http.Transport checks their values.
-func (f *framing) check(status int, http10 bool) error {
+func (f *framingFields) check(status int, http10 bool) error {
 	bodiless := status < http.StatusOK || status == http.StatusNoContent
 	switch {
 	case f.lengths > 1:
--- a/internal/upstream/head_check.go
+++ b/internal/upstream/head_check.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/framing"
 )
 
 const (
@@ -28,7 +30,7 @@
 	http10 bool
 	// status is that of the head that is being read, 0 before its status line.
 	status  int
-	framing framing
+	framing framingFields
 	// framed means that the last field says where the body ends.
 	framed bool
 	// ended means that the final head has been read, or that a fault was found.
@@ -126,7 +128,7 @@
 		return nil
 	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
-	if !isToken(name) {
+	if !framing.IsToken(name) {
 		return errors.Errorf("upstream: %q is no name of a field", name)
 	}
 	h.framed = h.framing.add(name, value)
@@ -144,5 +146,5 @@
 }
 
 func (h *headCheck) startHead() {
-	h.status, h.http10, h.framing, h.framed = 0, false, framing{}, false
+	h.status, h.http10, h.framing, h.framed = 0, false, framingFields{}, false
 }
--- a/internal/upstream/proper_head_test.go
+++ b/internal/upstream/proper_head_test.go
@@ -21,6 +21,9 @@
 
 var longValue = strings.Repeat("x", 4*headLineBytes)
 
+// tokenSymbols are the characters of a token beside letters and digits (RFC 9110, section 5.6.2).
+const tokenSymbols = "!#$%&'*+-.^_`|~"
+
 var properHeads = map[string]properHead{
 	"no reason":                      {"HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok", http.MethodGet, 200, "ok"},
 	"empty reason":                   {"HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok", http.MethodGet, 200, "ok"},
--- a/internal/upstream/trailer_check.go
+++ b/internal/upstream/trailer_check.go
@@ -4,6 +4,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/framing"
 )
 
 // checkTrailers returns an error if a trailer has a name that is no token, or says where the body ends.
@@ -13,10 +15,10 @@
 			// It was announced but not sent.
 			continue
 		}
-		if !isToken(name) {
+		if !framing.IsToken(name) {
 			return errors.Errorf("upstream: %q is no name of a trailer", name)
 		}
-		if new(framing).add([]byte(name), nil) {
+		if new(framingFields).add([]byte(name), nil) {
 			return errors.Errorf("upstream: the trailer %s says where the body ends", name)
 		}
 	}
