--- a/cmd/sardinereachctl/cut_answer_test.go
+++ b/cmd/sardinereachctl/cut_answer_test.go
@@ -1,43 +1,16 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinereach/sardinereach/api/operatorv1"
+	"github.com/sardinereach/sardinereach/internal/endlesstest"
 )
 
-// answerOnce answers one call with the bytes and ends the connection.
-func answerOnce(t *testing.T, answer string) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		request, err := http.ReadRequest(bufio.NewReader(c))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		_, _ = io.WriteString(c, answer)
-	}()
-	return listener.Addr().String()
-}
-
 // Guards against a part of an answer that is printed as a complete one with the exit code of a success.
 func TestCutAnswerIsNoSuccess(t *testing.T) {
 	whole := &operatorv1.ExecuteResponse{
@@ -58,7 +31,7 @@
 		"blank after length": head + fmt.Sprintf("Content-Length : %d\r\n\r\n", proto.Size(whole)) + string(data),
 	} {
 		var out, failure bytes.Buffer
-		code := run([]string{"exec", "show services", "-server", answerOnce(t, answer)}, stdio{out: &out, err: &failure})
+		code := run([]string{"exec", "show services", "-server", endlesstest.Answer(t, answer)}, stdio{out: &out, err: &failure})
 		if code != exitUnreachable || out.Len() != 0 {
 			t.Errorf("%s: exit code %d, want %d; printed %q, %q", name, code, exitUnreachable, out.String(), failure.String())
 		}
--- a/cmd/sardinereachctl/redirect_test.go
+++ b/cmd/sardinereachctl/redirect_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinereach/sardinereach/api/operatorv1"
+	"github.com/sardinereach/sardinereach/internal/endlesstest"
 )
 
 // Guards against the answer of another address, or a change that is sent to it, in place of the node given by -server.
@@ -23,7 +24,7 @@
 	}))
 	defer other.Close()
 	for _, status := range []string{"301 X", "302 X", "303 X", "307 X", "308 X"} {
-		server := answerOnce(t, "HTTP/1.1 "+status+"\r\nLocation: "+other.URL+"/x\r\nContent-Length: 0\r\n\r\n")
+		server := endlesstest.Answer(t, "HTTP/1.1 "+status+"\r\nLocation: "+other.URL+"/x\r\nContent-Length: 0\r\n\r\n")
 		var out, failure bytes.Buffer
 		code := run([]string{"exec", "show services", "-server", server}, stdio{out: &out, err: &failure})
 		if code != exitUnreachable || out.Len() != 0 {
--- a/internal/endlesstest/heap.go
+++ b/internal/endlesstest/heap.go
@@ -1,4 +1,4 @@
-// Package endlesstest helps tests of peers that send bytes without an end.
+// Package endlesstest helps tests of peers that send bytes without an end, or that end within a message.
 package endlesstest
 
 import (
--- a/internal/store/cut_answer_test.go
+++ b/internal/store/cut_answer_test.go
@@ -1,12 +1,8 @@
 package store
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -14,36 +10,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinereach/sardinereach/api/storev1"
+	"github.com/sardinereach/sardinereach/internal/endlesstest"
 )
 
-// answerAll answers each call with the same bytes and ends the connection.
-func answerAll(t *testing.T, answer string) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				request, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(c, answer)
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 func callContext(t *testing.T) context.Context {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
@@ -76,7 +45,7 @@
 		"two lengths":         protoHead + fmt.Sprintf("Content-Length: %d\r\nContent-Length: %d\r\n\r\n", len(list), len(first)) + first,
 	} {
 		t.Run(name, func(t *testing.T) {
-			client := Dial(answerAll(t, answer), nil)
+			client := Dial(endlesstest.Answer(t, answer), nil)
 			ctx := callContext(t)
 			if kvs, revision, err := client.List(ctx, "config/"); !errors.Is(err, ErrUnavailable) {
 				t.Errorf("list: %d keys at %d, %v; want unavailable", len(kvs), revision, err)
@@ -107,7 +76,7 @@
 		"chunks":             protoHead + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(list), list),
 		"informational head": "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + protoHead + length + "\r\n" + list,
 	} {
-		kvs, revision, err := Dial(answerAll(t, answer), nil).List(callContext(t), "config/")
+		kvs, revision, err := Dial(endlesstest.Answer(t, answer), nil).List(callContext(t), "config/")
 		if err != nil || len(kvs) != 1 || revision != 9 {
 			t.Errorf("%s: %d keys at %d, %v", name, len(kvs), revision, err)
 		}
--- a/internal/store/odd_head_test.go
+++ b/internal/store/odd_head_test.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/api/storev1"
+	"github.com/sardinereach/sardinereach/internal/endlesstest"
 )
 
 // Guards against a read, or the outcome of a write, that is believed although the head of the answer is broken.
@@ -24,7 +25,7 @@
 		"refusal, status 999": fmt.Sprintf("HTTP/1.1 999 Busy\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
 			len(refusal), refusal),
 	} {
-		client := Dial(answerAll(t, answer), nil)
+		client := Dial(endlesstest.Answer(t, answer), nil)
 		ctx := callContext(t)
 		if err := client.Ping(ctx, "config/a"); !errors.Is(err, ErrUnavailable) {
 			t.Errorf("%s: read: %v, want unavailable", name, err)
--- a/internal/store/redirect_test.go
+++ b/internal/store/redirect_test.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/api/storev1"
+	"github.com/sardinereach/sardinereach/internal/endlesstest"
 )
 
 // Guards against a redirect of the store whose destination is believed in its place, or receives a write a second time.
@@ -21,7 +22,7 @@
 	defer other.Close()
 	for name, destination := range map[string]string{"answering": other.URL, "closed": "http://127.0.0.1:1"} {
 		for _, status := range []string{"301 X", "302 X", "303 X", "307 X", "308 X"} {
-			client := Dial(answerAll(t, "HTTP/1.1 "+status+"\r\nLocation: "+destination+"/x\r\nContent-Length: 0\r\n\r\n"), nil)
+			client := Dial(endlesstest.Answer(t, "HTTP/1.1 "+status+"\r\nLocation: "+destination+"/x\r\nContent-Length: 0\r\n\r\n"), nil)
 			ctx := callContext(t)
 			if err := client.Ping(ctx, "config/a"); !errors.Is(err, ErrUnavailable) {
 				t.Errorf("%s, %s: read: %v, want unavailable", name, status, err)
