Show that an HTTP/1.0 request with a length and chunks runs with other bytes

A target runs a request with the first bytes of its chunked body, cut at the length. RFC 9112 demands to take such framing for faulty; net/http removes the second field before a handler sees it, so the mend needs the raw head.

--- a/internal/node/cut_request_test.go
+++ b/internal/node/cut_request_test.go
@@ -167,3 +167,16 @@
 		})
 	}
 }
+
+// Guards against running the bytes of the first chunks as the body: HTTP/1.0 has no chunks, and the length is another one.
+func TestHTTP10RequestWithLengthAndChunksIsNotRun(t *testing.T) {
+	runs := new(recordedRuns)
+	a, _ := startAcceptor(t)
+	service := &declaration.Service{Name: "s", Routes: []declaration.Route{{Path: "/s", Class: declaration.Idempotent, TimeoutMS: 300}}}
+	addTarget(t, a, service, runs.serve(t))
+	request := "POST /s HTTP/1.0\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\na\r\n" + requestBody + "\r\n0\r\n\r\n"
+	status := sendAndEnd(t, serveCallers(t, a), request, staysOpen)
+	if bodies := runs.all(); len(bodies) != 0 || status == http.StatusOK {
+		t.Errorf("status %d, run with %q; want no run", status, bodies)
+	}
+}
