Do not let a slow receiver hold up a shutdown

By the review: a stopping node tells the accepting nodes of its running attempts when it cuts them off, and waited for each of them. TestNoticeToSlowReceiverDoesNotHoldUpTheShutdown did not end before.

--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -185,7 +185,8 @@
 	}
 	a.mu.Unlock()
 	for _, sink := range sinks {
-		peer.ReportCutOff(sink, at-a.clock.now())
+		// A sink whose receiver reads slowly must not hold up the shutdown.
+		go peer.ReportCutOff(sink, at-a.clock.now())
 	}
 }
 
--- a/internal/node/admitter_run.go
+++ b/internal/node/admitter_run.go
@@ -219,7 +219,7 @@
 	cutOffAt := a.runsCutOffAt
 	a.mu.Unlock()
 	if cutOffAt > 0 {
-		peer.ReportCutOff(sink, cutOffAt-a.clock.now())
+		go peer.ReportCutOff(sink, cutOffAt-a.clock.now())
 	}
 	return p
 }
--- a/internal/peer/sink.go
+++ b/internal/peer/sink.go
@@ -20,7 +20,7 @@
 }
 
 // CutOffSink is a Sink that is notified when its admitting node stops and will cut off the attempt after the given time.
-// WillBeCutOff may be called concurrently with the other methods and must not block.
+// WillBeCutOff may be called concurrently with the other methods. It may block for as long as they do.
 type CutOffSink interface {
 	WillBeCutOff(in time.Duration)
 }
