Try a cut request again that a target sheds

By the review: rounds of a request whose run was cut are limited by time, but a target that shed its repeat, or a link short of bytes, ended it with 504 and seconds left, by the count of attempts. Both mean not run. TestCutRunThatIsShedIsTriedAgain failed before for both reasons.

--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -35,7 +35,7 @@
 	if reason == "" {
 		return Decision{}
 	}
-	if !mayRetry(&in) {
+	if !mayRetry(&in) && !isUnservedCutRun(&in) {
 		return Decision{Reason: reason}
 	}
 	if in.Remaining < MinAttemptTime {
@@ -44,7 +44,7 @@
 	if mayTryNextTarget(&in) {
 		return Decision{Retry: true, Reason: reason, TryNextTarget: true, SameTarget: isStaleRefusal(&in)}
 	}
-	if wasOnlyRefused(&in) && in.RunWasCut {
+	if isUnservedCutRun(&in) {
 		return decideCutRunWait(&in, reason, rng)
 	}
 	if wasOnlyRefused(&in) {
@@ -61,6 +61,14 @@
 	return isAdmissionRefusal(in.Err.Reason) || in.Err.Reason == verdict.NoTarget
 }
 
+// isUnservedCutRun reports whether the run of the request was cut off and no target has run it in this round.
+func isUnservedCutRun(in *Input) bool {
+	if !in.RunWasCut || in.Err == nil || in.Err.Verdict != verdict.NotRun {
+		return false
+	}
+	return wasOnlyRefused(in) || in.Err.Reason == verdict.UpstreamShed || in.Err.Reason == verdict.LinkBudget
+}
+
 // decideCapacityWait decides whether the targets are tried again after a short wait. Nothing was sent to an upstream, so
 // the wait does not count as an attempt and takes nothing from the budget.
 func decideCapacityWait(in *Input, reason verdict.Reason, rng *rand.Rand) Decision {
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -183,3 +183,20 @@
 		t.Errorf("1 s left for a run of 1 s: %+v, want no further round", d)
 	}
 }
+
+// Guards against giving up a request whose run was cut off because a target shed it, or because the link is short of bytes.
+func TestCutRunThatIsShedIsTriedAgain(t *testing.T) {
+	for _, reason := range []verdict.Reason{verdict.UpstreamShed, verdict.LinkBudget} {
+		in := Input{
+			Class: declaration.Idempotent, Attempt: 2, MaxAttempts: 2, Refusals: 1, Err: verdict.Refused(reason, nil),
+			RunWasCut: true, UsualRun: time.Second, Remaining: 8 * time.Second,
+		}
+		if d := Decide(in, nil, 0, newRandom()); !d.WaitForCapacity {
+			t.Errorf("%s: %+v, want another round", reason, d)
+		}
+		in.RunWasCut = false
+		if d := Decide(in, nil, 0, newRandom()); d.Retry {
+			t.Errorf("%s of a request that was not cut: %+v, want the end", reason, d)
+		}
+	}
+}
