Let the reserve for cut runs keep the budget of the service

Change: 0.1 of the extra, added to what the point allows otherwise, and only once the other targets are known. The share of other repeats is as before.

--- a/internal/node/retry_limits.go
+++ b/internal/node/retry_limits.go
@@ -14,10 +14,10 @@
 	// extraShare is the share of Retries.WindowExtra that the admission points allow together. The rest covers nested
 	// requests of retries, which are not refused, and differences in the number of targets that admission points count.
 	extraShare = 0.7
-	// cutRunShare is the share that is reserved for repeats of runs that the stop of a node cuts off: their callers get no
+	// cutRunShare is the share beyond extraShare for repeats of runs that were cut off with their node: their callers get no
 	// response otherwise. It is available from the start of the process, because nodes that stop one after the other leave only
 	// admission points that have just started.
-	cutRunShare = 0.18
+	cutRunShare = 0.1
 	// minAssumedTargets is the least number of targets among which the extra retries are divided. It bounds the part that
 	// one admission point allows while it has not received the other targets yet.
 	minAssumedTargets = 6
@@ -29,14 +29,12 @@
 	// targetsOf returns the number of targets of the service.
 	targetsOf func(model.ServiceName) int
 	windows   map[model.ServiceName]*retry.Window
-	// reserves count the additional attempts that were taken from the reserve for cut runs.
-	reserves map[model.ServiceName]*retry.Window
 }
 
 func newRetryWindows(limits settings.Retries) *retryWindows {
 	return &retryWindows{
 		limits: limits, targetsOf: func(model.ServiceName) int { return 1 },
-		windows: make(map[model.ServiceName]*retry.Window), reserves: make(map[model.ServiceName]*retry.Window),
+		windows: make(map[model.ServiceName]*retry.Window),
 	}
 }
 
@@ -62,9 +60,6 @@
 	if refusal := r.check(now, head); refusal != nil {
 		return refusal
 	}
-	if !window.Allows(now, r.extraRetries(now, service)) {
-		r.reserve(service).AddRetry(now)
-	}
 	window.AddRetry(now)
 	return nil
 }
@@ -75,23 +70,24 @@
 		return nil
 	}
 	service := model.ServiceName(head.Service)
-	if r.window(service).Allows(now, r.extraRetries(now, service)) {
-		return nil
+	extra := r.extraRetries(now, service)
+	if head.ReplacesCutRun {
+		extra += r.cutRunReserve(service)
 	}
-	if head.ReplacesCutRun && r.reserve(service).Allows(now, r.part(cutRunShare, service)) {
+	if r.window(service).Allows(now, extra) {
 		return nil
 	}
 	return verdict.Refused(verdict.RepeatsSpent, nil)
 }
 
-// window returns the window that counts all attempts of the service.
+// window returns the window that counts the attempts of the service.
 func (r *retryWindows) window(service model.ServiceName) *retry.Window {
-	return windowOf(r.windows, service, r.limits.Share)
-}
-
-// reserve returns the window that counts the attempts of the service that were taken from the reserve for cut runs.
-func (r *retryWindows) reserve(service model.ServiceName) *retry.Window {
-	return windowOf(r.reserves, service, 0)
+	window := r.windows[service]
+	if window == nil {
+		window = retry.NewWindow(settings.RetryWindow, r.limits.Share)
+		r.windows[service] = window
+	}
+	return window
 }
 
 // extraRetries returns the number of additional attempts in a window that the local targets may get without first
@@ -101,17 +97,16 @@
 	return r.part(extraShare, service) * min(now.Seconds()/settings.RetryWindow.Seconds(), 1)
 }
 
+// cutRunReserve returns the number of additional attempts in a window that repeats of cut runs may get beyond extraRetries. There
+// is none before the other targets are known, as this admission point's part isn't either.
+func (r *retryWindows) cutRunReserve(service model.ServiceName) float64 {
+	if r.targetsOf(service) <= 1 {
+		return 0
+	}
+	return r.part(cutRunShare, service)
+}
+
 // part returns this admission point's part of a share of Retries.WindowExtra.
 func (r *retryWindows) part(share float64, service model.ServiceName) float64 {
 	return share * r.limits.WindowExtra / float64(max(r.targetsOf(service), minAssumedTargets))
 }
-
-// windowOf returns the window of the service, which allows the share of its first attempts.
-func windowOf(windows map[model.ServiceName]*retry.Window, service model.ServiceName, share float64) *retry.Window {
-	window := windows[service]
-	if window == nil {
-		window = retry.NewWindow(settings.RetryWindow, share)
-		windows[service] = window
-	}
-	return window
-}
--- a/internal/node/retry_limits_test.go
+++ b/internal/node/retry_limits_test.go
@@ -58,9 +58,9 @@
 
 // Guards against a request whose run is cut off by a stop and that is refused because other repeats have spent the budget.
 func TestBudgetIsReservedForRunsThatAreCutOff(t *testing.T) {
-	r := newRetryWindows(settings.Retries{Share: 0.2, WindowExtra: 60})
-	r.targetsOf = func(model.ServiceName) int { return 8 }
 	for name, now := range map[string]time.Duration{"after the start": time.Second, "later": time.Hour} {
+		r := newRetryWindows(settings.Retries{Share: 0.2, WindowExtra: 60})
+		r.targetsOf = func(model.ServiceName) int { return 8 }
 		admittedRetries(r, now)
 		if got := admittedOf(r, now, cutRunRepeat); got != 1 {
 			t.Errorf("%s: %d repeats of cut runs beyond the spent budget, want 1", name, got)
@@ -150,3 +150,23 @@
 		t.Errorf("%v, want %s at once", refusal, verdict.RepeatsSpent)
 	}
 }
+
+// Guards against a reserve for cut runs with which admission points exceed the budget, also right after all of them have restarted
+// and have received the other targets.
+func TestReserveForCutRunsKeepsTheBudget(t *testing.T) {
+	for _, extra := range []float64{60, 64, 156, 182, 218} {
+		for _, targets := range []int{2, 6, 8, 11, 24, 30, 46} {
+			total := 0
+			for range targets {
+				for _, now := range []time.Duration{time.Hour, time.Second} {
+					r := newRetryWindows(settings.Retries{Share: 0.2, WindowExtra: extra})
+					r.targetsOf = func(model.ServiceName) int { return targets }
+					total += admittedOf(r, now, cutRunRepeat)
+				}
+			}
+			if total > int(extra) {
+				t.Errorf("%d repeats at %d targets, want at most %.0f", total, targets, extra)
+			}
+		}
+	}
+}
