Take a connection that ends before the head for lost at once

The wait for the write serves answers without a length, so it begins with their head. TestEndBeforeTheHeadIsSeenAtOnce failed before. The tests of the wait read a head first, as a body has one.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -58,6 +58,10 @@
 // endOfStream returns the error of the writes, or io.EOF if there is none. A write that still runs may have taken the error.
 // It returns when the connection is closed, which http.Transport does when the context of the request ends.
 func (c *conn) endOfStream() error {
+	if !c.head.isComplete() {
+		// Without a head this is a failure in any case.
+		return io.EOF
+	}
 	if err := c.writes.wait(); err != nil {
 		return errors.Wrap(err, "upstream: the connection failed while the request was written")
 	}
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -9,6 +9,9 @@
 	"testing/synctest"
 )
 
+// finalHead is the head of an answer without a length.
+const finalHead = "HTTP/1.1 200 OK\r\n\r\n"
+
 // resetConn is a connection whose reset is reported to a write. The read sees the end while the write is still running.
 type resetConn struct {
 	net.Conn
@@ -31,6 +34,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		inner := &resetConn{writing: make(chan struct{}), ended: make(chan struct{})}
 		c := &conn{Conn: inner}
+		c.head.read([]byte(finalHead))
 		go func() { _, _ = c.Write([]byte("request")) }()
 		<-inner.writing
 		read := make(chan error, 1)
@@ -77,6 +81,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		inner := &blockedConn{writing: make(chan struct{}), closed: make(chan struct{})}
 		c := &conn{Conn: inner}
+		c.head.read([]byte(finalHead))
 		go func() { _, _ = c.Write([]byte("request")) }()
 		<-inner.writing
 		read := make(chan error, 1)
@@ -94,3 +99,17 @@
 		}
 	})
 }
+
+// Guards against a connection that ends before the head of the answer and counts as lost only when the write ends.
+func TestEndBeforeTheHeadIsSeenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := &blockedConn{writing: make(chan struct{}), closed: make(chan struct{})}
+		c := &conn{Conn: inner}
+		go func() { _, _ = c.Write([]byte("request")) }()
+		<-inner.writing
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("error %v, want %v", err, io.EOF)
+		}
+		_ = c.Close()
+	})
+}
--- a/internal/upstream/head_check.go
+++ b/internal/upstream/head_check.go
@@ -57,6 +57,13 @@
 	return h.err
 }
 
+// isComplete reports whether the final head has been read.
+func (h *headCheck) isComplete() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ended
+}
+
 // read checks bytes that were received. Those behind the final head are ignored.
 func (h *headCheck) read(p []byte) {
 	h.mu.Lock()
