--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -218,9 +218,9 @@
 
 // useResult moves the response of the result to the delivery of the request and returns its outcome.
 func (h *hedge) useResult(r *hedgeResult) *verdict.Error {
-	onOverdue, mayCommit := h.out.onOverdue, h.out.mayCommit
+	onOverdue, onCutOff, mayCommit := h.out.onOverdue, h.out.onCutOff, h.out.mayCommit
 	*h.out = *r.out
-	h.out.onOverdue, h.out.mayCommit = onOverdue, mayCommit
+	h.out.onOverdue, h.out.onCutOff, h.out.mayCommit = onOverdue, onCutOff, mayCommit
 	return r.err
 }
 
