Apply the notice of a stopping node to attempts that are on their way

Change: an admission point remembers the notice for later arrivals, the limits of an attempt are computed when it arrives, and an attempt counts as open before the time that its node has left is read. TestNoticeOfStoppingNodeAppliesToLaterArrivals failed before.

--- a/internal/admission/acceptor_stop_test.go
+++ b/internal/admission/acceptor_stop_test.go
@@ -99,6 +99,33 @@
 	checkRefusal(t, p.Events(), queued.Attempt, verdict.AcceptorStopping)
 }
 
+// Guards against an attempt that was sent before the notice of its stopping node and arrives after it.
+func TestNoticeOfStoppingNodeAppliesToLaterArrivals(t *testing.T) {
+	p, now, serial := newUsedPoint(t)
+	p.AcceptorStops(now, "n", 1, now+usualRun/2)
+	if d := p.Admit(now, testRequest(now, serial+1, 10*time.Second)); reasonOf(d) != verdict.AcceptorStopping {
+		t.Errorf("decision %+v, want %s", d, verdict.AcceptorStopping)
+	}
+	later := testRequest(now, serial+2, 10*time.Second)
+	later.Attempt = model.NewAttemptID("n", 2, 1)
+	if d := p.Admit(now, later); d.Kind != Admitted {
+		t.Errorf("attempt of the next incarnation: %+v, want admitted", d)
+	}
+}
+
+// Guards against a queue in which a request without another chance waits behind those of its rank.
+func TestRepeatOfCutRunGoesFirstWithinItsRank(t *testing.T) {
+	p, now, serial := newUsedPoint(t)
+	running, other, cut := testRequest(now, serial+1, 10*time.Second), testRequest(now, serial+2, 10*time.Second), testRequest(now, serial+3, 10*time.Second)
+	cut.ReplacesCutRun = true
+	for _, r := range []Request{running, other, cut} {
+		p.Admit(now, r)
+	}
+	if grants := p.Finish(now, running.Attempt, Result{Outcome: Answered}); len(grants) != 1 || grants[0].Attempt != cut.Attempt {
+		t.Errorf("grants %+v, want the repeat of the cut run", grants)
+	}
+}
+
 // checkRefusal checks that the only event is the refusal of the attempt for the reason.
 func checkRefusal(t *testing.T, events []Event, attempt model.AttemptID, reason verdict.Reason) {
 	t.Helper()
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -21,6 +21,7 @@
 // has been removed.
 func (p *Point) Admit(now time.Duration, r Request) Decision {
 	now = p.advance(now)
+	r.AnswerBy = p.answerBy(&r)
 	if existing := p.records[r.Attempt]; existing != nil {
 		return refusal(existing.duplicate())
 	}
--- a/internal/admission/point.go
+++ b/internal/admission/point.go
@@ -35,7 +35,9 @@
 	stopping bool
 	// shutdownDeadline is the time by which the runs of a stopping node must end, 0 for none.
 	shutdownDeadline time.Duration
-	records          map[model.AttemptID]*record
+	// stoppingAcceptors holds the accepting nodes that stop, with the time by which they need their responses.
+	stoppingAcceptors map[acceptor]time.Duration
+	records           map[model.AttemptID]*record
 	// ended orders the records of ended, refused and fenced attempts by their expiry.
 	ended         fifo[expiry]
 	retained      fifo[expiry]
@@ -60,6 +62,8 @@
 		departures:  departure.NewSet(),
 		records:     make(map[model.AttemptID]*record),
 		watermarks:  make(watermarks),
+
+		stoppingAcceptors: make(map[acceptor]time.Duration),
 	}
 }
 
--- a/internal/node/admitter_run.go
+++ b/internal/node/admitter_run.go
@@ -15,14 +15,14 @@
 // run admits and runs one attempt, writes its response to sink, and returns the trailer of the response.
 func (a *admitter) run(ctx context.Context, head *peerv1.ForwardHead, source peer.Body, sink peer.Sink) *peerv1.AnswerTrailer {
 	timeout := time.Duration(head.TimeoutMs) * time.Millisecond
-	deadline := a.clock.now() + timeout
+	limits := newRunLimits(a.clock.now(), head)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if refusal := a.crashes.awaitAllowed(ctx, head); refusal != nil {
 		return a.trailer(head, refusal)
 	}
 	arrived := a.clock.now()
-	address, refusal := a.admit(ctx, head, deadline)
+	address, refusal := a.admit(ctx, head, limits)
 	if refusal != nil {
 		return a.trailer(head, refusal)
 	}
@@ -70,7 +70,7 @@
 }
 
 // admit waits for a slot and returns the address of the upstream.
-func (a *admitter) admit(ctx context.Context, head *peerv1.ForwardHead, deadline time.Duration) (string, *verdict.Error) {
+func (a *admitter) admit(ctx context.Context, head *peerv1.ForwardHead, limits runLimits) (string, *verdict.Error) {
 	attempt := model.AttemptID(head.Attempt)
 	ch := make(chan slotOrRefusal, 1)
 	a.mu.Lock()
@@ -86,8 +86,8 @@
 		Idempotent:  head.Idempotent,
 		Incarnation: model.Incarnation(head.Incarnation),
 		AdmitBefore: time.Duration(head.AdmitBeforeMs) * time.Millisecond,
-		Deadline:    deadline,
-		AnswerBy:    answerBy(a.clock.now(), head),
+		Deadline:    limits.deadline,
+		AnswerBy:    limits.answerBy,
 		Bulk:        head.Bulk,
 
 		ReplacesCutRun: head.ReplacesCutRun,
@@ -121,14 +121,6 @@
 	}
 }
 
-// answerBy returns the time by which the accepting node needs the response because it stops, 0 if it does not stop.
-func answerBy(now time.Duration, head *peerv1.ForwardHead) time.Duration {
-	if head.AnswerWithinMs <= 0 {
-		return 0
-	}
-	return now + time.Duration(head.AnswerWithinMs)*time.Millisecond
-}
-
 // acceptorStops shortens the waits of the queued attempts of a node that stops.
 func (a *admitter) acceptorStops(node model.NodeID, incarnation model.Incarnation, within time.Duration) {
 	a.mu.Lock()
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -30,6 +30,10 @@
 // runAttempt runs the request at one target. The response in out is complete if there is no error.
 func (a *acceptor) runAttempt(ctx context.Context, rq *request, choice placement.Choice, g gate, out *delivery) *verdict.Error {
 	c := choice.Candidate
+	if c.Node.ID != a.self.ID {
+		// Before the time that this node has left is read: it may begin to stop in between.
+		defer a.openAttempts.begin(c.Node.PeerAddress)()
+	}
 	head := proto.Clone(rq.head).(*peerv1.ForwardHead)
 	head.Attempt = string(a.newAttemptID())
 	head.Target = string(c.Target.ID)
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -21,7 +21,6 @@
 	if refusal := a.beginRemote(ctx, head); refusal != nil {
 		return nil, refusal
 	}
-	defer a.openAttempts.begin(c.Node.PeerAddress)()
 	trailer, err := a.peers.Forward(ctx, c.Node.PeerAddress, head, rq.body, out)
 	a.endRemote(head, trailer)
 	if err == nil {
--- a/internal/node/retry_limits_test.go
+++ b/internal/node/retry_limits_test.go
@@ -140,13 +140,13 @@
 			AdmitBeforeMs: maxLocalAdmitAhead.Milliseconds(),
 		}
 	}
-	deadline := a.clock.now() + time.Minute
-	if _, refusal := a.admit(t.Context(), head(1, false), deadline); refusal != nil {
+	limits := runLimits{deadline: a.clock.now() + time.Minute}
+	if _, refusal := a.admit(t.Context(), head(1, false), limits); refusal != nil {
 		t.Fatal(refusal)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	if _, refusal := a.admit(ctx, head(2, true), deadline); refusal == nil || refusal.Reason != verdict.RepeatsSpent {
+	if _, refusal := a.admit(ctx, head(2, true), limits); refusal == nil || refusal.Reason != verdict.RepeatsSpent {
 		t.Errorf("%v, want %s at once", refusal, verdict.RepeatsSpent)
 	}
 }
