--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -18,9 +18,12 @@
 const firstAttempt = 1
 
 // hedge runs an idempotent request at one target and, when that takes much longer than the baseline, at a second one in
-// parallel. When a node stops that the request depends on, it also replaces attempts that were refused or have ended. The first complete response wins and cancels the other attempt. Hedging handles targets that hang. The
-// first run continues in the meantime: cancelling it before another target has admitted the request would fail requests
-// that are merely slow.
+// parallel. The first complete response wins and cancels the other attempt. Hedging handles targets that hang. The first run
+// continues in the meantime: cancelling it before another target has admitted the request would fail requests that are merely
+// slow.
+//
+// When a node stops that the request depends on, another attempt follows in time, and replaces attempts that were refused or
+// have ended.
 type hedge struct {
 	acceptor *acceptor
 	rq       *request
@@ -48,10 +51,11 @@
 	hedged bool
 	// stopping means that this node, or the admitting node of an attempt, stops.
 	stopping bool
-	// lastChance fires when another attempt is due because a node stops.
-	lastChance earliestTimer
+	// nextAttempt fires when another attempt is due because a node stops.
+	nextAttempt earliestTimer
 }
 
+// newHedge returns a hedge whose request may have up to maxExtraAttempts attempts after the first. The response is left in out.
 func newHedge(a *acceptor, rq *request, budget *lockedBudget, maxExtraAttempts int, out *delivery) *hedge {
 	return &hedge{
 		acceptor: a, rq: rq, budget: budget, out: out, maxExtraAttempts: maxExtraAttempts,
@@ -92,7 +96,7 @@
 	baseline := baselineOrDefault(h.acceptor.attemptDurations.of(h.rq.head.Route), h.rq.objective())
 	overdueTimer := time.NewTimer(hedgeDelay(baseline))
 	defer overdueTimer.Stop()
-	defer h.lastChance.stop()
+	defer h.nextAttempt.stop()
 	shutdown := h.acceptor.cutoff.announced
 	running := 1
 	var best *hedgeResult
@@ -105,8 +109,8 @@
 			h.expectStop(hedgeDelayBeforeCutoff(baseline, time.Since(started), h.acceptor.cutoff.remaining()))
 		case in := <-h.cutOff:
 			h.expectStop(hedgeDelayBeforeNodeEnds(baseline, in))
-		case <-h.lastChance.channel():
-			h.lastChance.stop()
+		case <-h.nextAttempt.channel():
+			h.nextAttempt.stop()
 			// Targets may have become free since another attempt was refused.
 			h.hedged = false
 			signal(overdue)
@@ -154,13 +158,13 @@
 // expectStop makes another attempt after the delay because a node stops.
 func (h *hedge) expectStop(delay time.Duration) {
 	h.stopping = true
-	h.lastChance.fireWithin(delay)
+	h.nextAttempt.fireWithin(delay)
 }
 
 // retryIfStopping makes one more attempt later if a node stops: an attempt was refused, could not be made or has ended.
 func (h *hedge) retryIfStopping() {
 	if h.stopping {
-		h.lastChance.fireWithin(refusedHedgeInterval)
+		h.nextAttempt.fireWithin(refusedHedgeInterval)
 	}
 }
 
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -41,18 +41,9 @@
 	started := time.Now()
 	n.log.Emit(events.NodeStopping, events.NodeField(n.self.ID), events.CountField(n.pendingWork()))
 	grace := n.settings.Shutdown.Grace
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(exitShare*float64(grace)))
+	ctx, cancel := context.WithTimeout(context.Background(), shareOf(grace, exitShare))
 	defer cancel()
-	cutoff := time.Duration(requestCutoffShare * float64(grace))
-	cutoffTimer := time.AfterFunc(cutoff, func() { n.cutOffRequests(started) })
-	defer cutoffTimer.Stop()
-	n.acceptor.cutoff.announce(started.Add(cutoff), started.Add(time.Duration(finalDeadlineShare*float64(grace))))
-	untilRunsEnd := time.Duration(endRunsShare * float64(grace))
-	endRunsTimer := time.AfterFunc(untilRunsEnd, n.admitter.cutOffRuns)
-	defer endRunsTimer.Stop()
-	n.admitter.admitUntil(n.clock.now() + cutoff)
-	n.acceptor.noticeStop(ctx)
-	n.admitter.cutOffRunsAt(n.clock.now() + untilRunsEnd)
+	defer n.limitOpenWork(ctx, started, grace)()
 	// Callers' connections close after their next response, so that a request already sent is still served.
 	s.callers.SetKeepAlivesEnabled(false)
 	n.acceptor.lameDuck.Store(true)
@@ -77,6 +68,27 @@
 	n.log.Emit(events.NodeStopped, events.NodeField(n.self.ID), events.DurationField(time.Since(started)))
 }
 
+// limitOpenWork sets the times at which open requests and runs end, and tells the other nodes that depend on them. It returns a
+// function that stops the timers.
+func (n *Node) limitOpenWork(ctx context.Context, started time.Time, grace time.Duration) (stop func()) {
+	cutoff, untilRunsEnd := shareOf(grace, requestCutoffShare), shareOf(grace, endRunsShare)
+	cutoffTimer := time.AfterFunc(cutoff, func() { n.cutOffRequests(started) })
+	endRunsTimer := time.AfterFunc(untilRunsEnd, n.admitter.cutOffRuns)
+	n.acceptor.cutoff.announce(started.Add(cutoff), started.Add(shareOf(grace, finalDeadlineShare)))
+	n.admitter.admitUntil(n.clock.now() + cutoff)
+	n.acceptor.noticeStop(ctx)
+	n.admitter.cutOffRunsAt(n.clock.now() + untilRunsEnd)
+	return func() {
+		cutoffTimer.Stop()
+		endRunsTimer.Stop()
+	}
+}
+
+// shareOf returns the share of the grace period.
+func shareOf(grace time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(grace))
+}
+
 // refuseRequests ends the lame-duck phase. A request that is taken later may be cut at the end of the grace period, and
 // another node can still serve it.
 func (n *Node) refuseRequests(s servers) {
--- a/internal/node/shutdown_cutoff.go
+++ b/internal/node/shutdown_cutoff.go
@@ -46,8 +46,8 @@
 // applies reports whether a request with the deadline ends at the cutoff. It must be called only after announced is closed.
 func (c *shutdownCutoff) applies(deadline time.Time) bool { return deadline.After(c.last) }
 
-// bind returns a context that ends at the cutoff, with errShutdownCutoff as its cause, if the cutoff applies to the deadline.
-// release frees its resources.
+// bind returns a context that ends at the cutoff, with errShutdownCutoff as its cause, if the cutoff applies to the deadline. It
+// does not end at the deadline itself. release frees its resources.
 func (c *shutdownCutoff) bind(ctx context.Context, deadline time.Time) (bound context.Context, release func()) {
 	bound, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(c.passed, func() {
