--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -97,10 +97,10 @@
 }
 
 // runAllowance returns the time that a run of the request is allowed in a shutdown. A run of a request that is not idempotent
-// gets the time after which it would be overdue: if it is cut off, its caller can't find out whether it took effect.
+// gets at least shutdownRunFactor: if it is cut off, its caller can't find out whether it took effect.
 func runAllowance(expected time.Duration, r *Request, factor float64) time.Duration {
 	if !r.Idempotent {
-		factor = max(factor, overdueFactor)
+		factor = max(factor, shutdownRunFactor)
 	}
 	return time.Duration(factor * float64(expected))
 }
