--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -82,7 +82,7 @@
 	return Decision{Retry: true, After: after, Reason: reason, WaitForCapacity: true}
 }
 
-// decideCutRunWait decides the same for a request whose run was cut off. Its rounds are limited by time only.
+// decideCutRunWait decides whether the targets are tried again for a request whose run was cut off. Its rounds are limited by time only.
 func decideCutRunWait(in *Input, reason verdict.Reason, rng *rand.Rand) Decision {
 	after := Backoff(1, max(retryAfter(in), CutRunWait), rng)
 	if after+max(in.UsualRun, MinAttemptTime) > in.Remaining {
