Define accounts, API key hashes and the messages of quotas between nodes

Cause: two customers share routes among many client accounts, with API keys and with quotas over all nodes. The code has no account, key or quota.

Nothing uses them yet; a node declines Quota calls.

--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -13,6 +13,8 @@
 	Services map[model.ServiceName]*declaration.Service
 	// Revisions are the store revisions of the active declarations.
 	Revisions map[model.ServiceName]int64
+	// Accounts are the client accounts. The map is never nil.
+	Accounts map[model.AccountName]*declaration.Account
 	// Rejected are the newest documents that are not active, by key.
 	Rejected map[string]Rejection
 }
@@ -21,6 +23,7 @@
 	return &Snapshot{
 		Services:  map[model.ServiceName]*declaration.Service{},
 		Revisions: map[model.ServiceName]int64{},
+		Accounts:  map[model.AccountName]*declaration.Account{},
 		Rejected:  map[string]Rejection{},
 	}
 }
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -7,6 +7,7 @@
 	"maps"
 	"sort"
 
+	"github.com/sardinereach/sardinereach/internal/account"
 	"github.com/sardinereach/sardinereach/internal/capacity"
 	"github.com/sardinereach/sardinereach/internal/config"
 	"github.com/sardinereach/sardinereach/internal/declaration"
@@ -40,6 +41,8 @@
 	// Revision is the store revision of the configuration.
 	Revision int64
 	Table    *routing.Table
+	// Accounts are the client accounts of the configuration.
+	Accounts *account.Table
 	// declared are the services of Table.
 	declared map[model.ServiceName]*declaration.Service
 	services map[model.ServiceName]*ServiceView
@@ -80,6 +83,7 @@
 		view.Revision = in.Config.Complete
 		view.declared = in.Config.Services
 		view.Table = routeTable(&in)
+		view.Accounts = account.NewTable(in.Config.Accounts)
 		for name, service := range in.Config.Services {
 			view.services[name] = &ServiceView{Service: service}
 		}
--- a/internal/declaration/route.go
+++ b/internal/declaration/route.go
@@ -53,6 +53,8 @@
 	MaxAttempts int `json:"max_attempts,omitempty"`
 	// Split divides the requests among services by weight; empty means that all go to the declaring service.
 	Split []Share `json:"split,omitempty"`
+	// RequiresKey means that callers must send the API key of a client account.
+	RequiresKey bool `json:"requires_key,omitempty"`
 	// Unsupported is the reason why this build cannot serve the route; its requests are refused. It is empty for a route
 	// that is served.
 	Unsupported string `json:"unsupported,omitempty"`
--- a/internal/model/ids.go
+++ b/internal/model/ids.go
@@ -12,6 +12,9 @@
 // ServiceName is the name under which a service is declared.
 type ServiceName string
 
+// AccountName is the name of a client account.
+type AccountName string
+
 // Region is the name of a group of failure domains.
 type Region string
 
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -97,3 +97,8 @@
 func (h *handler) Reports(req *peerv1.ReportsRequest) *peerv1.ReportsResponse {
 	return h.node.control.detection.reports(model.ServiceName(req.Service))
 }
+
+// Quota implements peer.Handler. This node does not distribute quotas.
+func (h *handler) Quota(*peerv1.QuotaRequest) *peerv1.QuotaResponse {
+	return &peerv1.QuotaResponse{Declined: true}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -151,6 +151,16 @@
 	})
 }
 
+// Quota asks the node that distributes the quotas of some client accounts for permits.
+func (c *Client) Quota(ctx context.Context, address string, req *peerv1.QuotaRequest) (*peerv1.QuotaResponse, error) {
+	var res *peerv1.QuotaResponse
+	err := c.call(ctx, address, func(ctx context.Context, k *conn) (err error) {
+		res, err = k.client.Quota(ctx, req)
+		return err
+	})
+	return res, err
+}
+
 // call makes one unary call. If the call fails on a reused connection, it is retried once on a new one. This is safe
 // because all unary calls are idempotent.
 func (c *Client) call(ctx context.Context, address string, do func(context.Context, *conn) error) error {
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -26,4 +26,6 @@
 	Warn(*peerv1.WarnRequest)
 	// Stopping processes the notice that an accepting node stops.
 	Stopping(*peerv1.StoppingRequest)
+	// Quota grants another node permits of client accounts.
+	Quota(*peerv1.QuotaRequest) *peerv1.QuotaResponse
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -69,6 +69,10 @@
 
 func (h *echoHandler) Stopping(*peerv1.StoppingRequest) {}
 
+func (h *echoHandler) Quota(*peerv1.QuotaRequest) *peerv1.QuotaResponse {
+	return &peerv1.QuotaResponse{}
+}
+
 func echo(_ context.Context, _ *peerv1.ForwardHead, body []byte, sink Sink) *peerv1.AnswerTrailer {
 	if sink.Head(&peerv1.AnswerHead{Status: 200, ContentLength: int64(len(body))}) != nil || sink.Body(body) != nil {
 		return &peerv1.AnswerTrailer{Verdict: int32(verdict.MayHaveRun)}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -71,6 +71,11 @@
 	return &peerv1.StoppingResponse{}, nil
 }
 
+// Quota implements the generated interface.
+func (s *service) Quota(_ context.Context, req *peerv1.QuotaRequest) (*peerv1.QuotaResponse, error) {
+	return s.handler.Quota(req), nil
+}
+
 // Forward implements the generated interface.
 func (s *service) Forward(stream peerv1.DRPCPeer_ForwardStream) error {
 	return s.serve(stream, s.handler.Forward)
