--- a/internal/account/table.go
+++ b/internal/account/table.go
@@ -23,12 +23,15 @@
 	return t
 }
 
-// ByKey returns the account of the API key, nil if no account has it.
-func (t *Table) ByKey(key string) *declaration.Account {
+// Find returns what the configuration says of an API key.
+func (t *Table) Find(hash declaration.KeyHash) Finding {
 	if t == nil {
-		return nil
+		return Finding{Status: Undecided}
+	}
+	if account := t.byKey[hash]; account != nil {
+		return Finding{Status: Known, Account: account}
 	}
-	return t.byKey[declaration.HashKey(key)]
+	return Finding{Status: Unknown}
 }
 
 // ByName returns the account with the name, nil if there is none.
--- a/internal/declaration/account.go
+++ b/internal/declaration/account.go
@@ -19,6 +19,9 @@
 	// average, and Burst requests beyond that at once. A rate of 0 means no limit.
 	RatePerSecond float64 `json:"rate_per_second,omitempty"`
 	Burst         float64 `json:"burst,omitempty"`
+	// Unsupported is the reason why this build cannot apply the account as it is declared; requests with its keys are refused. It is
+	// empty for an account that is in force. If KeyHashes is empty, too, the keys of the account are not known.
+	Unsupported string `json:"unsupported,omitempty"`
 }
 
 // IsLimited reports whether the account has a quota.
@@ -32,6 +35,9 @@
 	if a.Name == "" {
 		return errors.New("account without a name")
 	}
+	if a.Unsupported != "" {
+		return nil
+	}
 	for _, limit := range []float64{a.RatePerSecond, a.Burst} {
 		if math.IsNaN(limit) || limit < 0 || limit > maxQuota {
 			return errors.Errorf("account %s: rate or burst %g: use 0 to %g", a.Name, limit, maxQuota)
--- a/internal/dialect/caller.go
+++ b/internal/dialect/caller.go
@@ -15,6 +15,8 @@
 	// CallerServiceHeader contains, in requests to upstreams, the service of the accepting node's upstream. Empty means
 	// that it is not sent.
 	CallerServiceHeader string
+	// KeyHeader contains the caller's API key. It is never forwarded. Empty means that callers send no keys.
+	KeyHeader string
 	// UniqueRequestIDs means that callers never send the same ID twice, so each request is a separate operation. A
 	// non-idempotent request then needs neither an idempotency key nor a ticket.
 	UniqueRequestIDs bool
--- a/internal/dialect/upstream.go
+++ b/internal/dialect/upstream.go
@@ -21,6 +21,9 @@
 	EchoOptional bool
 	// SignatureHeader is present in each response that the upstream itself sent. Empty means that responses are not signed.
 	SignatureHeader string
+	// AccountHeader contains, in requests to upstreams, the client account of the request. Only the fleet sets it. Empty means
+	// that it is not sent.
+	AccountHeader string
 	// LoadHeader is a response header that is not forwarded. Empty means that there is none.
 	LoadHeader string
 	// CloseDelimitedBodies means that the body of a response without a length and without chunks ends when the connection
--- a/internal/node/refusal.go
+++ b/internal/node/refusal.go
@@ -20,6 +20,8 @@
 	switch e.Reason {
 	case verdict.NoRoute:
 		return http.StatusNotFound
+	case verdict.APIKeyRequired, verdict.APIKeyUnknown:
+		return http.StatusUnauthorized
 	case verdict.BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case verdict.BodyIncomplete, verdict.BadRequest, verdict.KeyInvalid:
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -16,6 +16,15 @@
 	SlotsFull Reason = "slots_full"
 	// QueueDeadline means that the request could not get a slot before its deadline.
 	QueueDeadline Reason = "queue_deadline"
+	// APIKeyRequired means that the request has no API key, or more than one, and its route requires one.
+	APIKeyRequired Reason = "api_key_required"
+	// APIKeyUnknown means that no client account of the configuration in force has the API key of the request.
+	APIKeyUnknown Reason = "api_key_unknown"
+	// AccountsUnknown means that the node cannot tell whether an account has the API key of the request: it does not have all
+	// accounts of the configuration, or does not understand one.
+	AccountsUnknown Reason = "accounts_unknown"
+	// AccessUnchecked means that a node whose build does not know API keys has sent an attempt for a route that requires one.
+	AccessUnchecked Reason = "access_unchecked"
 	// TargetDraining means that the target is draining and accepts no new requests.
 	TargetDraining Reason = "target_draining"
 	// TargetStarting means that the target is not ready yet.
@@ -120,6 +129,7 @@
 		AttemptDuplicate, AdmitExpired, WrongIncarnation, UpstreamShed, UpstreamUnreachable, NodeUnreachable,
 		NodeStopping, NotReady, Overloaded, DeadlineExceeded, BodyTooLarge, BodyIncomplete, BadRequest, KeyMissing, KeyInvalid,
 		KeyReused, StoreUnavailable, Quarantined, LinkBudget, RepeatsSpent, AcceptorStopping, CallerGone,
+		APIKeyRequired, APIKeyUnknown, AccountsUnknown, AccessUnchecked,
 		UpstreamLost, UpstreamTimeout, NodeLost, AnswerIncomplete, AnswerDropped, ClaimRunning, ClaimHolderLost,
 		TicketLost, TicketUnreachable, CallerCancelled, ShutdownCutoff,
 		RetryBudget, UpstreamStatus, RetryAttempts,
