Name the keys of the documents of account groups

Cause: the adapter and the configuration table need the same keys.

Change: config.AccountPrefix and AccountKey. Not used yet.

Measured: nothing; it builds.

--- a/internal/config/entry.go
+++ b/internal/config/entry.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -12,6 +13,12 @@
 // ServicePrefix begins the keys of the service documents.
 const ServicePrefix = "config/services/"
 
+// AccountPrefix begins the keys of the documents of account groups.
+const AccountPrefix = "config/accounts/"
+
+// AccountKey returns the key of the document of a group of accounts (declaration.GroupOf).
+func AccountKey(group int) string { return AccountPrefix + strconv.Itoa(group) }
+
 // entry is the newest document of a key, with the active declaration of its service.
 type entry struct {
 	document Document
