Refuse the requests of routes whose restrictions are not understood

Cause: a stored route or service with a field that this build does not know was served as though the field did not exist, so a restriction that is not understood counted as none. TestUnsupportedRouteLeavesTheOthersInForce demanded that: its served route had the field "from_a_later_build". By docs/decisions/restrictions.md that expectation was wrong.

Change: a route has `requires`, the names of what a build must be able to apply; a route with a key always encodes "api_keys". DecodeStored makes a route unsupported that has an unknown field or name in `requires`, a field given twice or in other letters, or the same host, path and methods as such a route; an unknown field of a service makes all its routes unsupported, and core those of other services that split requests to it. It is logged in one line. Decode and DecodeDocument return an error: an operator's command at an older build would otherwise write the document back without the field. Documents without keys encode as before.

--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -106,7 +106,7 @@
 	}
 	services := make([]*declaration.Service, 0, len(in.Config.Services))
 	for _, service := range in.Config.Services {
-		services = append(services, service)
+		services = append(services, withoutSplitsTo(in.Config.Services, service))
 	}
 	return routing.NewTable(services)
 }
--- a/internal/core/view_test.go
+++ b/internal/core/view_test.go
@@ -124,3 +124,23 @@
 		t.Error("the route table of the service before is in force")
 	}
 }
+
+// Guards against requests that reach a service with a restriction that this build does not know, through the split of a route of
+// another service.
+func TestRouteWithSplitToUnsupportedServiceIsRefused(t *testing.T) {
+	service := &declaration.Service{Name: "s", Routes: []declaration.Route{
+		{Path: "/a"}, {Path: "/b", Split: []declaration.Share{{Service: "s", Weight: 1}, {Service: "odd", Weight: 1}}},
+	}}
+	in := inputs(service, func(int, *model.NodeRecord) {})
+	in.Config.Services["odd"] = &declaration.Service{Name: "odd", Unsupported: "unknown field"}
+	table := BuildView(in).Table
+	if match := table.Match("", "GET", "/a"); match.Route.Refusal() != nil {
+		t.Errorf("the route without the split is refused: %v", match.Route.Refusal())
+	}
+	if match := table.Match("", "GET", "/b"); match.Route.Refusal() == nil {
+		t.Error("the route with the split is served")
+	}
+	if service.Routes[1].Unsupported != "" {
+		t.Error("the configuration was modified")
+	}
+}
--- a/internal/declaration/document.go
+++ b/internal/declaration/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 
 	"github.com/pkg/errors"
 )
@@ -30,12 +31,17 @@
 	return data, nil
 }
 
-// DecodeDocument parses a document and validates its service.
+// DecodeDocument parses a document and validates its service. A field that this build does not know is an error: a write of what
+// is understood alone would remove it.
 func DecodeDocument(data []byte) (*Document, error) {
 	d := new(Document)
 	if err := json.Unmarshal(data, d); err != nil {
 		return nil, errors.Wrap(err, "service document")
 	}
+	if err := checkFields(data, reflect.TypeFor[Document]()); err != nil {
+		return nil, errors.Wrapf(err, "document of service %q", d.Name)
+	}
+	d.dropImpliedRequirements()
 	if err := d.Validate(); err != nil {
 		return nil, err
 	}
--- a/internal/declaration/route.go
+++ b/internal/declaration/route.go
@@ -1,5 +1,7 @@
 package declaration
 
+import "encoding/json"
+
 // Class determines whether a request may run more than once.
 type Class string
 
@@ -55,6 +57,10 @@
 	Split []Share `json:"split,omitempty"`
 	// RequiresKey means that callers must send the API key of a client account.
 	RequiresKey bool `json:"requires_key,omitempty"`
+	// Requires names what a build must be able to apply to serve the route. A build that does not know one of the names refuses
+	// the requests of the route. What follows from other fields, such as RequirementAPIKeys from RequiresKey, is only written
+	// into the encoded form.
+	Requires []string `json:"requires,omitempty"`
 	// Unsupported is the reason why this build cannot serve the route; its requests are refused. It is empty for a route
 	// that is served.
 	Unsupported string `json:"unsupported,omitempty"`
@@ -66,3 +72,19 @@
 	// DefaultFirstByteMS is the time to the first byte of a route that sets none, in milliseconds.
 	DefaultFirstByteMS = 5_000
 )
+
+// MarshalJSON implements json.Marshaler. It adds the requirements that follow from other fields.
+func (r Route) MarshalJSON() ([]byte, error) {
+	type plain Route
+	if r.RequiresKey {
+		r.Requires = withRequirement(r.Requires, RequirementAPIKeys)
+	}
+	return json.Marshal(plain(r))
+}
+
+// dropImpliedRequirements removes the requirements that MarshalJSON adds.
+func (r *Route) dropImpliedRequirements() {
+	if r.RequiresKey {
+		r.Requires = withoutRequirement(r.Requires, RequirementAPIKeys)
+	}
+}
--- a/internal/declaration/service.go
+++ b/internal/declaration/service.go
@@ -20,4 +20,14 @@
 	Routes []Route `json:"routes"`
 	// Draining lists the targets that operators have drained.
 	Draining []model.TargetID `json:"draining,omitempty"`
+	// Unsupported is the reason why this build cannot apply the stored service; the requests of all routes that lead to it are
+	// refused. It is empty for a service that is in force, and never stored.
+	Unsupported string `json:"-"`
+}
+
+// dropImpliedRequirements removes the requirements of the routes that follow from other fields.
+func (s *Service) dropImpliedRequirements() {
+	for i := range s.Routes {
+		s.Routes[i].dropImpliedRequirements()
+	}
 }
--- a/internal/declaration/unsupported.go
+++ b/internal/declaration/unsupported.go
@@ -1,8 +1,6 @@
 package declaration
 
 import (
-	"encoding/json"
-
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/internal/verdict"
@@ -24,25 +22,45 @@
 }
 
 // MarkUnsupportedRoutes replaces each route that is not valid by an unsupported one, so that it does not keep the other
-// routes of the service from use.
+// routes of the service from use. A route for the same requests as one that is not understood becomes unsupported, too: the other
+// one may restrict them.
 func (s *Service) MarkUnsupportedRoutes() {
+	refused := s.markInvalidRoutes()
 	seen := make(map[string]bool, len(s.Routes))
 	for i := range s.Routes {
 		route := &s.Routes[i]
-		if route.Unsupported != "" {
-			continue
+		switch id := route.id(); {
+		case refused[id], seen[id]:
+			route.MarkUnsupported(errDeclaredTwice(route))
+		default:
+			seen[id] = true
 		}
-		err := route.validate()
-		if err == nil && seen[route.id()] {
-			err = errDeclaredTwice(route)
+	}
+}
+
+// markInvalidRoutes makes the routes that are not valid unsupported. It returns the IDs of all unsupported routes.
+func (s *Service) markInvalidRoutes() map[string]bool {
+	refused := map[string]bool{}
+	for i := range s.Routes {
+		route := &s.Routes[i]
+		if err := route.validate(); err != nil {
+			route.MarkUnsupported(err)
 		}
-		seen[route.id()] = true
-		if err != nil {
-			methods := route.Methods
-			*route = UnsupportedRoute(route.Host, route.Path, route.BelowOnly, err)
-			route.limitMethods(methods)
+		if route.Unsupported != "" {
+			refused[route.id()] = true
 		}
 	}
+	return refused
+}
+
+// MarkUnsupported replaces the route by an unsupported one, unless it is one.
+func (r *Route) MarkUnsupported(reason error) {
+	if r.Unsupported != "" {
+		return
+	}
+	methods := r.Methods
+	*r = UnsupportedRoute(r.Host, r.Path, r.BelowOnly, reason)
+	r.limitMethods(methods)
 }
 
 // limitMethods limits an unsupported route to the methods of the original one, if they are valid.
@@ -62,58 +80,3 @@
 	}
 	return unsupported
 }
-
-// DecodeStored parses a document that another build may have written. Fields that this build does not know are ignored.
-// Routes that it does not understand become unsupported; only what is wrong with the service itself is an error.
-func DecodeStored(data []byte) (*Service, error) {
-	s := new(Service)
-	err := json.Unmarshal(data, s)
-	var typeError *json.UnmarshalTypeError
-	if errors.As(err, &typeError) {
-		s, err = decodeRoutesApart(data)
-	}
-	if err != nil {
-		return nil, errors.Wrap(err, "service document")
-	}
-	s.MarkUnsupportedRoutes()
-	if err := s.Validate(); err != nil {
-		return nil, err
-	}
-	return s, nil
-}
-
-// decodeRoutesApart decodes each route on its own. A route with a value of another type becomes unsupported.
-func decodeRoutesApart(data []byte) (*Service, error) {
-	var document struct {
-		Service
-		Routes []json.RawMessage `json:"routes"`
-	}
-	if err := json.Unmarshal(data, &document); err != nil {
-		return nil, err
-	}
-	s := &document.Service
-	s.Routes = make([]Route, len(document.Routes))
-	for i, raw := range document.Routes {
-		if err := json.Unmarshal(raw, &s.Routes[i]); err != nil {
-			s.Routes[i] = unsupportedFrom(raw, err)
-		}
-	}
-	return s, nil
-}
-
-// unsupportedFrom returns the unsupported route for an encoded route. Without a readable host and path it matches no
-// request.
-func unsupportedFrom(raw json.RawMessage, reason error) Route {
-	var place struct {
-		Host      string   `json:"host"`
-		Methods   []string `json:"methods"`
-		Path      string   `json:"path"`
-		BelowOnly bool     `json:"below_only"`
-	}
-	if err := json.Unmarshal(raw, &place); err != nil {
-		return UnsupportedRoute("", "", false, reason)
-	}
-	route := UnsupportedRoute(place.Host, place.Path, place.BelowOnly, reason)
-	route.limitMethods(place.Methods)
-	return route
-}
--- a/internal/declaration/unsupported_test.go
+++ b/internal/declaration/unsupported_test.go
@@ -26,6 +26,8 @@
 func FuzzDecodeStored(f *testing.F) {
 	f.Add([]byte(`{"name":"s","routes":[{"path":"/a"},{"path":"/b","class":"later"},{"path":"/c","timeout_ms":"4s"},{"path":7},null,{"path":"/a"}]}`))
 	f.Add([]byte(`{"name":"s","routes":{"a":1}}`))
+	f.Add([]byte(`{"name":"s"}`))
+	f.Add([]byte(`{"name":"s","routes":[]}`))
 	f.Add([]byte(`{"name":"s","floor_slots":"many","routes":[{"path":"/a"}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s, err := DecodeStored(data)
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -104,6 +104,9 @@
 	if err := validateMethods(r.Methods); err != nil {
 		return err
 	}
+	if err := validateRequirements(r.Requires); err != nil {
+		return err
+	}
 	for _, status := range append(append([]int(nil), r.RetryStatuses...), r.FailStatuses...) {
 		if status < 400 || status > 599 {
 			return errors.Errorf("status %d: use 400 to 599", status)
@@ -136,14 +139,11 @@
 	return data, nil
 }
 
-// Decode parses and validates the canonical JSON of a service.
+// Decode parses and validates the canonical JSON of a service or a document. A field that this build does not know is an error.
 func Decode(data []byte) (*Service, error) {
-	s := new(Service)
-	if err := json.Unmarshal(data, s); err != nil {
-		return nil, errors.Wrap(err, "service document")
-	}
-	if err := s.Validate(); err != nil {
+	d, err := DecodeDocument(data)
+	if err != nil {
 		return nil, err
 	}
-	return s, nil
+	return &d.Service, nil
 }
--- a/internal/distribution/apply.go
+++ b/internal/distribution/apply.go
@@ -102,15 +102,25 @@
 		if service == nil || snapshot.Revisions[service.Name] != document.Revision {
 			continue
 		}
+		if service.Unsupported != "" {
+			d.reportUnsupportedRoute(document, allRoutes, service.Unsupported)
+			continue
+		}
 		for _, route := range service.UnsupportedRoutes() {
-			d.options.Report(Event{
-				Kind: RouteUnsupported, Key: document.Key, Revision: document.Revision, Route: route.Host + route.Path,
-				Err: errors.New(route.Unsupported),
-			})
+			d.reportUnsupportedRoute(document, route.Host+route.Path, route.Unsupported)
 		}
 	}
 }
 
+// allRoutes is the Event.Route of a service of which all routes are unsupported.
+const allRoutes = "*"
+
+func (d *Distributor) reportUnsupportedRoute(document config.Document, route, reason string) {
+	d.options.Report(Event{
+		Kind: RouteUnsupported, Key: document.Key, Revision: document.Revision, Route: route, Err: errors.New(reason),
+	})
+}
+
 // reportRejected reports each revision of an invalid document once.
 func (d *Distributor) reportRejected() {
 	rejected := d.tables.config.Snapshot().Rejected
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -30,7 +30,7 @@
 	// DocumentRejected means that the newest document of Key is invalid. The last valid one stays active.
 	DocumentRejected
 	// RouteUnsupported means that a document that was merged has a route that this build cannot serve, for the reason Err.
-	// Key and Revision identify the document, Route is the host and path.
+	// Key and Revision identify the document, Route is the host and path, "*" for all routes of the service.
 	RouteUnsupported
 	// MemberChanged means that the liveness of Node changed from From to To.
 	MemberChanged
