--- a/internal/declaration/account_group.go
+++ b/internal/declaration/account_group.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -25,12 +26,26 @@
 	return int(xxhash.Sum64String(string(name)) % AccountGroups)
 }
 
-// Encode validates the accounts and returns the group's canonical JSON.
-func (g *AccountGroup) Encode() ([]byte, error) {
+// Validate returns nil, or an error that names the account that is not valid.
+func (g *AccountGroup) Validate() error {
+	seen := make(map[model.AccountName]bool, len(g.Accounts))
 	for i := range g.Accounts {
-		if err := g.Accounts[i].Validate(); err != nil {
-			return nil, err
+		account := &g.Accounts[i]
+		if err := account.Validate(); err != nil {
+			return err
+		}
+		if seen[account.Name] {
+			return errors.Errorf("account %s is declared twice", shorten(string(account.Name)))
 		}
+		seen[account.Name] = true
+	}
+	return nil
+}
+
+// Encode validates the accounts and returns the group's canonical JSON.
+func (g *AccountGroup) Encode() ([]byte, error) {
+	if err := g.Validate(); err != nil {
+		return nil, err
 	}
 	data, err := json.Marshal(g)
 	if err != nil {
@@ -41,3 +56,34 @@
 	}
 	return data, nil
 }
+
+// DecodeAccountGroup parses a group for an operator's command and validates its accounts. Whatever this build does not know is an
+// error: a write of what is understood alone would remove it.
+func DecodeAccountGroup(data []byte) (*AccountGroup, error) {
+	g := new(AccountGroup)
+	if err := json.Unmarshal(data, g); err != nil {
+		return nil, errors.Wrap(withoutValue(err), "account group")
+	}
+	if err := checkFields(data, reflect.TypeFor[AccountGroup]()); err != nil {
+		return nil, errors.Wrap(err, "account group")
+	}
+	if fields, err := jsonFields(data); err != nil || !hasField(fields, "accounts") {
+		return nil, errors.Wrap(errNoAccounts, "account group")
+	}
+	if err := g.Validate(); err != nil {
+		return nil, err
+	}
+	return g, nil
+}
+
+// withoutValue returns an error for the same field as an error of package json, without the value, which may be a key by mistake.
+func withoutValue(err error) error {
+	var typeError *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &typeError):
+		return errors.Errorf("field %q has a value of another type", typeError.Field)
+	case errors.Is(err, errKeyHash):
+		return err
+	}
+	return errors.New("not valid JSON")
+}
--- a/internal/declaration/json_fields.go
+++ b/internal/declaration/json_fields.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -46,10 +47,18 @@
 	return fields, nil
 }
 
-// checkFields returns an error for the first field in the JSON value that the type does not have, or that an object has twice.
-// Names must be those of the type letter by letter, although package json reads others, too. Values of another type are left to
-// the decoding.
+// hasField reports whether one of the fields has the name.
+func hasField(fields []jsonField, name string) bool {
+	return slices.ContainsFunc(fields, func(field jsonField) bool { return field.name == name })
+}
+
+// checkFields returns an error for the first field in the JSON value that package json would leave out without an error: one that the
+// type does not have, that an object has twice, or whose value is null and needs another one. Names must be those of the type letter
+// by letter, although package json reads others, too. Values of another type are left to the decoding.
 func checkFields(value []byte, t reflect.Type) error {
+	if t == reflect.TypeFor[json.RawMessage]() {
+		return nil
+	}
 	switch t.Kind() {
 	case reflect.Pointer:
 		return checkFields(value, t.Elem())
@@ -62,14 +71,14 @@
 }
 
 func checkElements(list []byte, element reflect.Type) error {
-	if element.Kind() != reflect.Struct {
-		return nil
-	}
 	var values []json.RawMessage
 	if json.Unmarshal(list, &values) != nil {
 		return nil
 	}
 	for _, value := range values {
+		if isNull(value) && !isNullable(element) {
+			return errors.New("an element of a list is null")
+		}
 		if err := checkFields(value, element); err != nil {
 			return err
 		}
@@ -77,6 +86,10 @@
 	return nil
 }
 
+func isNull(value json.RawMessage) bool { return string(value) == "null" }
+
+func isNullable(t reflect.Type) bool { return t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice }
+
 func checkObject(object []byte, t reflect.Type) error {
 	fields, err := jsonFields(object)
 	if err != nil {
@@ -93,6 +106,9 @@
 			return errors.Errorf("field %q is given twice", field.name)
 		}
 		seen[field.name] = true
+		if isNull(field.value) && !isNullable(fieldType) {
+			return errors.Errorf("field %q is null", field.name)
+		}
 		if err := checkFields(field.value, fieldType); err != nil {
 			return err
 		}
--- a/internal/declaration/key_hash.go
+++ b/internal/declaration/key_hash.go
@@ -24,11 +24,14 @@
 	return base64.RawURLEncoding.AppendEncode(nil, h[:]), nil
 }
 
+// errKeyHash is the error for a text that is not a KeyHash. It does not quote the text, which may be a key by mistake.
+var errKeyHash = errors.Errorf("key hash: use the base64url of %d bytes", keyHashBytes)
+
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (h *KeyHash) UnmarshalText(text []byte) error {
 	decoded, err := base64.RawURLEncoding.DecodeString(string(text))
 	if err != nil || len(decoded) != keyHashBytes {
-		return errors.Errorf("key hash %q: use the base64url of %d bytes", text, keyHashBytes)
+		return errKeyHash
 	}
 	copy(h[:], decoded)
 	return nil
--- a/internal/declaration/stored_service_test.go
+++ b/internal/declaration/stored_service_test.go
@@ -15,6 +15,7 @@
 		"unknown requirement": `{"path":"/odd","requires":["api_keys","client_certificates"]}`,
 		"other letter case":   `{"path":"/odd","Requires_Key":true}`,
 		"field given twice":   `{"path":"/odd","requires_key":true,"requires_key":false}`,
+		"null":                `{"path":"/odd","requires_key":null}`,
 		"key as text":         `{"path":"/odd","requires_key":"yes"}`,
 		"same place, known":   `{"path":"/odd","later":1},{"path":"/odd"}`,
 	} {
