Keep the client accounts of the stored groups in the configuration

Cause: documents of account groups were distributed and not read.

Unknown keys are undecided while the copy is partial: nothing complete, a document newer than what is complete, a range or page whose documents are on their way. Unlike a service, a group that cannot be read leaves nothing of itself in force, because a withdrawn key must not stay in use; its keys and unknown ones are undecided then, and so they are for a document of no group. An account in the document of another group is unsupported. A page names the newest revision that its sender has heard of (Newest, Expect): it leaves out keys whose newest document comes later.

--- a/internal/config/entry.go
+++ b/internal/config/entry.go
@@ -1,11 +1,12 @@
 package config
 
 import (
-	"strconv"
+	"bytes"
 	"strings"
 
 	"github.com/pkg/errors"
 
+	"github.com/sardinereach/sardinereach/internal/account"
 	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
@@ -13,31 +14,49 @@
 // ServicePrefix begins the keys of the service documents.
 const ServicePrefix = "config/services/"
 
-// AccountPrefix begins the keys of the documents of account groups.
-const AccountPrefix = "config/accounts/"
-
-// AccountKey returns the key of the document of a group of accounts (declaration.GroupOf).
-func AccountKey(group int) string { return AccountPrefix + strconv.Itoa(group) }
-
-// entry is the newest document of a key, with the active declaration of its service.
+// entry is the newest document of a key, with the active declaration of its service or the accounts of its group.
 type entry struct {
 	document Document
 	// service is the last valid declaration, which is active, or nil. serviceRevision is the revision of the last valid
 	// document, deletions included.
 	service         *declaration.Service
 	serviceRevision int64
+	// accounts are those of a valid document of a group of accounts, nil otherwise.
+	accounts *account.Group
 	// err is the validation error of document, nil if it is valid.
 	err error
 }
 
-// replaceDocument sets the newest document. If it is invalid, the last valid declaration stays active.
+// replaceDocument sets the newest document.
 func (e *entry) replaceDocument(document Document) {
+	previous := e.document
 	e.document = document
+	if strings.HasPrefix(document.Key, AccountPrefix) {
+		e.replaceAccounts(previous)
+		return
+	}
 	e.err = nil
-	name, ok := serviceName(document.Key)
-	if !ok {
+	if name, ok := serviceName(document.Key); ok {
+		e.replaceService(name)
+	}
+}
+
+// replaceAccounts decodes the newest document of a group of accounts. If it is invalid, no accounts stay active: a key that was
+// withdrawn must not stay in use. A document with the same value as the previous one is not decoded again.
+func (e *entry) replaceAccounts(previous Document) {
+	if e.document.Deleted {
+		e.accounts, e.err = nil, nil
+		return
+	}
+	if previous.Key != "" && !previous.Deleted && bytes.Equal(previous.Value, e.document.Value) {
 		return
 	}
+	e.accounts, e.err = decodeAccounts(e.document.Key, e.document.Value, e.accounts)
+}
+
+// replaceService decodes the newest document of a service. If it is invalid, the last valid declaration stays active.
+func (e *entry) replaceService(name model.ServiceName) {
+	document := e.document
 	if document.Deleted {
 		e.service = nil
 		e.serviceRevision = document.Revision
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -51,6 +51,9 @@
 		t.tombstones++
 	}
 	e.replaceDocument(document)
+	if group, ok := AccountGroupOf(document.Key); ok {
+		t.changedGroups[group] = true
+	}
 	return true
 }
 
--- a/internal/config/property_test.go
+++ b/internal/config/property_test.go
@@ -118,6 +118,7 @@
 func pull(to, from *Table, maxBytes int) {
 	documents, complete := from.Page(to.Complete(), maxBytes)
 	to.Apply(documents)
+	to.Expect(from.Newest())
 	to.Advance(complete)
 }
 
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -9,6 +9,8 @@
 import (
 	"sort"
 	"strings"
+
+	"github.com/sardinereach/sardinereach/internal/account"
 )
 
 // Table holds the documents under one prefix of the store.
@@ -25,9 +27,14 @@
 	completeForPeers int64
 	// deletionHorizon is the greatest revision at or before which deletions may be missing from the table.
 	deletionHorizon int64
-	maxTombstones   int
-	tombstones      int
-	snapshot        *Snapshot
+	// expected is the greatest revision of a document that the tables which sent documents to this one have heard of.
+	expected      int64
+	maxTombstones int
+	tombstones    int
+	snapshot      *Snapshot
+	// accounts are the client accounts of the last snapshot, changedGroups the numbers of the groups that have changed since.
+	accounts      *account.Table
+	changedGroups map[int]bool
 }
 
 // DefaultMaxTombstones bounds the tombstones of a table. A range represents older deletions.
@@ -43,6 +50,7 @@
 		prefix:        prefix,
 		entries:       map[string]*entry{},
 		maxTombstones: maxTombstones,
+		changedGroups: map[int]bool{},
 	}
 }
 
@@ -67,6 +75,18 @@
 	return t.order[len(t.order)-1].document.Revision
 }
 
+// Newest returns the greatest revision of a change that the table has heard of. Until the table is complete up to it, documents may be
+// missing that other tables have: a page (Page) leaves out a key whose newest document comes later.
+func (t *Table) Newest() int64 { return max(t.Revision(), t.deletionHorizon, t.expected) }
+
+// Expect records the Newest of a table from which documents have come.
+func (t *Table) Expect(newest int64) {
+	if newest > t.expected {
+		t.expected = newest
+		t.snapshot = nil
+	}
+}
+
 // Get returns the newest document of the key, which may be a deletion.
 func (t *Table) Get(key string) (Document, bool) {
 	e := t.entries[key]
@@ -171,5 +191,28 @@
 			snapshot.Revisions[e.service.Name] = e.serviceRevision
 		}
 	}
+	snapshot.Accounts = t.newAccounts(snapshot)
 	return snapshot
 }
+
+// newAccounts returns the client accounts of a new snapshot. They are those of the last one if neither accounts nor their
+// completeness have changed.
+func (t *Table) newAccounts(snapshot *Snapshot) *account.Table {
+	isPartial := t.isPartial() || snapshot.lacksAccounts()
+	if t.accounts != nil && len(t.changedGroups) == 0 && t.accounts.IsPartial() == isPartial {
+		return t.accounts
+	}
+	groups := make(map[int]*account.Group, len(t.changedGroups))
+	for number := range t.changedGroups {
+		groups[number] = nil
+		if e := t.entries[AccountKey(number)]; e != nil {
+			groups[number] = e.accounts
+		}
+	}
+	clear(t.changedGroups)
+	t.accounts = t.accounts.Replaced(groups, isPartial)
+	return t.accounts
+}
+
+// isPartial reports whether documents up to the newest revision that the table has heard of may be missing.
+func (t *Table) isPartial() bool { return t.complete == 0 || t.complete < t.Newest() }
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -41,7 +41,7 @@
 	// Revision is the store revision of the configuration.
 	Revision int64
 	Table    *routing.Table
-	// Accounts are the client accounts of the configuration.
+	// Accounts are the client accounts of the configuration, nil without one. They are those of the view before until they change.
 	Accounts *account.Table
 	// declared are the services of Table.
 	declared map[model.ServiceName]*declaration.Service
@@ -83,7 +83,7 @@
 		view.Revision = in.Config.Complete
 		view.declared = in.Config.Services
 		view.Table = routeTable(&in)
-		view.Accounts = account.NewTable(in.Config.Accounts)
+		view.Accounts = in.Config.Accounts
 		for name, service := range in.Config.Services {
 			view.services[name] = &ServiceView{Service: service}
 		}
--- a/internal/core/view_test.go
+++ b/internal/core/view_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"github.com/sardinereach/sardinereach/internal/account"
 	"github.com/sardinereach/sardinereach/internal/capacity"
 	"github.com/sardinereach/sardinereach/internal/config"
 	"github.com/sardinereach/sardinereach/internal/declaration"
@@ -144,3 +145,16 @@
 		t.Error("the configuration was modified")
 	}
 }
+
+// Guards against views that copy or build the accounts again, and against accounts that a node without a configuration decides.
+func TestViewTakesTheAccountsOfTheConfiguration(t *testing.T) {
+	in := inputs(&declaration.Service{Name: "s"}, func(int, *model.NodeRecord) {})
+	in.Config.Accounts = account.NewTable(nil)
+	if view := BuildView(in); view.Accounts != in.Config.Accounts {
+		t.Error("the view has other accounts than the configuration")
+	}
+	in.Config = nil
+	if finding := BuildView(in).Accounts.Find(declaration.HashKey("k")); finding.Status != account.Undecided {
+		t.Errorf("without a configuration, a key is %+v", finding)
+	}
+}
