Tell the caller of a pull the newest revision of the configuration

Cause: a response to a pull has a part of the documents if they are long, and marks the caller as complete up to the last one. The documents that follow may replace what the caller lacks, so that it called keys unknown whose accounts were on their way.

Change: PullResponse.newest_document is the greatest revision that the responding node has heard of. The caller's accounts are partial until it is complete up to it. It is recorded together with the documents, so that a node which only hears of chunks does not change.

--- a/internal/distribution/document_offer.go
+++ b/internal/distribution/document_offer.go
@@ -73,8 +73,18 @@
 	}
 	previousRevision := d.tables.config.Revision()
 	d.applyDocuments(offer.documents, offer.from)
+	d.expect(offer.response.GetNewestDocument())
 	d.advance(ConfigPrefix, offer.response.GetDocumentRevision())
 	d.recordConfirmation(offer.response, offer.from.startedAt)
 	d.continueFrom(offer.response)
 	d.signalNewDocuments(previousRevision, offer.from.address)
 }
+
+// expect records the newest revision that a peer has heard of. Until this node is complete up to it, the peer's documents are on their
+// way. The caller holds d.mu.
+func (d *Distributor) expect(newest int64) {
+	if newest > d.tables.config.Newest() {
+		d.tables.config.Expect(newest)
+		d.publisher.documentsChanged = true
+	}
+}
--- a/internal/distribution/handle_pull.go
+++ b/internal/distribution/handle_pull.go
@@ -35,6 +35,7 @@
 func (d *Distributor) answerConfig(request *peerv1.PullRequest, response *peerv1.PullResponse) {
 	documents, complete := d.tables.config.Page(request.GetDocumentRevision(), d.options.MaxPullBytes)
 	response.DocumentRevision = complete
+	response.NewestDocument = d.tables.config.Newest()
 	response.StorePosition = d.encodePosition(complete)
 	response.ConfirmationAgeMs = d.encodeConfirmation(complete)
 	response.StoreAttemptAgeMs = d.encodeAttempt(model.NodeID(request.GetNode()))
