Log the groups of accounts that come into force and the accounts that do not

Cause: config_applied and config_invalid name a service. Nothing said which accounts a node has in force, which it does not understand, or that two accounts have a key in common.

Change: accounts_applied (SR0221) with group, revision and number of accounts, only if the accounts have changed, because each version of the platform writes all documents again; accounts_invalid (SR0222); account_unsupported (SR0223) and key_shared (SR0224), once a revision with the names of the accounts. None of them has a key or a hash.

--- a/internal/declaration/account_group.go
+++ b/internal/declaration/account_group.go
@@ -80,6 +80,8 @@
 func withoutValue(err error) error {
 	var typeError *json.UnmarshalTypeError
 	switch {
+	case errors.As(err, &typeError) && typeError.Field == "":
+		return errNotObject
 	case errors.As(err, &typeError):
 		return errors.Errorf("field %q has a value of another type", typeError.Field)
 	case errors.Is(err, errKeyHash):
--- a/internal/distribution/apply.go
+++ b/internal/distribution/apply.go
@@ -80,17 +80,23 @@
 		auxiliary.recordChanges(changed, d.tables.members)
 	}
 	d.publisher.documentsChanged = true
-	now := d.options.Now()
 	for _, document := range changed {
-		d.options.Report(Event{
-			Kind: DocumentApplied, Key: document.Key, Revision: document.Revision, Address: from.address,
-			Duration: from.answeredAt - from.startedAt, Age: age(now, d.confirmation.newest()),
-			Wait: now - from.answeredAt, Bytes: int64(len(document.Value)),
-		})
+		d.options.Report(d.documentEvent(document, from))
 	}
 	if prefix == ConfigPrefix {
 		d.reportRejected()
 		d.reportUnsupportedRoutes(changed)
+		d.reportAccounts(changed, from)
+	}
+}
+
+// documentEvent returns the event DocumentApplied of a document.
+func (d *Distributor) documentEvent(document config.Document, from delivery) Event {
+	now := d.options.Now()
+	return Event{
+		Kind: DocumentApplied, Key: document.Key, Revision: document.Revision, Address: from.address,
+		Duration: from.answeredAt - from.startedAt, Age: age(now, d.confirmation.newest()),
+		Wait: now - from.answeredAt, Bytes: int64(len(document.Value)),
 	}
 }
 
--- a/internal/distribution/distributor.go
+++ b/internal/distribution/distributor.go
@@ -55,6 +55,7 @@
 	lastPeerResponse  time.Duration
 	// reportedRejections holds, by key, the revisions of invalid documents that were already reported.
 	reportedRejections map[string]int64
+	reportedAccounts   reportedAccounts
 	// deadRecords are the member records of the last list that this node has to delete.
 	deadRecords []memberRecord
 
@@ -111,6 +112,7 @@
 		lastStoreResponse:  noResponseYet,
 		lastPeerResponse:   noResponseYet,
 		reportedRejections: map[string]int64{},
+		reportedAccounts:   newReportedAccounts(),
 
 		propagation:   newPropagation(),
 		firstListDone: make(chan struct{}),
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -27,11 +27,21 @@
 	// confirmation before: the change was acknowledged after it. Bytes is the size of the document, Wait the time from the
 	// response until the document was merged.
 	DocumentApplied
-	// DocumentRejected means that the newest document of Key is invalid. The last valid one stays active.
+	// DocumentRejected means that the newest document of Key is invalid. The last valid one of a service stays active; of a group of
+	// accounts, nothing does.
 	DocumentRejected
 	// RouteUnsupported means that a document that was merged has a route that this build cannot serve, for the reason Err.
 	// Key and Revision identify the document, Route is the host and path, "*" for all routes of the service.
 	RouteUnsupported
+	// AccountsApplied means that a document with other accounts than before was merged: DocumentApplied with the number of accounts in
+	// Count.
+	AccountsApplied
+	// AccountUnsupported means that a document that was merged has an account that this build cannot apply, for the reason Err. Key and
+	// Revision identify the document, Accounts has the name, "" if it cannot be read.
+	AccountUnsupported
+	// KeyShared means that Accounts have a key in common, which belongs to none of them. Revision is that of the newest of their
+	// documents.
+	KeyShared
 	// MemberChanged means that the liveness of Node changed from From to To.
 	MemberChanged
 	// MemberRegistered means that the node's own member record is in the store.
@@ -71,6 +81,7 @@
 
 var eventNames = [...]string{
 	"store_failed", "store_compacted", "list_outdated", "pull_failed", "document_applied", "document_rejected", "route_unsupported",
+	"accounts_applied", "account_unsupported", "key_shared",
 	"member_changed", "member_registered", "member_record_lost", "member_deleted", "watch_started", "watch_stopped",
 	"ready", "isolated", "reconnected", "identity_conflict", "era_received",
 	"stand_in_started", "stand_in_stopped", "stand_in_failed", "confirmation_late", "confirmation_received",
@@ -100,5 +111,7 @@
 	Duration, Age time.Duration
 	Wait          time.Duration
 	Bytes         int64
+	Accounts      []model.AccountName
+	Count         int
 	Err           error
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -34,6 +34,10 @@
 	ConfirmationLate     = &Event{216, "confirmation_late", Warning, "the store has not confirmed the configuration to any node that this one hears of for longer than expected", []Key{Revision, Age, Operation}, 0}
 	ConfirmationReceived = &Event{217, "confirmation_received", Info, "the store has confirmed the configuration again", []Key{Revision, Duration}, 0}
 	RouteUnsupported     = &Event{220, "route_unsupported", Error, "this build does not understand a route of the configuration; its requests are refused, the other routes are in force", []Key{Service, Revision, Route, Cause}, 0}
+	AccountsApplied      = &Event{221, "accounts_applied", Info, "the client accounts of a group are in force on this node, as config_applied", []Key{Group, Revision, Count, Source, Duration, Age, Bytes, Wait}, 0}
+	AccountsInvalid      = &Event{222, "accounts_invalid", Error, "a group of client accounts in the store is not valid; none of its accounts is in force, and keys that no other account has are refused with accounts_unknown", []Key{Group, Revision, Cause}, 0}
+	AccountUnsupported   = &Event{223, "account_unsupported", Error, "this build does not understand a client account; requests with its keys are refused, the other accounts are in force", []Key{Accounts, Group, Revision, Cause}, 0}
+	KeyShared            = &Event{224, "key_shared", Error, "client accounts have an API key in common; it belongs to none of them, their other keys are in force", []Key{Accounts, Revision}, 0}
 	PullFailed           = &Event{219, "pull_failed", Warning, "a node did not answer a pull of records and configuration within the duration", []Key{Address, Revision, Duration, Cause}, 0}
 )
 
@@ -123,6 +127,7 @@
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, GraceExceeded,
 	ListenerFailed, PanicRecovered, SettingsRead, SignalReceived, RequestsCutOff, StoreUnavailable, StoreRecovered,
 	StoreOutcomeUnknown, StoreRestored, StoreHistoryLost, ListOutdated, StoreEraReceived, ConfigApplied, ConfigInvalid, ConfigStale,
+	AccountsApplied, AccountsInvalid, AccountUnsupported, KeyShared,
 	WatcherStarted, WatcherStopped, StandInStarted, StandInStopped, StandInFailed, ConfirmationLate, ConfirmationReceived, PullFailed, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
 	RegionReachable, LinkBudgetSpent, LoadDigestFailed, TargetAnnounced, TargetPhaseChanged, UnknownTargetLeft, AnnounceIgnored, LeaveRefused,
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sardinereach/sardinereach/internal/model"
@@ -159,3 +160,15 @@
 
 // StatusField is the HTTP status of a response.
 func StatusField(status int) Field { return number(Status, int64(status)) }
+
+// GroupField is the number of a group of client accounts, as in the key of its document.
+func GroupField(number string) Field { return text(Group, number) }
+
+// AccountsField are the names of client accounts.
+func AccountsField(names []model.AccountName) Field {
+	texts := make([]string, len(names))
+	for i, name := range names {
+		texts[i] = string(name)
+	}
+	return text(Accounts, strings.Join(texts, ","))
+}
--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -39,4 +39,6 @@
 	Remaining   Key = "remaining"
 	Cutoff      Key = "cutoff"
 	Age         Key = "age"
+	Group       Key = "account_group"
+	Accounts    Key = "accounts"
 )
--- a/internal/events/sink_test.go
+++ b/internal/events/sink_test.go
@@ -74,6 +74,8 @@
 		`rank="1"`:              events.RankField(1),
 		`remaining="3s"`:        events.RemainingField(3 * time.Second),
 		`cutoff="4s"`:           events.CutoffField(4*time.Second, true),
+		`account_group="48"`:    events.GroupField("48"),
+		`accounts="a,b"`:        events.AccountsField([]model.AccountName{"a", "b"}),
 	}
 	listed := make(map[events.Key]*events.Event)
 	for _, event := range events.All() {
--- a/internal/node/event_log.go
+++ b/internal/node/event_log.go
@@ -33,6 +33,10 @@
 
 // logDistributionEvent logs an event of the distribution of records and documents, and applies its effects to the node.
 func (n *Node) logDistributionEvent(e distribution.Event) {
+	if strings.HasPrefix(e.Key, config.AccountPrefix) || e.Kind == distribution.KeyShared {
+		n.logAccountEvent(e)
+		return
+	}
 	service := model.ServiceName(strings.TrimPrefix(e.Key, config.ServicePrefix))
 	switch e.Kind {
 	case distribution.StoreFailed:
@@ -83,6 +87,24 @@
 	}
 }
 
+// logAccountEvent logs an event about client accounts. It never logs a key or its hash.
+func (n *Node) logAccountEvent(e distribution.Event) {
+	group := events.GroupField(strings.TrimPrefix(e.Key, config.AccountPrefix))
+	switch e.Kind {
+	case distribution.AccountsApplied:
+		n.log.Emit(events.AccountsApplied, group, events.RevisionField(e.Revision), events.CountField(e.Count),
+			events.SourceField(e.Address), events.DurationField(e.Duration), events.AgeField(e.Age),
+			events.BytesField(e.Bytes), events.WaitField(e.Wait))
+	case distribution.DocumentRejected:
+		n.log.Emit(events.AccountsInvalid, group, events.RevisionField(e.Revision), events.CauseField(e.Err))
+	case distribution.AccountUnsupported:
+		n.log.Emit(events.AccountUnsupported, events.AccountsField(e.Accounts), group, events.RevisionField(e.Revision),
+			events.CauseField(e.Err))
+	case distribution.KeyShared:
+		n.log.Emit(events.KeyShared, events.AccountsField(e.Accounts), events.RevisionField(e.Revision))
+	}
+}
+
 // logReady logs that the node accepts callers. A node that is already stopping does not begin to.
 func (n *Node) logReady(e distribution.Event) {
 	if n.acceptor.lameDuck.Load() {
