--- a/internal/distribution/apply.go
+++ b/internal/distribution/apply.go
@@ -80,17 +80,23 @@
 		auxiliary.recordChanges(changed, d.tables.members)
 	}
 	d.publisher.documentsChanged = true
-	now := d.options.Now()
 	for _, document := range changed {
-		d.options.Report(Event{
-			Kind: DocumentApplied, Key: document.Key, Revision: document.Revision, Address: from.address,
-			Duration: from.answeredAt - from.startedAt, Age: age(now, d.confirmation.newest()),
-			Wait: now - from.answeredAt, Bytes: int64(len(document.Value)),
-		})
+		d.options.Report(d.documentEvent(document, from))
 	}
 	if prefix == ConfigPrefix {
 		d.reportRejected()
 		d.reportUnsupportedRoutes(changed)
+		d.reportAccounts(changed, from)
+	}
+}
+
+// documentEvent returns the event DocumentApplied of a document.
+func (d *Distributor) documentEvent(document config.Document, from delivery) Event {
+	now := d.options.Now()
+	return Event{
+		Kind: DocumentApplied, Key: document.Key, Revision: document.Revision, Address: from.address,
+		Duration: from.answeredAt - from.startedAt, Age: age(now, d.confirmation.newest()),
+		Wait: now - from.answeredAt, Bytes: int64(len(document.Value)),
 	}
 }
 
@@ -102,15 +108,25 @@
 		if service == nil || snapshot.Revisions[service.Name] != document.Revision {
 			continue
 		}
+		if service.Unsupported != "" {
+			d.reportUnsupportedRoute(document, allRoutes, service.Unsupported)
+			continue
+		}
 		for _, route := range service.UnsupportedRoutes() {
-			d.options.Report(Event{
-				Kind: RouteUnsupported, Key: document.Key, Revision: document.Revision, Route: route.Host + route.Path,
-				Err: errors.New(route.Unsupported),
-			})
+			d.reportUnsupportedRoute(document, route.Host+route.Path, route.Unsupported)
 		}
 	}
 }
 
+// allRoutes is the Event.Route of a service of which all routes are unsupported.
+const allRoutes = "*"
+
+func (d *Distributor) reportUnsupportedRoute(document config.Document, route, reason string) {
+	d.options.Report(Event{
+		Kind: RouteUnsupported, Key: document.Key, Revision: document.Revision, Route: route, Err: errors.New(reason),
+	})
+}
+
 // reportRejected reports each revision of an invalid document once.
 func (d *Distributor) reportRejected() {
 	rejected := d.tables.config.Snapshot().Rejected
