Forward each header by its owner

The filters for requests and responses listed what they removed, each its own names, compared in one spelling. A caller's value of a header of the fleet or of an upstream was forwarded, in particular the API key and the client account.

Change: package headers builds from the dialects who owns a header and what happens to it on each leg. The accepting node, the upstream client (for accepting nodes of older builds) and the forwarding of responses use it. Names are compared without regard to case, and _ counts as -. The request ID is forwarded once, also if Connection names it; different IDs are refused with 400. The upstream gets the account of ForwardHead.account alone. X-Forwarded-For keeps all lines of the caller.

--- a/internal/dialect/own.go
+++ b/internal/dialect/own.go
@@ -2,7 +2,7 @@
 
 // OwnCaller returns the project's own dialect of callers.
 func OwnCaller() Caller {
-	return Caller{TimeoutHeader: "Sardinereach-Timeout-Ms", SardinereachHeaders: true}
+	return Caller{TimeoutHeader: "Sardinereach-Timeout-Ms", KeyHeader: "Sardinereach-Api-Key", SardinereachHeaders: true}
 }
 
 // OwnUpstream returns the project's own dialect of upstreams.
@@ -13,5 +13,6 @@
 		NotRunHeader:  "Sardinereach-Not-Run",
 		EchoHeader:    "Sardinereach-Attempt",
 		EchoOptional:  true,
+		AccountHeader: "Sardinereach-Account",
 	}
 }
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -13,6 +13,7 @@
 	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/dialect"
 	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/headers"
 	"github.com/sardinereach/sardinereach/internal/metrics"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/peer"
@@ -39,6 +40,8 @@
 	clock   clock
 	limits  settings.Limits
 	dialect dialect.Caller
+	// headers says which headers of callers are passed on.
+	headers *headers.Rules
 	// callerService is sent to upstreams as the origin of the requests that this node accepts.
 	callerService model.ServiceName
 	// retryStatuses are the statuses retried on idempotent routes that list none of their own.
--- a/internal/node/acceptor_test.go
+++ b/internal/node/acceptor_test.go
@@ -16,6 +16,7 @@
 	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/dialect"
 	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/headers"
 	"github.com/sardinereach/sardinereach/internal/metrics"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/once"
@@ -34,7 +35,7 @@
 	a := &acceptor{
 		limits: settings.Limits{MaxBodyBytes: 100, MaxRequests: 10}, ready: func() bool { return true }, cutoff: newShutdownCutoff(),
 		openAttempts: newOpenAttempts(),
-		dialect:      dialect.OwnCaller(), budgets: newBudgets(testRetries()), answerSizes: newRouteAverages[int64](), attemptDurations: newRouteAverages[time.Duration](), metrics: metrics.New(), log: events.New(discardLog{}, time.Now), clock: newClock(),
+		dialect:      dialect.OwnCaller(), headers: headers.NewRules(dialect.OwnCaller(), dialect.OwnUpstream()), budgets: newBudgets(testRetries()), answerSizes: newRouteAverages[int64](), attemptDurations: newRouteAverages[time.Duration](), metrics: metrics.New(), log: events.New(discardLog{}, time.Now), clock: newClock(),
 	}
 	a.once = &onceRunner{acceptor: a, nodeOf: func(model.NodeID) (model.Node, bool) { return model.Node{}, false }}
 	a.view.Store(core.BuildView(core.Inputs{Config: &config.Snapshot{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/sardinereach/sardinereach/internal/admission"
 	"github.com/sardinereach/sardinereach/internal/distribution"
 	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/headers"
 	"github.com/sardinereach/sardinereach/internal/metrics"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/once"
@@ -75,6 +76,7 @@
 	n.store = ports.Store
 	n.peers = peer.NewClient(n.self.ID, peer.Options{OnBytes: n.countPeerBytes})
 	n.upstreams = upstream.NewClient(s.Limits.MaxHeaderBytes, ports.Upstreams)
+	n.upstreams.SetCallers(ports.Callers)
 	n.crashes = newCrashTracker(n.clock, n.self, n.store, log)
 	n.crashes.notify = n.notifyAdmittingNodes
 	n.admitter = newAdmitter(n.clock, incarnation, n.admissionLimits(), n.upstreams, n.crashes)
@@ -108,7 +110,7 @@
 func (n *Node) buildAcceptor(seed uint64) {
 	n.acceptor = &acceptor{
 		self: n.self, clock: n.clock, limits: n.settings.Limits,
-		dialect: n.ports.Callers, callerService: n.settings.Upstream.Service, retryStatuses: n.settings.Retries.Statuses,
+		dialect: n.ports.Callers, headers: headers.NewRules(n.ports.Callers, n.ports.Upstreams), callerService: n.settings.Upstream.Service, retryStatuses: n.settings.Retries.Statuses,
 		ready: n.ready.Load, cutoff: newShutdownCutoff(),
 		peers: n.peers, openAttempts: newOpenAttempts(), admitter: n.admitter, paths: n.paths, regionLink: newLinkBudget(n.settings.Limits.LinkBytesPerSecond),
 		budgets: newBudgets(n.settings.Retries), answerSizes: newRouteAverages[int64](), attemptDurations: newRouteAverages[time.Duration](), metrics: n.metrics, log: n.log, seed: seed,
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,9 +14,9 @@
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/framing"
+	"github.com/sardinereach/sardinereach/internal/headers"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/routing"
-	"github.com/sardinereach/sardinereach/internal/upstream"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
@@ -70,6 +69,10 @@
 		rq.service = declaration.Pick(match.Route.Split, rq.rng.Float64())
 	}
 	uri := requestURI(r)
+	id, err := a.requestID(r)
+	if err != nil {
+		return nil, err
+	}
 	rq.operation = operationFingerprint(r.Method, uri, body)
 	identity := requestIdentity{host: match.Route.Host, caller: a.callerOf(), method: r.Method, uri: uri, body: body}
 	rq.head = &peerv1.ForwardHead{
@@ -78,8 +81,8 @@
 		Method:        r.Method,
 		Uri:           uri,
 		Host:          r.Host,
-		Headers:       a.forwardedHeaders(r),
-		RequestId:     a.requestID(r),
+		Headers:       a.forwardedHeaders(r, id),
+		RequestId:     id,
 		Rank:          int32(match.Route.Rank),
 		Fingerprint:   uint64(identity.fingerprint()),
 		ContentLength: int64(len(body)),
@@ -99,12 +102,21 @@
 	return r.URL.RequestURI()
 }
 
+// errRequestIDs means that a request has several request IDs, so that it is not clear which one an upstream would take.
+var errRequestIDs = errors.New("node: the request has different request IDs")
+
 // requestID returns the request ID set by the caller, "" if there is none.
-func (a *acceptor) requestID(r *http.Request) string {
-	if a.dialect.RequestIDHeader == "" {
-		return ""
+func (a *acceptor) requestID(r *http.Request) (string, *verdict.Error) {
+	values := headers.Values(r.Header, a.dialect.RequestIDHeader)
+	if len(values) == 0 {
+		return "", nil
+	}
+	for _, value := range values {
+		if value != values[0] {
+			return "", verdict.Refused(verdict.BadRequest, errRequestIDs)
+		}
 	}
-	return r.Header.Get(a.dialect.RequestIDHeader)
+	return values[0], nil
 }
 
 // parentID returns the ID of the request whose run made the nested request with the given ID. It returns "" if the
@@ -200,39 +212,6 @@
 	return digest.Sum64()
 }
 
-// forwardedHeaders returns the headers for the upstream: the end-to-end headers of the caller without those that the
-// fleet sets, and the headers that this node adds.
-func (a *acceptor) forwardedHeaders(r *http.Request) []*peerv1.Header {
-	all := upstream.EndToEnd(r.Header)
-	kept := all[:0]
-	forwardedFor := ""
-	for _, h := range all {
-		switch {
-		case h.Name == "X-Forwarded-For" && a.dialect.SardinereachHeaders:
-			forwardedFor = h.Value + ", "
-		case a.setsHeader(h.Name), h.Name == "Content-Length", h.Name == "Expect":
-		default:
-			kept = append(kept, h)
-		}
-	}
-	if a.dialect.CallerServiceHeader != "" {
-		kept = append(kept, &peerv1.Header{Name: a.dialect.CallerServiceHeader, Value: string(a.callerService)})
-	}
-	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil && a.dialect.SardinereachHeaders {
-		kept = append(kept, &peerv1.Header{Name: "X-Forwarded-For", Value: forwardedFor + host})
-	}
-	return kept
-}
-
-// setsHeader reports whether the fleet sets the header itself. The caller's value of such a header is not forwarded.
-func (a *acceptor) setsHeader(name string) bool {
-	switch name {
-	case a.dialect.TimeoutHeader, a.dialect.CallerServiceHeader:
-		return true
-	}
-	return strings.HasPrefix(name, headerPrefix)
-}
-
 // validKey reports whether the value may be an idempotency key.
 func validKey(key string) bool {
 	if key == "" || len(key) > maxKeyBytes {
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -3,8 +3,6 @@
 import (
 	"net/http"
 	"slices"
-
-	"github.com/sardinereach/sardinereach/api/peerv1"
 )
 
 // declaresNotRun reports whether the upstream declared that it did not run the request. An upstream never runs a request
@@ -49,12 +47,3 @@
 	name := c.dialect.SignatureHeader
 	return name != "" && res.Header.Get(name) == ""
 }
-
-// answerHeaders returns the response headers that are forwarded.
-func (c *Client) answerHeaders(header http.Header) []*peerv1.Header {
-	headers := EndToEnd(header)
-	if c.dialect.LoadHeader == "" {
-		return headers
-	}
-	return slices.DeleteFunc(headers, func(h *peerv1.Header) bool { return h.Name == c.dialect.LoadHeader })
-}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/dialect"
+	"github.com/sardinereach/sardinereach/internal/headers"
 	"github.com/sardinereach/sardinereach/internal/peer"
 	"github.com/sardinereach/sardinereach/internal/watchdog"
 )
@@ -39,6 +40,7 @@
 // Client sends requests to upstreams over HTTP/1.1.
 type Client struct {
 	dialect   dialect.Upstream
+	rules     *headers.Rules
 	pooled    *http.Transport
 	singleUse *http.Transport
 	// echoing holds the addresses whose last response echoed the ID of its request.
@@ -59,9 +61,14 @@
 	// A non-idempotent request gets a new connection, which costs about 1 ms. On a reused one, an error does not show
 	// whether the upstream had just closed the idle connection or was lost while it ran the request.
 	singleUse.DisableKeepAlives = true
-	return &Client{dialect: names, pooled: pooled, singleUse: singleUse}
+	rules := headers.NewRules(dialect.Caller{}, names)
+	return &Client{dialect: names, rules: rules, pooled: pooled, singleUse: singleUse}
 }
 
+// SetCallers sets the dialect of the callers whose requests are sent, so that headers that only the fleet may read or set are
+// removed. It must be called before Run.
+func (c *Client) SetCallers(callers dialect.Caller) { c.rules = headers.NewRules(callers, c.dialect) }
+
 // Close closes idle connections.
 func (c *Client) Close() { c.pooled.CloseIdleConnections() }
 
@@ -194,13 +201,18 @@
 	req.ContentLength = int64(len(body))
 	req.Host = head.Host
 	for _, h := range head.Headers {
-		req.Header[h.Name] = append(req.Header[h.Name], h.Value)
+		if c.rules.Forwards(headers.ToUpstream, h.Name) {
+			req.Header[h.Name] = append(req.Header[h.Name], h.Value)
+		}
 	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = nil
 	}
 	setHeader(req, c.dialect.AttemptHeader, head.Attempt)
 	setHeader(req, c.dialect.InstanceHeader, head.Target)
+	if head.Account != "" {
+		setHeader(req, c.dialect.AccountHeader, head.Account)
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		setHeader(req, c.dialect.TimeoutHeader, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	}
@@ -246,7 +258,7 @@
 		return
 	}
 	head := &peerv1.AnswerHead{
-		Status: int32(res.StatusCode), Headers: c.answerHeaders(res.Header), ContentLength: res.ContentLength,
+		Status: int32(res.StatusCode), Headers: c.rules.Forwarded(headers.ToCaller, res.Header), ContentLength: res.ContentLength,
 	}
 	if err := sink.Head(head); err != nil {
 		result.Outcome, result.Err = SinkFailed, err
