Decide on the access of a request by its API key

Routes that require a key served requests without one, with an unknown one and with a withdrawn one, and no account was known at the target.

Change: package access decides from route, key, accounts and parent run. The accepting node takes the key out of the header before anything else sees it, keeps its hash, refuses a request without access before it reads the body (401 with WWW-Authenticate; 503 where it cannot tell) and decides again on the newest view before each attempt, retry, hedge and redeemed ticket. A refusal by key ends the attempts; an earlier attempt that may have run keeps its outcome. A request of a run at the local target needs no key; after a start, when runs of an earlier process may go on, one without a known run is refused with 503 instead of 401. Account and decision travel in ForwardHead. An admitting node refuses attempts for routes that require a key if no decision came with them (access_unchecked); another node may serve them. An account's rank replaces that of the route.

--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -99,7 +99,7 @@
 	_ = control.SetWriteDeadline(time.Time{})
 	rq, err := a.read(w, r)
 	if err != nil {
-		a.refuse(w, nil, err)
+		a.refuse(w, rq, err)
 		return
 	}
 	// A caller that stops reading must not occupy an upstream slot beyond the deadline of the request.
@@ -113,7 +113,8 @@
 	a.metrics.Latency(rq.service, time.Since(started))
 }
 
-// read checks that the node accepts requests, matches the route and reads the request.
+// read checks that the node accepts requests, matches the route and reads the request. A request that is refused is returned as far
+// as it is known. One without access is refused before its body is read.
 func (a *acceptor) read(w http.ResponseWriter, r *http.Request) (*request, *verdict.Error) {
 	if a.stopping.Load() {
 		return nil, verdict.Refused(verdict.NodeStopping, nil)
@@ -129,9 +130,12 @@
 	if err := match.Route.Refusal(); err != nil {
 		return nil, err
 	}
-	rq, err := a.readRequest(w, r, match, a.seed^a.serial.Add(1))
+	rq, err := a.newRequest(r, view, match, a.seed^a.serial.Add(1))
+	if err == nil {
+		err = a.readRequest(w, r, rq)
+	}
 	if err == nil && (a.stopping.Load() || a.outlastsShutdown(rq)) {
-		return nil, verdict.Refused(verdict.NodeStopping, nil)
+		err = verdict.Refused(verdict.NodeStopping, nil)
 	}
 	return rq, err
 }
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -11,6 +11,7 @@
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/peer"
 	"github.com/sardinereach/sardinereach/internal/upstream"
+	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
 // maxRetainedAnswerBytes is the largest response of a non-idempotent attempt that is retained until the accepting node
@@ -29,6 +30,8 @@
 	// decideTrial decides whether an attempt may run if its target is in trial.
 	decideTrial func(target model.TargetID, idempotent bool) trialDecision
 	crashes     *crashTracker
+	// checkAccess returns the refusal of an attempt whose accepting node has not decided on its access.
+	checkAccess func(*peerv1.ForwardHead) *verdict.Error
 	// onBreakerEvent is called when the circuit breaker of a target trips or closes.
 	onBreakerEvent func(admission.Event)
 	// onAnswerDropped is called with each attempt whose retained response was dropped before it was acknowledged.
@@ -40,6 +43,8 @@
 	point        *admission.Point
 	waiting      map[model.AttemptID]chan slotOrRefusal
 	running      map[model.AttemptID]*progressSink
+	// parents are the requests that the local targets may be running.
+	parents *parentRuns
 	// runs ends when this node cuts off its runs.
 	runs context.Context
 	// cutOffRuns ends runs.
@@ -61,12 +66,14 @@
 		onBreakerEvent: func(admission.Event) {},
 
 		countsAsFailure: func(observation) bool { return false },
+		checkAccess:     func(*peerv1.ForwardHead) *verdict.Error { return nil },
 
 		decideTrial:     func(model.TargetID, bool) trialDecision { return notInTrial },
 		onAnswerDropped: func(model.AttemptID) {},
 		point:           admission.NewPoint(limits, incarnation),
 		waiting:         make(map[model.AttemptID]chan slotOrRefusal),
 		running:         make(map[model.AttemptID]*progressSink),
+		parents:         newParentRuns(),
 	}
 }
 
@@ -256,6 +263,13 @@
 	return false
 }
 
+// mayRun reports whether a local target may be running the request.
+func (a *admitter) mayRun(request string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.parents.mayRun(a.clock.now(), request)
+}
+
 // isRunning reports whether the attempt runs at a local target.
 func (a *admitter) isRunning(attempt model.AttemptID) bool {
 	a.mu.Lock()
--- a/internal/node/admitter_run.go
+++ b/internal/node/admitter_run.go
@@ -14,6 +14,9 @@
 
 // run admits and runs one attempt, writes its response to sink, and returns the trailer of the response.
 func (a *admitter) run(ctx context.Context, head *peerv1.ForwardHead, source peer.Body, sink peer.Sink) *peerv1.AnswerTrailer {
+	if refusal := a.checkAccess(head); refusal != nil {
+		return a.trailer(head, refusal)
+	}
 	timeout := time.Duration(head.TimeoutMs) * time.Millisecond
 	limits := newRunLimits(a.clock.now(), head)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -208,6 +211,7 @@
 	}
 	a.mu.Lock()
 	a.running[model.AttemptID(head.Attempt)] = p
+	a.parents.begin(head.RequestId)
 	cutOffAt := a.runsCutOffAt
 	a.mu.Unlock()
 	if cutOffAt > 0 {
@@ -221,6 +225,7 @@
 	lossSerial := a.recordCrash(address, head, result)
 	a.mu.Lock()
 	coldStart := a.inColdStart(model.TargetID(head.Target))
+	a.endParent(head, result.Outcome)
 	a.mu.Unlock()
 	o := observation{
 		target:    model.TargetID(head.Target),
@@ -238,6 +243,25 @@
 	return trailer
 }
 
+// endParent records the end of an attempt whose run may have sent nested requests. a.mu is held.
+func (a *admitter) endParent(head *peerv1.ForwardHead, outcome upstream.Outcome) {
+	var until time.Duration
+	run := a.running[model.AttemptID(head.Attempt)]
+	if run != nil && mayContinue(outcome) {
+		until = run.started + time.Duration(head.TimeoutMs)*time.Millisecond
+	}
+	a.parents.end(a.clock.now(), head.RequestId, until)
+}
+
+// mayContinue reports whether the upstream may go on with a request after the outcome.
+func mayContinue(outcome upstream.Outcome) bool {
+	switch outcome {
+	case upstream.Answered, upstream.Shed, upstream.Unreachable:
+		return false
+	}
+	return true
+}
+
 // outcomeOfRun returns the outcome of a run, nil for a complete response. A run that this node has cut off may be retried
 // elsewhere, unlike one that its accepting node has cancelled.
 func (a *admitter) outcomeOfRun(result upstream.Result) *verdict.Error {
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -55,6 +55,10 @@
 		head.ProgressTimeoutMs = progressTimeout(rq.head.FirstByteMs, head.TimeoutMs, c.Target.FirstByte).Milliseconds()
 	}
 	out.reset(head.Attempt, a.crossRegionCounter(c))
+	if refusal := a.renewAccess(rq, head); refusal != nil {
+		a.logAttempt(rq, choice, head, nil, refusal, 0)
+		return refusal
+	}
 	if head.TimeoutMs <= 0 || ctx.Err() != nil || !g.beginDispatch() {
 		return endedOrExpired(ctx)
 	}
--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sardinereach/sardinereach/internal/access"
 	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
@@ -320,7 +321,7 @@
 		if err != nil && retry.IsStaleRefusal(err.Reason) {
 			err = a.runAttempt(ctx, h.rq, choice, openGate{}, out)
 		}
-		if err == nil || err.Verdict != verdict.NotRun {
+		if err == nil || err.Verdict != verdict.NotRun || access.IsRefusal(err.Reason) {
 			return err
 		}
 		if err.Reason == verdict.RepeatsSpent {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,6 +91,7 @@
 	n.admitter.hold(true)
 	n.control = newControl(n)
 	n.admitter.countsAsFailure = n.countsAsFailure
+	n.admitter.checkAccess = n.acceptor.refuseUnchecked
 	n.admitter.onAttemptEnd = n.control.detection.observe
 	n.admitter.decideTrial = n.control.detection.decideTrial
 	n.admitter.onBreakerEvent = n.logBreakerEvent
--- a/internal/node/other_host_test.go
+++ b/internal/node/other_host_test.go
@@ -88,7 +88,7 @@
 	fingerprints := map[uint64]bool{}
 	for _, host := range []string{"127.0.0.1:80", "127.0.0.2:81"} {
 		r := httptest.NewRequest(http.MethodGet, "http://"+host+"/s/7", http.NoBody)
-		rq, err := a.readRequest(deadlineRecorder{httptest.NewRecorder()}, r, a.view.Load().Table.Match(r.Host, r.Method, r.URL.Path), 1)
+		rq, err := a.read(deadlineRecorder{httptest.NewRecorder()}, r)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/refusal.go
+++ b/internal/node/refusal.go
@@ -46,6 +46,9 @@
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	status := statusOf(e)
+	if status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", a.challenge())
+	}
 	if status == http.StatusServiceUnavailable {
 		header.Set("Retry-After", a.retryAfterText(e.RetryAfter))
 	}
@@ -54,6 +57,9 @@
 	_, _ = fmt.Fprintf(w, "%s: %s\n", e.Verdict, refusalText(e))
 }
 
+// challenge tells callers how to send their API key (RFC 9110, section 11.6.1).
+func (a *acceptor) challenge() string { return fmt.Sprintf("ApiKey header=%q", a.dialect.KeyHeader) }
+
 // retryAfterText returns the value of Retry-After in the dialect of the callers.
 func (a *acceptor) retryAfterText(wait time.Duration) string {
 	wait = max(wait, defaultRetryAfter)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/framing"
 	"github.com/sardinereach/sardinereach/internal/headers"
@@ -37,6 +38,8 @@
 	// head is the template of the heads of its attempts.
 	head *peerv1.ForwardHead
 	body []byte
+	// access is the decision on the access of the request, nil if another node has made it.
+	access *requestAccess
 	// started is the arrival time of the request.
 	started  time.Time
 	deadline time.Time
@@ -49,49 +52,56 @@
 
 func (rq *request) remaining() time.Duration { return time.Until(rq.deadline) }
 
-// readRequest reads the request with its complete body.
-func (a *acceptor) readRequest(w http.ResponseWriter, r *http.Request, match *routing.Match, seed uint64) (*request, *verdict.Error) {
-	timeout, err := a.timeoutOf(r, match.Route)
-	if err != nil {
-		return nil, err
-	}
-	started := time.Now()
-	deadline := started.Add(timeout)
-	body, err := readBody(w, r, a.limits.MaxBodyBytes, deadline)
-	if err != nil {
-		return nil, err
-	}
+// newRequest returns the request without its body, and an error with it if it is refused.
+func (a *acceptor) newRequest(r *http.Request, view *core.View, match *routing.Match, seed uint64) (*request, *verdict.Error) {
 	rq := &request{
-		match: match, service: match.Service.Name, class: match.Route.ClassOf(r.Method), body: body,
-		started: started, deadline: deadline, rng: rand.New(rand.NewPCG(seed, 0)),
+		match: match, service: match.Service.Name, class: match.Route.ClassOf(r.Method),
+		started: time.Now(), rng: rand.New(rand.NewPCG(seed, 0)), head: &peerv1.ForwardHead{Route: match.Route.Path},
 	}
 	if len(match.Route.Split) > 0 {
 		rq.service = declaration.Pick(match.Route.Split, rq.rng.Float64())
 	}
-	uri := requestURI(r)
 	id, err := a.requestID(r)
 	if err != nil {
-		return nil, err
+		return rq, err
+	}
+	rq.head.RequestId = id
+	rq.access, err = a.newRequestAccess(r, view, match, id)
+	return rq, err
+}
+
+// readRequest reads the rest of the request with its complete body.
+func (a *acceptor) readRequest(w http.ResponseWriter, r *http.Request, rq *request) *verdict.Error {
+	route := rq.match.Route
+	timeout, err := a.timeoutOf(r, route)
+	if err != nil {
+		return err
 	}
-	rq.operation = operationFingerprint(r.Method, uri, body)
-	identity := requestIdentity{host: match.Route.Host, caller: a.callerOf(), method: r.Method, uri: uri, body: body}
+	rq.deadline = rq.started.Add(timeout)
+	rq.body, err = readBody(w, r, a.limits.MaxBodyBytes, rq.deadline)
+	if err != nil {
+		return err
+	}
+	uri := requestURI(r)
+	rq.operation = operationFingerprint(r.Method, uri, rq.body)
+	identity := requestIdentity{host: route.Host, caller: a.callerOf(), method: r.Method, uri: uri, body: rq.body}
 	rq.head = &peerv1.ForwardHead{
 		Service:       string(rq.service),
 		Idempotent:    rq.idempotent(),
 		Method:        r.Method,
 		Uri:           uri,
 		Host:          r.Host,
-		Headers:       a.forwardedHeaders(r, id),
-		RequestId:     id,
-		Rank:          int32(match.Route.Rank),
+		Headers:       a.forwardedHeaders(r, rq.head.RequestId),
+		RequestId:     rq.head.RequestId,
 		Fingerprint:   uint64(identity.fingerprint()),
-		ContentLength: int64(len(body)),
-		Route:         match.Route.Path,
-		Bulk:          match.Route.Priority == declaration.Bulk,
+		ContentLength: int64(len(rq.body)),
+		Route:         route.Path,
+		Bulk:          route.Priority == declaration.Bulk,
 	}
+	applyAccess(rq.head, route, rq.access.decision)
 	rq.head.OfRepeat = a.admitter.isRetryRunning(a.parentID(rq.head.RequestId))
-	rq.head.FirstByteMs = orDefault(match.Route.FirstByteMS, declaration.DefaultFirstByteMS)
-	return rq, nil
+	rq.head.FirstByteMs = orDefault(route.FirstByteMS, declaration.DefaultFirstByteMS)
+	return nil
 }
 
 // requestURI returns path and query as the caller sent them.
--- a/internal/node/tickets.go
+++ b/internal/node/tickets.go
@@ -48,6 +48,9 @@
 		return verdict.Uncertain(verdict.TicketLost, errors.New("the issuing incarnation is gone"))
 	}
 	head := rq.redeemHead(o.acceptor.self.ID, text)
+	if refusal := o.acceptor.renewAccess(rq, head); refusal != nil {
+		return refusal
+	}
 	out.reset("", nil)
 	out.unmodifiedHead = true
 	trailer, err := o.acceptor.peers.Redeem(ctx, issuer.PeerAddress, head, rq.body, out)
--- a/internal/retry/decide.go
+++ b/internal/retry/decide.go
@@ -160,7 +160,7 @@
 	switch reason {
 	case verdict.SlotsFull, verdict.QueueDeadline, verdict.TargetDraining, verdict.TargetStarting, verdict.TargetOnTrial, verdict.TargetDoubtful, verdict.RepeatsSpent,
 		verdict.TargetUnknown, verdict.AttemptFenced, verdict.AcceptorStopping, verdict.AdmitExpired, verdict.WrongIncarnation, verdict.NodeStopping,
-		verdict.UpstreamUnreachable, verdict.NodeUnreachable:
+		verdict.UpstreamUnreachable, verdict.NodeUnreachable, verdict.AccessUnchecked:
 		return true
 	}
 	return false
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -84,6 +84,7 @@
 		verdict.TargetUnknown: true, verdict.AttemptFenced: true, verdict.AdmitExpired: true, verdict.WrongIncarnation: true,
 		verdict.NodeStopping: true, verdict.TargetOnTrial: true, verdict.TargetDoubtful: true, verdict.UpstreamUnreachable: true,
 		verdict.NodeUnreachable: true, verdict.RepeatsSpent: true, verdict.AcceptorStopping: true,
+		verdict.AccessUnchecked: true,
 	}
 	retries := map[verdict.Reason]bool{
 		verdict.UpstreamShed: true, verdict.NoTarget: true,
