Give each client account its own operations

The identity of a request left out its account: an idempotency key, a ticket or a quarantined fingerprint of one account would return, block or refuse an equal request of another one.

Change: the quarantine's fingerprint and the fingerprint of an operation contain the account, claims have keys of their own for each account, and a request that is redeemed at another node keeps its account.

--- a/internal/node/once_runner.go
+++ b/internal/node/once_runner.go
@@ -62,7 +62,7 @@
 
 // serveWithKey runs the request under a claim.
 func (o *onceRunner) serveWithKey(ctx context.Context, rq *request, key string, out *delivery) *verdict.Error {
-	result, err := o.claims.Begin(ctx, rq.service, key, rq.operation)
+	result, err := o.claims.BeginFor(ctx, model.AccountName(rq.head.Account), rq.service, key, rq.operation)
 	for {
 		switch {
 		case err != nil:
--- a/internal/node/redeem.go
+++ b/internal/node/redeem.go
@@ -48,7 +48,7 @@
 		head:      head,
 		body:      body,
 		deadline:  time.Now().Add(time.Duration(head.TimeoutMs) * time.Millisecond),
-		operation: operationFingerprint(head.Method, head.Uri, body),
+		operation: operationFingerprint(model.AccountName(head.Account), head.Method, head.Uri, body),
 		rng:       rand.New(rand.NewPCG(seed, 0)),
 	}
 	head.Service = string(match.Service.Name)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -83,8 +83,8 @@
 		return err
 	}
 	uri := requestURI(r)
-	rq.operation = operationFingerprint(r.Method, uri, rq.body)
-	identity := requestIdentity{host: route.Host, caller: a.callerOf(), method: r.Method, uri: uri, body: rq.body}
+	rq.operation = operationFingerprint(rq.access.decision.AccountName(), r.Method, uri, rq.body)
+	identity := requestIdentity{host: route.Host, caller: a.callerOf(), method: r.Method, uri: uri, body: rq.body, account: rq.access.decision.AccountName()}
 	rq.head = &peerv1.ForwardHead{
 		Service:       string(rq.service),
 		Idempotent:    rq.idempotent(),
@@ -209,10 +209,16 @@
 	return a.callerService
 }
 
-// operationFingerprint returns a hash of method, URI and body, to which a key or ticket is bound. It is stored with the key, so it
-// must stay the same in later builds. A key belongs to one service.
-func operationFingerprint(method, uri string, body []byte) uint64 {
+// operationFingerprint returns a hash of account, method, URI and body, to which an idempotency key or ticket is bound. It is stored
+// with the key, so it must stay the same in later builds. A key belongs to one service.
+func operationFingerprint(account model.AccountName, method, uri string, body []byte) uint64 {
 	digest := xxhash.New()
+	if account != "" {
+		// No method begins with this byte, so that no request without an account gives the same bytes.
+		_, _ = digest.WriteString("\x00")
+		writeLength(digest, len(account))
+		_, _ = digest.WriteString(string(account))
+	}
 	// The digest never returns an error.
 	_, _ = digest.WriteString(method)
 	_, _ = digest.WriteString(" ")
--- a/internal/node/request_identity.go
+++ b/internal/node/request_identity.go
@@ -23,6 +23,8 @@
 	// uri is path and query.
 	uri  string
 	body []byte
+	// account is the client account of the request, empty for none.
+	account model.AccountName
 }
 
 // fingerprint returns a hash of the identity. The fields are hashed with their lengths, so that no two sequences of fields give the
@@ -36,6 +38,10 @@
 	}
 	writeLength(digest, len(i.body))
 	_, _ = digest.Write(i.body)
+	if i.account != "" {
+		writeLength(digest, len(i.account))
+		_, _ = digest.WriteString(string(i.account))
+	}
 	return quarantine.Fingerprint(digest.Sum64())
 }
 
--- a/internal/node/request_identity_test.go
+++ b/internal/node/request_identity_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"testing"
 
+	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/quarantine"
 )
 
@@ -64,3 +65,26 @@
 		}
 	})
 }
+
+// Guards against fingerprints and stored keys of requests without an account that change with the build.
+func TestIdentityWithoutAnAccountIsUnchanged(t *testing.T) {
+	identity := requestIdentity{host: "fees.example", caller: "ledger", method: "GET", uri: "/a", body: []byte("b")}
+	if got := identity.fingerprint().String(); got != "c20f546d82c92b54" {
+		t.Errorf("fingerprint %s", got)
+	}
+	if got := operationFingerprint("", "POST", "/a", []byte("b")); got != 0x1068c50e0db51e75 {
+		t.Errorf("operation %x", got)
+	}
+}
+
+// Guards against a request of one account that quarantines, or uses the ticket of, an equal request of another one.
+func TestRequestsOfAccountsDiffer(t *testing.T) {
+	fingerprints, operations := map[quarantine.Fingerprint]bool{}, map[uint64]bool{}
+	for _, account := range []model.AccountName{"", "a1", "a2", "a1POST"} {
+		fingerprints[requestIdentity{method: "POST", uri: "/a", body: []byte("b"), account: account}.fingerprint()] = true
+		operations[operationFingerprint(account, "POST", "/a", []byte("b"))] = true
+	}
+	if len(fingerprints) != 4 || len(operations) != 4 {
+		t.Errorf("%d fingerprints and %d operations of equal requests of 4 accounts", len(fingerprints), len(operations))
+	}
+}
--- a/internal/once/claims.go
+++ b/internal/once/claims.go
@@ -53,13 +53,19 @@
 	return c.operations.get(claim)
 }
 
-// Begin claims the key for a request with the given fingerprint. It returns a Result, or an error with the reason why
-// the request does not run now. The deadline of the context is the deadline of the request.
+// Begin is BeginFor for a request without a client account.
 func (c *Claims) Begin(ctx context.Context, service model.ServiceName, key string, fingerprint uint64) (Result, *verdict.Error) {
+	return c.BeginFor(ctx, "", service, key, fingerprint)
+}
+
+// BeginFor claims the key for a request of the account with the given fingerprint. Equal keys of two accounts are different keys.
+// It returns a Result, or an error with the reason why the request does not run now. The deadline of the context is the deadline of
+// the request.
+func (c *Claims) BeginFor(ctx context.Context, account model.AccountName, service model.ServiceName, key string, fingerprint uint64) (Result, *verdict.Error) {
 	if !validKey(key) {
 		return Result{}, verdict.Refused(verdict.KeyInvalid, errors.New("use 1 to 200 printable bytes"))
 	}
-	return c.create(ctx, request{service: service, key: key, fingerprint: fingerprint}, 0)
+	return c.create(ctx, request{service: service, account: account, key: key, fingerprint: fingerprint}, 0)
 }
 
 // TakeOver replaces a claim whose holder reported StateNotRun. Otherwise it is like Begin.
@@ -80,12 +86,17 @@
 
 // request is a request with an idempotency key.
 type request struct {
-	service     model.ServiceName
+	service model.ServiceName
+	// account is the client account of the request, empty for none.
+	account     model.AccountName
 	key         string
 	fingerprint uint64
 	tries       int
 }
 
+// hash returns the hash that represents the key of the request in the store.
+func (r *request) hash() string { return claimHash(r.account, r.key) }
+
 // create writes a new claim over the given revision of the key; 0 means that the key must not exist.
 func (c *Claims) create(ctx context.Context, r request, expect int64) (Result, *verdict.Error) {
 	if r.tries++; r.tries > maxCreateTries {
@@ -96,7 +107,7 @@
 	if err != nil {
 		return Result{}, verdict.Refused(verdict.KeyInvalid, err)
 	}
-	w := &write{key: storeKey(r.service, KeyHash(r.key)), expect: expect, value: value}
+	w := &write{key: storeKey(r.service, r.hash()), expect: expect, value: value}
 	outcome, err := c.performWrite(ctx, w)
 	switch outcome {
 	case stepDone:
@@ -116,6 +127,7 @@
 	d := document{
 		Claim:       newClaimID(c.node, c.incarnation, c.serial),
 		Key:         r.key,
+		Account:     r.account,
 		Fingerprint: r.fingerprint,
 		Node:        c.node,
 		Incarnation: c.incarnation,
--- a/internal/once/classify.go
+++ b/internal/once/classify.go
@@ -32,8 +32,8 @@
 }
 
 // classify classifies an existing claim for a request that the given incarnation of a node has received.
-func classify(d *document, key string, fingerprint uint64, node model.NodeID, incarnation model.Incarnation) classification {
-	if d.Key != key || d.Fingerprint != fingerprint {
+func classify(d *document, r request, node model.NodeID, incarnation model.Incarnation) classification {
+	if d.Key != r.key || d.Account != r.account || d.Fingerprint != r.fingerprint {
 		return classification{status: statusKeyReused}
 	}
 	switch d.Phase {
--- a/internal/once/document.go
+++ b/internal/once/document.go
@@ -29,6 +29,7 @@
 type document struct {
 	Claim       ClaimID           `json:"claim"`
 	Key         string            `json:"key"`
+	Account     model.AccountName `json:"account,omitempty"`
 	Fingerprint uint64            `json:"fingerprint"`
 	Node        model.NodeID      `json:"node"`
 	Incarnation model.Incarnation `json:"incarnation"`
--- a/internal/once/grant.go
+++ b/internal/once/grant.go
@@ -92,7 +92,7 @@
 	c.mu.Lock()
 	c.operations.end(c.options.Clock(), ended.Claim, outcome)
 	c.mu.Unlock()
-	key := storeKey(g.request.service, KeyHash(g.request.key))
+	key := storeKey(g.request.service, g.request.hash())
 	err := c.saveOutcome(ctx, key, g.revision, &ended)
 	if err != nil {
 		c.enqueue(pendingWrite{key: key, claim: ended.Claim, outcome: &ended})
@@ -120,7 +120,7 @@
 	c.mu.Lock()
 	c.operations.end(c.options.Clock(), g.document.Claim, Operation{State: StateNotRun})
 	c.mu.Unlock()
-	key := storeKey(g.request.service, KeyHash(g.request.key))
+	key := storeKey(g.request.service, g.request.hash())
 	err := c.remove(ctx, key, g.revision, g.document.Claim)
 	if err != nil {
 		c.enqueue(pendingWrite{key: key, claim: g.document.Claim, remove: true})
--- a/internal/once/key.go
+++ b/internal/once/key.go
@@ -23,6 +23,18 @@
 	return hex.EncodeToString(sum[:hashBytes])
 }
 
+// accountSeparator separates the account from the idempotency key in what is hashed. No valid key contains it.
+const accountSeparator = "\x00"
+
+// claimHash returns the hash that represents an idempotency key of a client account in the store, so that each account has its
+// own keys. Without an account it is KeyHash.
+func claimHash(account model.AccountName, key string) string {
+	if account == "" {
+		return KeyHash(key)
+	}
+	return KeyHash(string(account) + accountSeparator + key)
+}
+
 func storeKey(service model.ServiceName, hash string) string {
 	return claimsPrefix + string(service) + "/" + hash
 }
--- a/internal/once/resolve.go
+++ b/internal/once/resolve.go
@@ -18,7 +18,7 @@
 	}
 	running := &Running{
 		Service:     r.service,
-		KeyHash:     KeyHash(r.key),
+		KeyHash:     r.hash(),
 		Claim:       d.Claim,
 		Node:        d.Node,
 		Incarnation: d.Incarnation,
@@ -26,7 +26,7 @@
 		document:    *d,
 		request:     r,
 	}
-	existing := classify(d, r.key, r.fingerprint, c.node, c.incarnation)
+	existing := classify(d, r, c.node, c.incarnation)
 	switch existing.status {
 	case statusKeyReused:
 		return Result{}, verdict.Refused(verdict.KeyReused, nil)
