Log the decision on access, and describe refusals for keys

For one request the logs had neither an account nor why it ran, nor which configuration said so.

Change: attempt_ended, request_ended and the lines of refusals have account, access and access_revision.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -97,8 +97,8 @@
 
 // Events about every request.
 var (
-	AttemptEnded = &Event{801, "attempt_ended", Info, "an attempt at a target has ended", []Key{Request, Attempt, Target, Route, Rank, Remaining, Cutoff, Mode, Outcome, Wait, Duration, Doubt, Revision}, requestLinesPerSecond}
-	RequestEnded = &Event{802, "request_ended", Info, "a request has its final response", []Key{Request, Service, Route, Outcome, Status, Count, Duration, Cutoff, Revision}, requestLinesPerSecond}
+	AttemptEnded = &Event{801, "attempt_ended", Info, "an attempt at a target has ended", []Key{Request, Attempt, Target, Route, Rank, Remaining, Cutoff, Mode, Outcome, Wait, Duration, Doubt, Revision, Account, Access, AccessRevision}, requestLinesPerSecond}
+	RequestEnded = &Event{802, "request_ended", Info, "a request has its final response", []Key{Request, Service, Route, Outcome, Status, Count, Duration, Cutoff, Revision, Account, Access, AccessRevision}, requestLinesPerSecond}
 )
 
 // Events about operators' calls.
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -159,3 +159,12 @@
 
 // StatusField is the HTTP status of a response.
 func StatusField(status int) Field { return number(Status, int64(status)) }
+
+// AccountField is the name of a client account, "" for none.
+func AccountField(name model.AccountName) Field { return text(Account, string(name)) }
+
+// AccessField is the decision on the access of a request, "" for none.
+func AccessField(decision string) Field { return text(Access, decision) }
+
+// AccessRevisionField is the revision of the configuration that decided on the access of a request.
+func AccessRevisionField(revision int64) Field { return position(AccessRevision, revision) }
--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -39,4 +39,8 @@
 	Remaining   Key = "remaining"
 	Cutoff      Key = "cutoff"
 	Age         Key = "age"
+	Account     Key = "account"
+	Access      Key = "access"
+	// AccessRevision is the revision of the configuration that decided on the access of a request.
+	AccessRevision Key = "access_revision"
 )
--- a/internal/events/reason_events.go
+++ b/internal/events/reason_events.go
@@ -7,7 +7,7 @@
 )
 
 // reasonFields are the fields of every reason's event.
-var reasonFields = []Key{Outcome, Request, Service, Target, Node, Attempt, Cause}
+var reasonFields = []Key{Outcome, Request, Service, Target, Node, Attempt, Cause, Account, Access, AccessRevision}
 
 // reasonEvents holds the event of each reason. It is read-only after package initialization.
 var reasonEvents = newReasonEvents()
--- a/internal/events/sink_test.go
+++ b/internal/events/sink_test.go
@@ -74,6 +74,9 @@
 		`rank="1"`:              events.RankField(1),
 		`remaining="3s"`:        events.RemainingField(3 * time.Second),
 		`cutoff="4s"`:           events.CutoffField(4*time.Second, true),
+		`account="a"`:           events.AccountField("a"),
+		`access="key"`:          events.AccessField("key"),
+		`access_revision="9"`:   events.AccessRevisionField(9),
 	}
 	listed := make(map[events.Key]*events.Event)
 	for _, event := range events.All() {
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -178,9 +178,10 @@
 			status = statusOf(err)
 		}
 	}
-	a.log.Emit(events.RequestEnded, events.RequestField(rq.head.RequestId), events.ServiceField(rq.service),
+	fields := []events.Field{events.RequestField(rq.head.RequestId), events.ServiceField(rq.service),
 		events.RouteField(rq.match.Route.Path), events.TextOutcomeField(outcome), events.StatusField(status),
-		events.DurationField(time.Since(rq.started)), events.CutoffField(a.cutoff.left()), events.RevisionField(a.view.Load().Revision))
+		events.DurationField(time.Since(rq.started)), events.CutoffField(a.cutoff.left()), events.RevisionField(a.view.Load().Revision)}
+	a.log.Emit(events.RequestEnded, append(fields, accessFields(rq)...)...)
 }
 
 // serveNonIdempotent runs the request at most once. In a dialect with operations callers use a new ID for each request
@@ -246,6 +247,7 @@
 	fields := []events.Field{events.OutcomeField(handling)}
 	if rq != nil {
 		fields = append(fields, events.RequestField(rq.head.RequestId), events.ServiceField(rq.service))
+		fields = append(fields, accessFields(rq)...)
 	}
 	if err.Cause != nil {
 		fields = append(fields, events.CauseField(err.Cause))
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -94,7 +94,8 @@
 		events.TargetField(choice.Candidate.Target.ID), events.RouteField(head.Route), events.RankField(int(head.Rank)),
 		events.RemainingField(rq.remaining()), events.CutoffField(a.cutoff.left()), events.ModeField(choice.Mode.String()),
 		events.TextOutcomeField(outcome), events.WaitField(wait), events.DurationField(took), events.DoubtField(requiredSuccesses),
-		events.RevisionField(a.view.Load().Revision))
+		events.RevisionField(a.view.Load().Revision), events.AccountField(model.AccountName(head.Account)),
+		events.AccessField(accessName(head.Access)), events.AccessRevisionField(rq.access.decidedAt()))
 }
 
 // slowFactor is the smallest multiple of the baseline time to first byte after which an attempt may be aborted early,
--- a/internal/node/request_access.go
+++ b/internal/node/request_access.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
@@ -18,7 +19,7 @@
 // of the node has sent.
 const maxRunBeforeStart = declaration.DefaultTimeoutMS * time.Millisecond
 
-// requestAccess is the decision on the access of a request when it arrived, with what it takes to decide again. It is immutable.
+// requestAccess is the decision on the access of a request when it arrived, with what it takes to decide again.
 type requestAccess struct {
 	decision   access.Decision
 	credential access.Credential
@@ -26,6 +27,8 @@
 	// view is the one of the decision.
 	view               *core.View
 	host, method, path string
+	// revision is that of the newest configuration on which the access was decided.
+	revision atomic.Int64
 }
 
 // newRequestAccess decides on the access of a request that has arrived. It takes the API key out of the header, so that nothing
@@ -36,6 +39,7 @@
 		view:       view, host: r.Host, method: r.Method, path: r.URL.Path,
 	}
 	headers.Delete(r.Header, a.dialect.KeyHeader)
+	ra.revision.Store(view.Revision)
 	if match.Route.RequiresKey && ra.credential.IsEmpty() {
 		ra.parent = a.parentOf(id)
 	}
@@ -46,6 +50,7 @@
 
 // renew returns the decision for an attempt, on the newest view. Only a changed configuration can change it.
 func (ra *requestAccess) renew(view *core.View) (access.Decision, *verdict.Error) {
+	ra.revision.Store(view.Revision)
 	if view.Table == ra.view.Table && view.Accounts == ra.view.Accounts {
 		return ra.decision, nil
 	}
