--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -41,4 +41,8 @@
 	Age         Key = "age"
 	Group       Key = "account_group"
 	Accounts    Key = "accounts"
+	Account     Key = "account"
+	Access      Key = "access"
+	// AccessRevision is the revision of the configuration that decided on the access of a request.
+	AccessRevision Key = "access_revision"
 )
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -13,6 +13,7 @@
 	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/dialect"
 	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/headers"
 	"github.com/sardinereach/sardinereach/internal/metrics"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/peer"
@@ -39,6 +40,8 @@
 	clock   clock
 	limits  settings.Limits
 	dialect dialect.Caller
+	// headers says which headers of callers are passed on.
+	headers *headers.Rules
 	// callerService is sent to upstreams as the origin of the requests that this node accepts.
 	callerService model.ServiceName
 	// retryStatuses are the statuses retried on idempotent routes that list none of their own.
@@ -96,7 +99,7 @@
 	_ = control.SetWriteDeadline(time.Time{})
 	rq, err := a.read(w, r)
 	if err != nil {
-		a.refuse(w, nil, err)
+		a.refuse(w, rq, err)
 		return
 	}
 	// A caller that stops reading must not occupy an upstream slot beyond the deadline of the request.
@@ -110,7 +113,8 @@
 	a.metrics.Latency(rq.service, time.Since(started))
 }
 
-// read checks that the node accepts requests, matches the route and reads the request.
+// read checks that the node accepts requests, matches the route and reads the request. A request that is refused is returned as far
+// as it is known. One without access is refused before its body is read.
 func (a *acceptor) read(w http.ResponseWriter, r *http.Request) (*request, *verdict.Error) {
 	if a.stopping.Load() {
 		return nil, verdict.Refused(verdict.NodeStopping, nil)
@@ -126,9 +130,12 @@
 	if err := match.Route.Refusal(); err != nil {
 		return nil, err
 	}
-	rq, err := a.readRequest(w, r, match, a.seed^a.serial.Add(1))
+	rq, err := a.newRequest(r, view, match, a.seed^a.serial.Add(1))
+	if err == nil {
+		err = a.readRequest(w, r, rq)
+	}
 	if err == nil && (a.stopping.Load() || a.outlastsShutdown(rq)) {
-		return nil, verdict.Refused(verdict.NodeStopping, nil)
+		err = verdict.Refused(verdict.NodeStopping, nil)
 	}
 	return rq, err
 }
@@ -171,9 +178,10 @@
 			status = statusOf(err)
 		}
 	}
-	a.log.Emit(events.RequestEnded, events.RequestField(rq.head.RequestId), events.ServiceField(rq.service),
+	fields := []events.Field{events.RequestField(rq.head.RequestId), events.ServiceField(rq.service),
 		events.RouteField(rq.match.Route.Path), events.TextOutcomeField(outcome), events.StatusField(status),
-		events.DurationField(time.Since(rq.started)), events.CutoffField(a.cutoff.left()), events.RevisionField(a.view.Load().Revision))
+		events.DurationField(time.Since(rq.started)), events.CutoffField(a.cutoff.left()), events.RevisionField(a.view.Load().Revision)}
+	a.log.Emit(events.RequestEnded, append(fields, accessFields(rq)...)...)
 }
 
 // serveNonIdempotent runs the request at most once. In a dialect with operations callers use a new ID for each request
@@ -239,6 +247,7 @@
 	fields := []events.Field{events.OutcomeField(handling)}
 	if rq != nil {
 		fields = append(fields, events.RequestField(rq.head.RequestId), events.ServiceField(rq.service))
+		fields = append(fields, accessFields(rq)...)
 	}
 	if err.Cause != nil {
 		fields = append(fields, events.CauseField(err.Cause))
