Read the document of an account group strictly, and keep keys out of its errors

Cause: operators change one account of a group by writing the whole document again. A lenient reading drops the fields of a newer build. The error for a value that is no key hash repeated the value, which may be an API key that was stored in its place.

Change: DecodeAccountGroup refuses unknown fields, further data and doubled accounts. Its errors name the field and the byte, not the value; that of KeyHash names the form only.

--- a/internal/declaration/account_group.go
+++ b/internal/declaration/account_group.go
@@ -1,7 +1,9 @@
 package declaration
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -41,3 +43,45 @@
 	}
 	return data, nil
 }
+
+// DecodeAccountGroup parses and validates the canonical JSON of a group, for a change of its accounts. A field that this build does
+// not know is an error, because the changed group would lack it.
+func DecodeAccountGroup(data []byte) (*AccountGroup, error) {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	g := new(AccountGroup)
+	if err := decoder.Decode(g); err != nil {
+		return nil, errors.Wrap(withoutValue(err), "account group")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, errors.New("account group: more data after the document")
+	}
+	if err := g.validate(); err != nil {
+		return nil, errors.Wrap(err, "account group")
+	}
+	return g, nil
+}
+
+func (g *AccountGroup) validate() error {
+	seen := make(map[model.AccountName]bool, len(g.Accounts))
+	for i := range g.Accounts {
+		account := &g.Accounts[i]
+		if err := account.Validate(); err != nil {
+			return err
+		}
+		if seen[account.Name] {
+			return errors.Errorf("account %s is declared twice", account.Name)
+		}
+		seen[account.Name] = true
+	}
+	return nil
+}
+
+// withoutValue returns an error of package json without the value that it quotes, which may be an API key in the wrong place.
+func withoutValue(err error) error {
+	var typeError *json.UnmarshalTypeError
+	if errors.As(err, &typeError) {
+		return errors.Errorf("field %s at byte %d has a value of another type", typeError.Field, typeError.Offset)
+	}
+	return err
+}
--- a/internal/declaration/key_hash.go
+++ b/internal/declaration/key_hash.go
@@ -28,7 +28,8 @@
 func (h *KeyHash) UnmarshalText(text []byte) error {
 	decoded, err := base64.RawURLEncoding.DecodeString(string(text))
 	if err != nil || len(decoded) != keyHashBytes {
-		return errors.Errorf("key hash %q: use the base64url of %d bytes", text, keyHashBytes)
+		// The text may be an API key, so the error does not repeat it.
+		return errors.Errorf("key hash: use the base64url of %d bytes", keyHashBytes)
 	}
 	copy(h[:], decoded)
 	return nil
