Compare the routes of two declarations in one place

Cause: the search for requests whose class changes also fits other properties of a route, such as a required API key.

No change of behavior.

Measured: TestClassDangers and TestOtherDangers pass unchanged.

--- a/internal/statement/danger.go
+++ b/internal/statement/danger.go
@@ -24,7 +24,7 @@
 	if from == nil {
 		return dangers
 	}
-	return append(dangers, classDangers(from, to)...)
+	return append(dangers, classDangers(newRouteTable(from), newRouteTable(to))...)
 }
 
 func removalDangers(from *declaration.Service) []string {
