Write any stored document by compare-and-swap with one resolution of unknown outcomes

Cause: the repetition of a swap whose response was lost, and the comparison of change IDs, were written for documents of services only.

Change: documentWrite describes the replacement of one document; Server.write resolves its outcome. The texts of errors are unchanged.

--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -14,6 +14,9 @@
 	"github.com/sardinereach/sardinereach/internal/store"
 )
 
+// dangerousChange is the error of a change that needs force.
+const dangerousChange = "the change is dangerous; apply it with force if it is meant"
+
 // change is the application of one declaration.
 type change struct {
 	server *Server
@@ -100,7 +103,7 @@
 		return true
 	}
 	c.result.Outcome = OutcomeRejected
-	c.result.Error = "the change is dangerous; apply it with force if it is meant"
+	c.result.Error = dangerousChange
 	return false
 }
 
@@ -122,7 +125,7 @@
 
 func (c *change) write(ctx context.Context) {
 	document := &declaration.Document{Service: c.wanted.Service}
-	revision, err := c.server.write(ctx, c.revision, document)
+	revision, err := c.server.writeService(ctx, c.revision, document)
 	if err == nil {
 		c.result.Outcome = c.successOutcome()
 		c.result.Revision = revision
--- a/internal/operator/drain.go
+++ b/internal/operator/drain.go
@@ -96,7 +96,7 @@
 		if err != nil || slices.Equal(document.Draining, stored.Document.Draining) {
 			return message, err
 		}
-		revision, err := s.write(ctx, stored.Revision, &document)
+		revision, err := s.writeService(ctx, stored.Revision, &document)
 		if err == nil {
 			return fmt.Sprintf("%s, revision %d", message, revision), nil
 		}
--- a/internal/operator/failure.go
+++ b/internal/operator/failure.go
@@ -7,7 +7,6 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
-	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/statement"
 	"github.com/sardinereach/sardinereach/internal/store"
 )
@@ -43,10 +42,11 @@
 	return &unknownNameError{kind: kind, name: name, suggestion: suggestion}
 }
 
-// conflictError means that the service was changed since the revision on which a write was based.
+// conflictError means that a document was changed since the revision on which a write was based.
 type conflictError struct {
-	service model.ServiceName
-	// currentRevision is the revision of the service, 0 if it does not exist.
+	// title is the kind and the name of the document, such as "service proofroom".
+	title string
+	// currentRevision is the revision of the document, 0 if it does not exist.
 	currentRevision int64
 	// differences are the changes from the current declaration to the wanted one.
 	differences []statement.Difference
@@ -62,9 +62,9 @@
 
 // headline returns the error text without the differences.
 func (e *conflictError) headline() string {
-	text := fmt.Sprintf("conflict: another change came first, and service %s is at revision %d", e.service, e.currentRevision)
+	text := fmt.Sprintf("conflict: another change came first, and %s is at revision %d", e.title, e.currentRevision)
 	if e.currentRevision == 0 {
-		text = fmt.Sprintf("conflict: another change came first, and service %s does not exist", e.service)
+		text = fmt.Sprintf("conflict: another change came first, and %s does not exist", e.title)
 	}
 	if e.outcomeUnknown {
 		text += "; an answer of the store was lost, and this change may have been in force before that revision"
--- a/internal/operator/remove.go
+++ b/internal/operator/remove.go
@@ -41,7 +41,7 @@
 	if !conflict.Exists && outcomeUnknown {
 		return nil
 	}
-	return &conflictError{service: command.Service, currentRevision: conflict.Current.Revision, outcomeUnknown: outcomeUnknown}
+	return &conflictError{title: "service " + string(command.Service), currentRevision: conflict.Current.Revision, outcomeUnknown: outcomeUnknown}
 }
 
 func (s *Server) serviceNames() []string {
--- a/internal/operator/write.go
+++ b/internal/operator/write.go
@@ -6,33 +6,29 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/events"
-	"github.com/sardinereach/sardinereach/internal/statement"
 	"github.com/sardinereach/sardinereach/internal/store"
 )
 
 // maxWriteAttempts limits the attempts of a write whose outcome is unknown.
 const maxWriteAttempts = 5
 
-// write stores the document by compare-and-swap and resolves unknown outcomes. It sets the document's change ID and
-// retries a swap whose response was lost. The retry takes effect only if the first attempt did not. Otherwise it fails
-// with a conflict, and the stored document has the change ID.
-func (s *Server) write(ctx context.Context, expect int64, document *declaration.Document) (int64, error) {
-	document.ChangeID = s.changes.next()
+// write replaces a document by compare-and-swap and resolves unknown outcomes. It retries a swap whose response was lost. The retry
+// takes effect only if the first attempt did not. Otherwise it fails with a conflict, and the stored document has the change ID.
+func (s *Server) write(ctx context.Context, w *documentWrite) (int64, error) {
 	outcomeUnknown := false
 	for attempt := 0; attempt < maxWriteAttempts; attempt++ {
-		revision, err := s.fleet.SwapService(ctx, expect, document)
+		revision, err := w.swap(ctx)
 		if err == nil {
 			return revision, nil
 		}
 		var conflict *store.ConflictError
 		switch {
 		case errors.As(err, &conflict):
-			return resolveConflict(conflict, document, outcomeUnknown)
+			return w.resolveConflict(conflict, outcomeUnknown)
 		case errors.Is(err, store.ErrUnknownOutcome):
 			outcomeUnknown = true
-			s.emit(events.StoreOutcomeUnknown, events.OperationField("compare_and_swap"), events.ServiceField(document.Name))
+			s.emit(events.StoreOutcomeUnknown, append([]events.Field{events.OperationField("compare_and_swap")}, w.fields...)...)
 		case errors.Is(err, store.ErrUnavailable) && outcomeUnknown:
 		default:
 			return 0, err
@@ -41,37 +37,7 @@
 			return 0, errors.Wrap(store.ErrUnknownOutcome, err.Error())
 		}
 	}
-	return s.resolveByChangeID(ctx, document)
-}
-
-// resolveConflict returns the stored revision if the conflicting document is this node's own write, whose response was
-// lost, and a *conflictError if another operator wrote it.
-func resolveConflict(conflict *store.ConflictError, wanted *declaration.Document, outcomeUnknown bool) (int64, error) {
-	failure := &conflictError{service: wanted.Name, outcomeUnknown: outcomeUnknown}
-	if !conflict.Exists {
-		failure.differences = statement.Diff(nil, &wanted.Service)
-		return 0, failure
-	}
-	current, err := declaration.DecodeDocument(conflict.Current.Value)
-	if err != nil {
-		return 0, errors.Wrap(err, "the store holds another document, which is not valid")
-	}
-	if current.ChangeID == wanted.ChangeID {
-		return conflict.Current.Revision, nil
-	}
-	failure.currentRevision = conflict.Current.Revision
-	failure.differences = statement.Diff(&current.Service, &wanted.Service)
-	return 0, failure
-}
-
-// resolveByChangeID resolves the outcome of a write that is still unknown after all attempts. It compares the change ID
-// of the stored document with that of the write.
-func (s *Server) resolveByChangeID(ctx context.Context, document *declaration.Document) (int64, error) {
-	current, err := s.fleet.ReadService(ctx, document.Name)
-	if err == nil && current.Document.ChangeID == document.ChangeID {
-		return current.Revision, nil
-	}
-	return 0, errors.Wrapf(store.ErrUnknownOutcome, "service %s, change %s: apply it again to settle it", document.Name, document.ChangeID)
+	return w.resolveByChangeID(ctx)
 }
 
 // retryWrite runs an idempotent write and retries it while its outcome is unknown, for at most maxWriteAttempts calls. It
