Declare client accounts and their API keys in the operators' language

Cause: routes could require API keys, and accounts be stored, but operators had no way to declare either.

Change: blocks and statements `declare account`, the setting `requires key` of routes, the commands `add key`, `withdraw key` and `remove account`, and the table `show accounts`. `explain` names the requirement, `export` writes the accounts. - The language takes only hashes, `sha256:` and 22 characters; without the prefix a random key of 128 bits would pass for a hash. Errors and the lines shown with them mask what stands in place of a hash. - The accounts of a group are written together, by compare-and-swap with change IDs. A change starts again after a change of another account of the group. After a lost response it does not, because the other operator may have reverted it. - All accounts of a group share a revision, so `at digest` tells whether one account was changed since its export. - A key that another account has is refused; accounts of other groups are found on the node and confirmed in the store. Two nodes that add one key to accounts of two groups within seconds are not stopped; the key then belongs to neither (shared-key). - The removal of the last account leaves the group's document empty, so that its change ID can be read back. - Without force refused: opening requests that required a key, dropping a key from a declaration, removing an account with keys.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -103,12 +103,14 @@
 
 // Events about operators' calls.
 var (
-	ApplyAccepted   = &Event{601, "apply_accepted", Info, "an operator's declaration was accepted", []Key{Service, Revision}, 0}
-	ApplyConflict   = &Event{602, "apply_conflict", Warning, "an operator's declaration conflicts with a newer revision", []Key{Service, Revision}, 0}
-	ApplyInForce    = &Event{603, "apply_in_force", Info, "a declaration is in force on all nodes that respond", []Key{Service, Revision, Count, Duration}, 0}
-	ApplyBehind     = &Event{604, "apply_behind", Warning, "a declaration is not yet in force on some nodes", []Key{Service, Revision, Count, Duration}, 0}
-	OperatorDenied  = &Event{605, "operator_denied", Warning, "an operator's call had no valid token", []Key{Operation}, 0}
-	OperatorCommand = &Event{606, "operator_command", Info, "an operator's command was carried out", []Key{Operation, Service, Target}, 0}
+	ApplyAccepted    = &Event{601, "apply_accepted", Info, "an operator's declaration was accepted", []Key{Service, Revision}, 0}
+	ApplyConflict    = &Event{602, "apply_conflict", Warning, "an operator's declaration conflicts with a newer revision", []Key{Service, Revision}, 0}
+	ApplyInForce     = &Event{603, "apply_in_force", Info, "a declaration is in force on all nodes that respond", []Key{Service, Revision, Count, Duration}, 0}
+	ApplyBehind      = &Event{604, "apply_behind", Warning, "a declaration is not yet in force on some nodes", []Key{Service, Revision, Count, Duration}, 0}
+	OperatorDenied   = &Event{605, "operator_denied", Warning, "an operator's call had no valid token", []Key{Operation}, 0}
+	AccountsChanged  = &Event{607, "accounts_changed", Info, "an operator has changed client accounts of one group", []Key{Count, Revision}, 0}
+	AccountsConflict = &Event{608, "accounts_conflict", Warning, "operators' declarations of client accounts conflict with newer changes", []Key{Count}, 0}
+	OperatorCommand  = &Event{606, "operator_command", Info, "an operator's command was carried out", []Key{Operation, Service, Target}, 0}
 )
 
 // Events about claims and operations.
@@ -131,6 +133,6 @@
 	TargetHeldDown, EjectionAtFloor, EjectionWithdrawn, DrainStarted, DrainForced,
 	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, RequestHedged, RunWillBeCutOff, StopNoticeFailed, CrashAttributed, FingerprintQuarantined,
 	FingerprintReleased, QuarantineRewritten, QuarantineProbed, ApplyAccepted, ApplyConflict, ApplyInForce, ApplyBehind,
-	OperatorDenied, OperatorCommand, ClaimOutcomeUnwritten, ClaimsCollected,
+	OperatorDenied, OperatorCommand, AccountsChanged, AccountsConflict, ClaimOutcomeUnwritten, ClaimsCollected,
 	AnswersDropped, AttemptEnded, RequestEnded,
 }
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -37,6 +37,7 @@
 	s := &operator.Snapshot{Node: n.self.ID, Complete: n.distributor.Ready()}
 	if distributed.Config != nil {
 		s.ConfigRevision = distributed.Config.Complete
+		s.Accounts = distributed.Config.Accounts
 		for _, service := range view.Services() {
 			s.Services = append(s.Services, operator.ServiceStatus{
 				Service: *service.Service, Revision: distributed.Config.Revisions[service.Service.Name],
@@ -192,6 +193,21 @@
 	return revision, nil
 }
 
+// SwapAccounts implements operator.Fleet. The new document becomes active on this node at once.
+func (f *fleet) SwapAccounts(ctx context.Context, group int, expect int64, accounts *declaration.AccountGroup) (int64, error) {
+	started := f.node.clock.now()
+	revision, err := f.Documents.SwapAccounts(ctx, group, expect, accounts)
+	if err != nil {
+		return 0, err
+	}
+	value, err := accounts.Encode()
+	if err != nil {
+		return 0, err
+	}
+	f.node.distributor.MergeDocument(config.Document{Key: config.AccountKey(group), Value: value, Revision: revision}, started)
+	return revision, nil
+}
+
 // DrainImpact implements operator.Fleet.
 func (f *fleet) DrainImpact(document *declaration.Service, target model.TargetID) operator.CapacityImpact {
 	impact := operator.CapacityImpact{Floor: document.FloorSlots}
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -10,18 +10,14 @@
 	"github.com/sardinereach/sardinereach/internal/statement"
 )
 
-// Apply implements operatorv1.OperatorHandler. The change of each service is atomic and independent of the others.
+// Apply implements operatorv1.OperatorHandler. The change of each service and of each account is atomic and independent of the others.
 func (s *Server) Apply(ctx context.Context, request *connect.Request[operatorv1.ApplyRequest]) (*connect.Response[operatorv1.ApplyResponse], error) {
 	message := request.Msg
 	declarations, err := statement.ParseDeclarations(message.GetDeclarations())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	answer := new(operatorv1.ApplyResponse)
-	for i := range declarations {
-		change := &change{server: s, wanted: &declarations[i], dryRun: message.GetDryRun(), force: message.GetForce()}
-		answer.Changes = append(answer.Changes, change.apply(ctx))
-	}
+	answer := &operatorv1.ApplyResponse{Changes: s.applyAll(ctx, declarations, message.GetDryRun(), message.GetForce())}
 	answer.Revision = newestRevision(answer.Changes)
 	if !message.GetDryRun() {
 		s.awaitActive(ctx, answer.Revision, waitOf(message.GetWaitMs()))
@@ -33,6 +29,23 @@
 	return connect.NewResponse(answer), nil
 }
 
+// applyAll returns the results in the order of the declarations. Accounts are changed first, so that they are in force before a route
+// requires their keys.
+func (s *Server) applyAll(ctx context.Context, declarations []statement.Declaration, dryRun, force bool) []*operatorv1.ServiceChange {
+	accounts := newAccountApply(s, declarations, dryRun, force).run(ctx)
+	results := make([]*operatorv1.ServiceChange, 0, len(declarations))
+	for i := range declarations {
+		if declarations[i].Account != nil {
+			results = append(results, accounts[0])
+			accounts = accounts[1:]
+			continue
+		}
+		change := &change{server: s, wanted: &declarations[i], dryRun: dryRun, force: force}
+		results = append(results, change.apply(ctx))
+	}
+	return results
+}
+
 // newestRevision returns the highest revision of the changes that are neither in conflict nor rejected.
 func newestRevision(changes []*operatorv1.ServiceChange) int64 {
 	var newest int64
--- a/internal/operator/config_rows.go
+++ b/internal/operator/config_rows.go
@@ -39,10 +39,18 @@
 		string(service), route.Host, joinNames(route.Methods), route.Path, classText(route),
 		number(cmp.Or(route.TimeoutMS, declaration.DefaultTimeoutMS)), orElse(route.Priority, declaration.Interactive),
 		number(cmp.Or(route.FirstByteMS, declaration.DefaultFirstByteMS)), joinNumbers(route.RetryStatuses),
-		joinNumbers(route.FailStatuses),
+		joinNumbers(route.FailStatuses), requirement(route),
 	}
 }
 
+// requirement returns what the route requires of its callers, empty for a route that is open to every caller.
+func requirement(route *declaration.Route) string {
+	if route.RequiresKey {
+		return "key"
+	}
+	return ""
+}
+
 // classText returns the class of the route as it is shown to operators.
 func classText(route *declaration.Route) string {
 	if route.Unsupported != "" {
--- a/internal/operator/declare.go
+++ b/internal/operator/declare.go
@@ -10,6 +10,9 @@
 
 // declare applies one declaration without force.
 func (s *Server) declare(ctx context.Context, command *statement.Declare) (string, error) {
+	if command.Declaration.Account != nil {
+		return s.declareAccount(ctx, &command.Declaration)
+	}
 	c := &change{server: s, wanted: &command.Declaration}
 	result := c.apply(ctx)
 	lines := append([]string{result.Error}, result.Differences...)
--- a/internal/operator/execute.go
+++ b/internal/operator/execute.go
@@ -56,6 +56,12 @@
 		return s.release(ctx, command)
 	case *statement.Withdraw:
 		return s.withdraw(ctx, command)
+	case *statement.AddKey:
+		return s.addKey(ctx, command)
+	case *statement.WithdrawKey:
+		return s.withdrawKey(ctx, command)
+	case *statement.RemoveAccount:
+		return s.removeAccount(ctx, command)
 	}
 	return "", errors.Errorf("the statement %q has no implementation", parsed.Verb())
 }
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -45,7 +45,7 @@
 	if e.Route == nil {
 		return fmt.Sprintf("refused: %s", orElse(e.Refusal, "no_route"))
 	}
-	place := fmt.Sprintf("service %s, route %s, class %s", e.Service, e.Route.Path, e.Class)
+	place := fmt.Sprintf("service %s, route %s, class %s, %s", e.Service, e.Route.Path, e.Class, accessText(e.Route.RequiresKey))
 	if e.Refusal != "" {
 		return fmt.Sprintf("%s: refused: %s", place, e.Refusal)
 	}
@@ -56,3 +56,10 @@
 	}
 	return place + ": refused: no_target"
 }
+
+func accessText(requiresKey bool) string {
+	if requiresKey {
+		return "API key required"
+	}
+	return "no API key required"
+}
--- a/internal/operator/failure.go
+++ b/internal/operator/failure.go
@@ -86,12 +86,14 @@
 	var unknown *unknownNameError
 	var conflict *conflictError
 	var declared *declareConflictError
+	var taken *keyTakenError
+	var changed *accountConflictError
 	switch {
-	case errors.As(err, &refused):
+	case errors.As(err, &refused), errors.As(err, &taken):
 		return connect.NewError(connect.CodeFailedPrecondition, err)
 	case errors.As(err, &unknown), errors.Is(err, store.ErrNotFound):
 		return connect.NewError(connect.CodeNotFound, err)
-	case errors.As(err, &conflict), errors.As(err, &declared):
+	case errors.As(err, &conflict), errors.As(err, &declared), errors.As(err, &changed):
 		return connect.NewError(connect.CodeAborted, err)
 	case errors.Is(err, store.ErrUnavailable):
 		return connect.NewError(connect.CodeUnavailable, err)
--- a/internal/operator/fakefleet/fleet.go
+++ b/internal/operator/fakefleet/fleet.go
@@ -13,9 +13,11 @@
 
 // Fleet implements operator.Fleet. Its methods are safe for concurrent use.
 type Fleet struct {
-	mu         sync.Mutex
-	revision   int64
-	documents  map[model.ServiceName]operator.StoredService
+	mu        sync.Mutex
+	revision  int64
+	documents map[model.ServiceName]operator.StoredService
+	// accounts are the stored groups by number.
+	accounts   map[int]operator.StoredAccounts
 	nodes      []operator.NodeStatus
 	ejections  []operator.Ejection
 	quarantine []operator.QuarantineEntry
@@ -31,6 +33,12 @@
 	beforeWrite func()
 	writes      int
 	history     []operator.StoredService
+	// accountHistory contains every account group that was ever stored, in the order of revisions.
+	accountHistory []operator.StoredAccounts
+	// writeError is the error of all writes of accounts, nil for none.
+	writeError error
+	// shownAccounts are the accounts of all snapshots, nil for the stored ones.
+	shownAccounts map[model.AccountName]*declaration.Account
 }
 
 var _ operator.Fleet = (*Fleet)(nil)
@@ -39,6 +47,7 @@
 func New() *Fleet {
 	fleet := &Fleet{
 		documents: make(map[model.ServiceName]operator.StoredService),
+		accounts:  make(map[int]operator.StoredAccounts),
 		pinned:    make(map[model.NodeID]bool),
 	}
 	for i, place := range locations {
--- a/internal/operator/fakefleet/queries.go
+++ b/internal/operator/fakefleet/queries.go
@@ -19,6 +19,7 @@
 		Node:           "n1",
 		ConfigRevision: f.revision,
 		Complete:       !f.incomplete,
+		Accounts:       f.activeAccounts(),
 		Nodes:          slices.Clone(f.nodes),
 		Ejections:      slices.Clone(f.ejections),
 		Quarantine:     slices.Clone(f.quarantine),
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -31,6 +31,13 @@
 	// store.Store's CompareAndDelete.
 	RemoveService(ctx context.Context, name model.ServiceName, expect int64) error
 
+	// ReadAccounts reads the newest accounts of a group from the store, not from the node's cache. A group without a document has no
+	// accounts and revision 0. It returns store.ErrUnavailable. Documents implements it and SwapAccounts, too.
+	ReadAccounts(ctx context.Context, group int) (StoredAccounts, error)
+	// SwapAccounts writes the accounts of a group if its document is at revision expect, 0 if it must not exist, and returns the new
+	// revision. Its errors are those of SwapService.
+	SwapAccounts(ctx context.Context, group int, expect int64, accounts *declaration.AccountGroup) (int64, error)
+
 	// DrainImpact returns the capacity of the service without the targets that document drains, before and after target
 	// is drained too. An empty target returns the current capacity. document is the newest one from the store, so that
 	// concurrent drains of two operators cannot take the service below its capacity floor together.
--- a/internal/operator/show.go
+++ b/internal/operator/show.go
@@ -46,6 +46,8 @@
 		return revisionRows(snapshot)
 	case statement.Quarantine:
 		return quarantineRows(snapshot)
+	case statement.Accounts:
+		return accountRows(snapshot)
 	}
 	return nil
 }
--- a/internal/operator/show_test.go
+++ b/internal/operator/show_test.go
@@ -21,6 +21,7 @@
 	fleet, server := declaredFleet(t)
 	fleet.Suspect("n2")
 	mustExecute(t, server, "forbid request f1")
+	mustExecute(t, server, "declare account hobart { rate 5; }")
 	for _, kind := range statement.Kinds() {
 		var names []string
 		for _, column := range statement.Columns(kind) {
--- a/internal/operator/snapshot.go
+++ b/internal/operator/snapshot.go
@@ -1,6 +1,9 @@
 package operator
 
-import "github.com/sardinereach/sardinereach/internal/model"
+import (
+	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/model"
+)
 
 // Snapshot is the state of the fleet as one node has received it at one time. It is immutable.
 type Snapshot struct {
@@ -9,8 +12,10 @@
 	// ConfigRevision is the store revision up to which the configuration is active on the node.
 	ConfigRevision int64
 	// Complete is false before the node has read the whole configuration.
-	Complete   bool
-	Services   []ServiceStatus
+	Complete bool
+	Services []ServiceStatus
+	// Accounts are the client accounts that are active on the node.
+	Accounts   map[model.AccountName]*declaration.Account
 	Nodes      []NodeStatus
 	Ejections  []Ejection
 	Quarantine []QuarantineEntry
--- a/internal/statement/build_declaration.go
+++ b/internal/statement/build_declaration.go
@@ -11,21 +11,39 @@
 
 func (b *builder) file(node *fileNode) []Declaration {
 	declarations := make([]Declaration, 0, len(node.Declares))
-	lines := make(map[model.ServiceName]int)
+	lines := make(map[string]int)
 	for _, declare := range node.Declares {
 		declared := b.declaration(declare)
-		if first, ok := lines[declared.Service.Name]; ok {
-			b.addError(declare.Name.Pos, "the service %s is declared before in line %d", declared.Service.Name, first)
+		if first, ok := lines[declared.Title()]; ok {
+			b.addError(declare.name().Pos, "the %s is declared before in line %d", declared.Title(), first)
 		}
-		lines[declared.Service.Name] = declared.Line
+		lines[declared.Title()] = declared.Line
 		declarations = append(declarations, declared)
 	}
+	b.checkKeysOfFile(declarations)
 	return declarations
 }
 
+// name returns the word that names the service or the account.
+func (n *declareNode) name() wordNode {
+	if n.Account != nil {
+		return n.Account.Name
+	}
+	return n.Service.Name
+}
+
 func (b *builder) declaration(node *declareNode) Declaration {
+	if node.Account != nil {
+		return Declaration{Account: b.account(node.Account), Line: node.Pos.Line}
+	}
+	result := b.service(node.Service)
+	result.Line = node.Pos.Line
+	return result
+}
+
+func (b *builder) service(node *serviceNode) Declaration {
 	errorsBefore := len(b.errors)
-	result := Declaration{Revision: AnyRevision, Line: node.Pos.Line}
+	result := Declaration{Revision: AnyRevision}
 	result.Service.Name = model.ServiceName(b.unquote(node.Name))
 	result.Service.Routes = []declaration.Route{}
 	if node.Revision != nil {
--- a/internal/statement/build_route.go
+++ b/internal/statement/build_route.go
@@ -62,6 +62,9 @@
 		case item.Retry != nil:
 			b.checkDuplicate(lines, "retry on", item.Pos)
 			route.RetryStatuses = b.statuses(item.Retry)
+		case item.Requires != nil:
+			b.checkDuplicate(lines, "requires", item.Pos)
+			route.RequiresKey = b.requiredKey(*item.Requires)
 		default:
 			b.checkDuplicate(lines, "fail on", item.Pos)
 			route.FailStatuses = b.statuses(item.Fail)
@@ -87,6 +90,16 @@
 	return priority
 }
 
+// requirement is the only word that a route may require of its callers.
+const requirement = "key"
+
+func (b *builder) requiredKey(word wordNode) bool {
+	if required := b.unquote(word); required != requirement {
+		b.addUnknownWord(word.Pos, "requirement", required, []string{requirement})
+	}
+	return true
+}
+
 func (b *builder) milliseconds(word wordNode) int64 {
 	duration, err := time.ParseDuration(b.unquote(word))
 	if err != nil || duration < time.Millisecond || duration > maxRouteTime || duration%time.Millisecond != 0 {
--- a/internal/statement/builder.go
+++ b/internal/statement/builder.go
@@ -1,7 +1,9 @@
 package statement
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -17,7 +19,19 @@
 }
 
 func (b *builder) addError(pos lexer.Position, format string, args ...any) {
-	b.errors = append(b.errors, &Error{Line: pos.Line, Column: pos.Column, Message: fmt.Sprintf(format, args...)})
+	b.addErrorAt(positionOf(pos), format, args...)
+}
+
+func (b *builder) addErrorAt(place Position, format string, args ...any) {
+	b.errors = append(b.errors, &Error{Line: place.Line, Column: place.Column, Message: fmt.Sprintf(format, args...)})
+}
+
+// sortedErrors returns the errors in text order.
+func (b *builder) sortedErrors() Errors {
+	slices.SortStableFunc(b.errors, func(x, y *Error) int {
+		return cmp.Or(cmp.Compare(x.Line, y.Line), cmp.Compare(x.Column, y.Column))
+	})
+	return b.errors
 }
 
 // addUnknownWord adds an error for a word outside the valid set. The error lists the set and suggests its nearest word.
@@ -59,15 +73,32 @@
 		return &Drain{Target: b.target(node.Drain.Target), Force: node.Drain.Force}
 	case node.Restore != nil:
 		return &Restore{Target: b.target(node.Restore.Target)}
+	case node.Add != nil:
+		return &AddKey{Hash: b.keyHash(node.Add.Key), Account: b.accountName(node.Add.Account), Place: positionOf(node.Add.Account.Pos)}
 	case node.Remove != nil:
-		return &Remove{Service: model.ServiceName(b.nonEmpty(node.Remove.Service, "service")), Force: node.Remove.Force}
+		return b.remove(node.Remove)
 	case node.Forbid != nil:
 		return &Forbid{Fingerprint: b.nonEmpty(node.Forbid.Fingerprint, "fingerprint")}
 	case node.Release != nil:
 		return &Release{Fingerprint: b.nonEmpty(node.Release.Fingerprint, "fingerprint")}
 	default:
-		return &Withdraw{Target: b.target(node.Withdraw.Target)}
+		return b.withdraw(node.Withdraw)
+	}
+}
+
+func (b *builder) remove(node *removeNode) Statement {
+	if node.Account != nil {
+		return &RemoveAccount{Account: b.accountName(*node.Account), Place: positionOf(node.Account.Pos), Force: node.Force}
+	}
+	return &Remove{Service: model.ServiceName(b.nonEmpty(*node.Service, "service")), Force: node.Force}
+}
+
+func (b *builder) withdraw(node *withdrawNode) Statement {
+	if node.Key != nil {
+		key := node.Key
+		return &WithdrawKey{Hash: b.keyHash(key.Key), Account: b.accountName(key.Account), Place: positionOf(key.Account.Pos)}
 	}
+	return &Withdraw{Target: b.target(node.Ejection.Target)}
 }
 
 func (b *builder) target(word wordNode) model.TargetID {
--- a/internal/statement/column.go
+++ b/internal/statement/column.go
@@ -41,7 +41,7 @@
 	Routes: {
 		textColumn("service"), textColumn("host"), textColumn("methods"), textColumn("path"), textColumn("class"),
 		numericColumn("timeout_ms"), textColumn("priority"), hidden(numericColumn("first_byte_ms")),
-		hidden(textColumn("retry_on")), hidden(textColumn("fail_on")),
+		hidden(textColumn("retry_on")), hidden(textColumn("fail_on")), hidden(textColumn("requires")),
 	},
 	Ejections: {
 		textColumn("target"), textColumn("service"), textColumn("scope"), textColumn("cause"),
@@ -57,6 +57,10 @@
 		textColumn("fingerprint"), textColumn("state"), textColumn("service"), numericColumn("losses"),
 		numericColumn("remaining_ms"),
 	},
+	Accounts: {
+		textColumn("account"), numericColumn("keys"), numericColumn("rank"), numericColumn("rate"), numericColumn("burst"),
+		numericColumn("group"), textColumn("state"), hidden(textColumn("key_ids")), hidden(textColumn("digest")),
+	},
 }
 
 // Columns returns the columns of a kind in the order of the cells of a row.
--- a/internal/statement/danger.go
+++ b/internal/statement/danger.go
@@ -24,7 +24,9 @@
 	if from == nil {
 		return dangers
 	}
-	return append(dangers, classDangers(newRouteTable(from), newRouteTable(to))...)
+	before, after := newRouteTable(from), newRouteTable(to)
+	dangers = append(dangers, classDangers(before, after)...)
+	return append(dangers, accessDangers(before, after)...)
 }
 
 func removalDangers(from *declaration.Service) []string {
--- a/internal/statement/docs_test.go
+++ b/internal/statement/docs_test.go
@@ -32,7 +32,7 @@
 		check(t, text)
 		examples[kind]++
 	}
-	if examples["statements"] != 2 || examples["declarations"] != 1 || examples["error"] != 4 {
+	if examples["statements"] != 2 || examples["declarations"] != 1 || examples["error"] != 6 {
 		t.Errorf("examples checked: %v", examples)
 	}
 }
@@ -70,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	words := []string{"at revision", "floor", "policy", "prefer", "route", "class", "timeout", "first_byte", "priority", "retry on", "fail on", "explain request"}
+	words := []string{"at revision", "floor", "policy", "prefer", "route", "class", "timeout", "first_byte", "priority", "retry on", "fail on", "explain request", "requires key", "at digest", "key", "rank", "rate", "add key", "withdraw key", "remove account", "declare account"}
 	for _, kind := range statement.Kinds() {
 		words = append(words, string(kind))
 	}
--- a/internal/statement/error.go
+++ b/internal/statement/error.go
@@ -36,12 +36,25 @@
 	return strings.Join(lines, "\n")
 }
 
-// Snippet returns the line of text that contains the error, followed by a line with a caret under the column.
+// Snippet returns the line of text that contains the error, followed by a line with a caret under the column. Words in place of key
+// hashes are masked.
 func (e *Error) Snippet(text string) string {
 	lines := strings.Split(text, "\n")
 	if e.Line < 1 || e.Line > len(lines) {
 		return ""
 	}
-	line := strings.ReplaceAll(lines[e.Line-1], "\t", " ")
+	block := strings.Join(lines[blockStart(lines, e.Line-1):e.Line], "\n")
+	masked := maskKeys(block)
+	line := strings.ReplaceAll(masked[strings.LastIndexByte(masked, '\n')+1:], "\t", " ")
 	return line + "\n" + strings.Repeat(" ", max(e.Column-1, 0)) + "^"
 }
+
+// blockStart returns the index of the last line up to last that begins a block of a file, or 0.
+func blockStart(lines []string, last int) int {
+	for i := last; i > 0; i-- {
+		if strings.HasPrefix(strings.TrimSpace(lines[i]), "declare") {
+			return i
+		}
+	}
+	return 0
+}
--- a/internal/statement/expected.go
+++ b/internal/statement/expected.go
@@ -4,17 +4,24 @@
 	"strings"
 
 	"github.com/alecthomas/participle/v2"
-	"github.com/alecthomas/participle/v2/lexer"
 )
 
 var (
-	verbWords        = []string{"show", "explain", "declare", "drain", "restore", "remove", "forbid", "release", "withdraw"}
+	verbWords        = []string{"show", "explain", "declare", "drain", "restore", "remove", "forbid", "release", "withdraw", "add"}
 	fileWords        = []string{"declare"}
 	clauseWords      = []string{"where", "and", "columns", "sort", "limit"}
 	serviceItemWords = []string{"floor", "policy", "prefer", "route"}
-	routeItemWords   = []string{"class", "timeout", "first_byte", "priority", "retry", "fail"}
+	accountItemWords = []string{"key", "rank", "rate"}
+	routeItemWords   = []string{"class", "timeout", "first_byte", "priority", "retry", "fail", "requires"}
 )
 
+// wordsAfter lists what may follow a verb that several statements share.
+var wordsAfter = map[string][]string{
+	"declare":  {"service", "account"},
+	"remove":   {"service", "account"},
+	"withdraw": {"ejection", "key"},
+}
+
 // nodeDescriptions maps the names that participle gives to grammar nodes to descriptions for operators.
 var nodeDescriptions = map[string]string{
 	"WordNode":      "a word",
@@ -28,19 +35,18 @@
 // alternatives, so where several words are possible they are derived from the preceding token and the block depth.
 // verbs are the words that may begin the text.
 func expectedWords(text string, verbs []string, err *participle.UnexpectedTokenError) []string {
-	previous, depth := tokenBefore(text, err.Unexpected.Pos.Offset)
-	atItem := previous == "{" || previous == ";" || previous == "}"
+	before := placeOf(text, err.Unexpected.Pos.Offset)
 	switch {
-	case previous == "":
+	case before.previous == "":
 		return verbs
-	case previous == "show":
+	case before.previous == "show":
 		return kindNames()
-	case depth == 0 && previous == "}":
+	case before.depth == 0 && wordsAfter[before.previous] != nil:
+		return wordsAfter[before.previous]
+	case before.depth == 0 && before.previous == "}":
 		return expectedAfterBlock(verbs)
-	case depth == 1 && atItem:
-		return append(serviceItemWords[:len(serviceItemWords):len(serviceItemWords)], "}")
-	case depth == 2 && atItem:
-		return append(routeItemWords[:len(routeItemWords):len(routeItemWords)], "}")
+	case before.isItem():
+		return append(before.itemWords(), "}")
 	case err.Message() == messageWithoutExpected(err) && strings.HasPrefix(strings.TrimSpace(text), "show"):
 		return clauseWords
 	}
@@ -60,36 +66,6 @@
 	return (&participle.UnexpectedTokenError{Unexpected: err.Unexpected}).Message()
 }
 
-// tokenBefore returns the last token before the offset and the number of blocks that are open at the offset.
-func tokenBefore(text string, offset int) (previous string, depth int) {
-	lex, err := statementLexer.LexString("", text)
-	if err != nil {
-		return "", 0
-	}
-	symbols := statementLexer.Symbols()
-	for {
-		token, err := lex.Next()
-		if err != nil || token.EOF() || token.Pos.Offset >= offset {
-			return previous, depth
-		}
-		if token.Type == symbols["space"] || token.Type == symbols["comment"] {
-			continue
-		}
-		previous = token.Value
-		depth += depthChange(token)
-	}
-}
-
-func depthChange(token lexer.Token) int {
-	switch token.Value {
-	case "{":
-		return 1
-	case "}":
-		return -1
-	}
-	return 0
-}
-
 // firstExpected extracts the first expected keyword or node from the error message, because participle does not export
 // the expected node. It returns nil if the message contains none that can be described.
 func firstExpected(err *participle.UnexpectedTokenError) []string {
--- a/internal/statement/format.go
+++ b/internal/statement/format.go
@@ -21,6 +21,9 @@
 }
 
 func formatDeclaration(d *Declaration) string {
+	if d.Account != nil {
+		return formatAccount(d.Account)
+	}
 	var text strings.Builder
 	service := &d.Service
 	fmt.Fprintf(&text, "declare service %s", quoteIfNeeded(string(service.Name)))
@@ -112,6 +115,9 @@
 	if len(route.FailStatuses) > 0 {
 		add("fail on %s;", joinNumbers(route.FailStatuses))
 	}
+	if route.RequiresKey {
+		add("requires %s;", requirement)
+	}
 	return items
 }
 
--- a/internal/statement/format_test.go
+++ b/internal/statement/format_test.go
@@ -30,6 +30,7 @@
 		RetryStatuses: nilIfEmpty(anyStatus.Draw(t, "retry")),
 		FailStatuses:  nilIfEmpty(anyStatus.Draw(t, "fail")),
 		Priority:      rapid.SampledFrom([]declaration.Priority{"", declaration.Interactive, declaration.Bulk}).Draw(t, "priority"),
+		RequiresKey:   rapid.Bool().Draw(t, "requires key"),
 	}
 }
 
--- a/internal/statement/fuzz_test.go
+++ b/internal/statement/fuzz_test.go
@@ -25,6 +25,7 @@
 func FuzzDeclarations(f *testing.F) {
 	f.Add("# c\ndeclare service a { policy default failure_rate 0.5; }\ndeclare service b { prefer x, \"y z\"; }")
 	f.Add(`declare service s { route M-SEARCH, GET "/\xff" { timeout 1m30s; first_byte 5ms; retry on 503; fail on 500, 599; priority bulk; }; }`)
+	f.Add("declare account a at digest none { key sha256:1nMG_RnWT8hDpXjHjBG-Cg; rank 0; rate 1e3 burst 2; key sha256:rhwjWHy4UhXL7aIKbYqGBA; }")
 	f.Fuzz(func(t *testing.T, text string) {
 		declarations, err := statement.ParseDeclarations(text)
 		checkErrorPositions(t, text, err)
@@ -38,6 +39,7 @@
 		}
 		for i := range again {
 			again[i].Line = declarations[i].Line
+			usePlaces(again[i].Account, declarations[i].Account)
 			if !reflect.DeepEqual(again[i], declarations[i]) {
 				t.Errorf("%q is formatted as %q: %+v, want %+v", text, formatted, again[i], declarations[i])
 			}
@@ -45,6 +47,13 @@
 	})
 }
 
+// usePlaces gives an account the positions that it has in another text.
+func usePlaces(account, other *statement.AccountDeclaration) {
+	if account != nil && other != nil && len(account.KeyPlaces) == len(other.KeyPlaces) {
+		account.Place, account.KeyPlaces = other.Place, other.KeyPlaces
+	}
+}
+
 func checkErrorPositions(t *testing.T, text string, err error) {
 	if err == nil {
 		return
--- a/internal/statement/grammar.go
+++ b/internal/statement/grammar.go
@@ -17,6 +17,7 @@
 type statementNode struct {
 	Show     *showNode     `parser:"  @@"`
 	Explain  *explainNode  `parser:"| @@"`
+	Add      *addNode      `parser:"| @@"`
 	Declare  *declareNode  `parser:"| @@"`
 	Drain    *drainNode    `parser:"| @@"`
 	Restore  *restoreNode  `parser:"| @@"`
@@ -66,8 +67,14 @@
 }
 
 type removeNode struct {
-	Service wordNode `parser:"'remove' 'service' @@"`
-	Force   bool     `parser:"@'force'? ';'?"`
+	Service *wordNode `parser:"'remove' ('service' @@"`
+	Account *wordNode `parser:"| 'account' @@)"`
+	Force   bool      `parser:"@'force'? ';'?"`
+}
+
+type addNode struct {
+	Key     wordNode `parser:"'add' 'key' @@"`
+	Account wordNode `parser:"'to' 'account' @@ ';'?"`
 }
 
 type forbidNode struct {
@@ -79,16 +86,49 @@
 }
 
 type withdrawNode struct {
-	Target wordNode `parser:"'withdraw' 'ejection' 'of' @@ ';'?"`
+	Ejection *ejectionNode    `parser:"'withdraw' (@@"`
+	Key      *withdrawKeyNode `parser:"| @@) ';'?"`
+}
+
+type ejectionNode struct {
+	Target wordNode `parser:"'ejection' 'of' @@"`
+}
+
+type withdrawKeyNode struct {
+	Key     wordNode `parser:"'key' @@"`
+	Account wordNode `parser:"'from' 'account' @@"`
 }
 
 type declareNode struct {
-	Pos      lexer.Position
-	Name     wordNode    `parser:"'declare' 'service' @@"`
+	Pos     lexer.Position
+	Service *serviceNode `parser:"'declare' (@@"`
+	Account *accountNode `parser:"| @@)"`
+}
+
+type serviceNode struct {
+	Name     wordNode    `parser:"'service' @@"`
 	Revision *wordNode   `parser:"('at' 'revision' @@)?"`
 	Items    []*itemNode `parser:"'{' @@* '}'"`
 }
 
+type accountNode struct {
+	Name   wordNode           `parser:"'account' @@"`
+	Digest *wordNode          `parser:"('at' 'digest' @@)?"`
+	Items  []*accountItemNode `parser:"'{' @@* '}'"`
+}
+
+type accountItemNode struct {
+	Pos  lexer.Position
+	Keys []wordNode `parser:"  'key' @@ (',' @@)* ';'"`
+	Rank *wordNode  `parser:"| 'rank' @@ ';'"`
+	Rate *rateNode  `parser:"| @@"`
+}
+
+type rateNode struct {
+	Rate  wordNode  `parser:"'rate' @@"`
+	Burst *wordNode `parser:"('burst' @@)? ';'"`
+}
+
 type itemNode struct {
 	Pos    lexer.Position
 	Floor  *wordNode   `parser:"  'floor' @@ 'slots' ';'"`
@@ -129,6 +169,7 @@
 	Priority  *wordNode  `parser:"| 'priority' @@ ';'"`
 	Retry     []wordNode `parser:"| 'retry' 'on' @@ (',' @@)* ';'"`
 	Fail      []wordNode `parser:"| 'fail' 'on' @@ (',' @@)* ';'"`
+	Requires  *wordNode  `parser:"| 'requires' @@ ';'"`
 }
 
 // keywords lists the keywords of the grammar, for suggestions.
@@ -136,5 +177,5 @@
 	"show", "where", "and", "columns", "sort", "by", "desc", "limit", "explain", "request", "host", "declare", "service",
 	"at", "revision", "floor", "slots", "policy", "false_alarm_rate", "failure_rate", "prefer", "route", "class", "timeout",
 	"first_byte", "priority", "retry", "fail", "on", "drain", "target", "force", "restore", "remove", "forbid", "release",
-	"withdraw", "ejection", "of",
+	"withdraw", "ejection", "of", "account", "digest", "add", "key", "to", "from", "rank", "rate", "burst", "requires",
 }
--- a/internal/statement/kind.go
+++ b/internal/statement/kind.go
@@ -14,11 +14,12 @@
 	Retries    Kind = "retries"
 	Revisions  Kind = "revisions"
 	Quarantine Kind = "quarantine"
+	Accounts   Kind = "accounts"
 )
 
 // Kinds returns all kinds, in the order in which error messages list them.
 func Kinds() []Kind {
-	return []Kind{Services, Targets, Nodes, Routes, Ejections, Refusals, Retries, Revisions, Quarantine}
+	return []Kind{Services, Targets, Nodes, Routes, Ejections, Refusals, Retries, Revisions, Quarantine, Accounts}
 }
 
 func kindNames() []string {
--- a/internal/statement/parse.go
+++ b/internal/statement/parse.go
@@ -26,7 +26,7 @@
 	b := new(builder)
 	statement := b.statement(node)
 	if len(b.errors) > 0 {
-		return nil, b.errors
+		return nil, b.sortedErrors()
 	}
 	return statement, nil
 }
@@ -44,7 +44,7 @@
 	b := new(builder)
 	declarations := b.file(node)
 	if len(b.errors) > 0 {
-		return nil, b.errors
+		return nil, b.sortedErrors()
 	}
 	return declarations, nil
 }
--- a/internal/statement/parse_test.go
+++ b/internal/statement/parse_test.go
@@ -5,9 +5,13 @@
 	"strings"
 	"testing"
 
+	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/statement"
 )
 
+// hashOfK is the hash of the API key k in the language.
+var hashOfK = statement.FormatKeyHash(declaration.HashKey("k"))
+
 // Guards against a statement that is parsed to the wrong meaning, such as a quoted or keyword-like name.
 func TestParse(t *testing.T) {
 	cases := map[string]statement.Statement{
@@ -35,6 +39,9 @@
 		`forbid request 9f`:                                &statement.Forbid{Fingerprint: "9f"},
 		`release request 9f`:                               &statement.Release{Fingerprint: "9f"},
 		"withdraw\nejection of t":                          &statement.Withdraw{Target: "t"},
+		"add key " + hashOfK + " to account a/B;":          &statement.AddKey{Hash: declaration.HashKey("k"), Account: "a/B", Place: statement.Position{Line: 1, Column: 50}},
+		`withdraw key "` + hashOfK + `" from account to`:   &statement.WithdrawKey{Hash: declaration.HashKey("k"), Account: "to", Place: statement.Position{Line: 1, Column: 59}},
+		`remove account account force`:                     &statement.RemoveAccount{Account: "account", Place: statement.Position{Line: 1, Column: 16}, Force: true},
 	}
 	for text, want := range cases {
 		got, err := statement.Parse(text)
@@ -69,6 +76,9 @@
 		`forbid request ärger zwei`:            `line 1 column 22: unexpected "zwei"`,
 		`declare service s { } show nodes`:     `line 1 column 23: unexpected "show"; expected the end of the statement`,
 		`withdraw ejection t`:                  `line 1 column 19: unexpected "t"; expected of`,
+		`declare servic s { }`:                 `line 1 column 9: unexpected "servic"; expected service, account; did you mean "service"?`,
+		`remove acount a`:                      `line 1 column 8: unexpected "acount"; expected service, account; did you mean "account"?`,
+		`withdraw a`:                           `line 1 column 10: this is not a key hash`,
 		`show nodes columns nod, rgion, state`: `line 1 column 25: unknown column of nodes "rgion"; .*; did you mean "region"?`,
 	}
 	for text, want := range cases {
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -1,10 +1,10 @@
-// Package statement parses and formats the operators' language: queries about the fleet, commands, and service
-// declarations. sardinereachctl, the operators' API and declaration files share its grammar. All functions are pure and
+// Package statement parses and formats the operators' language: queries about the fleet, commands, and declarations of services and
+// client accounts. sardinereachctl, the operators' API and declaration files share its grammar. All functions are pure and
 // must not panic on any input.
 package statement
 
-// Statement is one query or command: *Show, *Explain, *Declare, *Drain, *Restore, *Remove, *Forbid, *Release or
-// *Withdraw.
+// Statement is one query or command: *Show, *Explain, *Declare, *Drain, *Restore, *Remove, *Forbid, *Release, *Withdraw, *AddKey,
+// *WithdrawKey or *RemoveAccount.
 type Statement interface {
 	// Verb returns the first word of the statement.
 	Verb() string
--- a/internal/statement/syntax.go
+++ b/internal/statement/syntax.go
@@ -28,6 +28,9 @@
 	if offset >= len(text) {
 		return "the text ends too early"
 	}
+	if isSecretAt(text, offset) {
+		return errNotKeyHash.Error()
+	}
 	if text[offset] == '"' {
 		return `a string is not closed; end it with '"' on the same line`
 	}
@@ -38,6 +41,9 @@
 // unexpectedToken returns the error for a token that the grammar does not allow, with the tokens that it allows there.
 func unexpectedToken(text string, verbs []string, err *participle.UnexpectedTokenError) *Error {
 	token := err.Unexpected
+	if isSecretAt(text, token.Pos.Offset) {
+		return &Error{Line: token.Pos.Line, Column: token.Pos.Column, Message: errNotKeyHash.Error()}
+	}
 	found := fmt.Sprintf("unexpected %q", token.Value)
 	if token.EOF() {
 		found = "the text ends too early"
