Hash API keys in sardinereachctl and show the changes of accounts

Cause: operators need the hash of a key without sending the key to a node, and `apply` could name services only.

Change: `hash-key` reads one key from the standard input and prints its hash. The accounts of a group are sent in one part, and before the services.

--- a/cmd/sardinereachctl/apply.go
+++ b/cmd/sardinereachctl/apply.go
@@ -14,7 +14,7 @@
 		return code
 	}
 	if call.output == "json" {
-		call.printJSON(changesToJSON(answer))
+		call.printJSON(call.changesToJSON(answer))
 	} else {
 		call.printChanges(answer)
 		call.printRollout(answer)
@@ -46,9 +46,21 @@
 	if err != nil {
 		return nil, call.reportError(err)
 	}
+	call.accounts = accountsOf(declarations)
 	return call.sendAll(client, batches(declarations, maxBatchBytes))
 }
 
+// accountsOf returns the declared accounts by name.
+func accountsOf(declarations []statement.Declaration) map[string]*statement.AccountDeclaration {
+	accounts := make(map[string]*statement.AccountDeclaration)
+	for i := range declarations {
+		if account := declarations[i].Account; account != nil {
+			accounts[string(account.Account.Name)] = account
+		}
+	}
+	return accounts
+}
+
 func (call *invocation) sendAll(client operatorv1.OperatorClient, texts []string) (*operatorv1.ApplyResponse, int) {
 	var all *operatorv1.ApplyResponse
 	for _, text := range texts {
--- a/cmd/sardinereachctl/batch_test.go
+++ b/cmd/sardinereachctl/batch_test.go
@@ -32,6 +32,38 @@
 	}
 }
 
+// Guards against a large file whose accounts make a node write each group once for each batch, and whose routes require keys before the
+// accounts are in force.
+func TestBatchesKeepGroupsTogether(t *testing.T) {
+	declarations := []statement.Declaration{{Service: declaration.Service{Name: "s", Routes: []declaration.Route{}}, Revision: statement.AnyRevision}}
+	for i := range 640 {
+		account := declaration.Account{Name: model.AccountName(fmt.Sprint("a", i))}
+		declarations = append(declarations, statement.Declaration{Account: &statement.AccountDeclaration{Account: account}})
+	}
+	texts := batches(declarations, 2000)
+	writes, accounts := 0, 0
+	for _, text := range texts {
+		parsed, err := statement.ParseDeclarations(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		groups := make(map[int]bool)
+		for i := range parsed {
+			if parsed[i].Account != nil {
+				groups[declaration.GroupOf(parsed[i].Account.Account.Name)] = true
+				accounts++
+			}
+		}
+		writes += len(groups)
+	}
+	if accounts != 640 || len(texts) < 4 || writes > declaration.AccountGroups+len(texts) {
+		t.Errorf("%d accounts in %d batches with %d writes", accounts, len(texts), writes)
+	}
+	if !strings.Contains(texts[len(texts)-1], "declare service s") {
+		t.Error("the service is not in the last batch")
+	}
+}
+
 // Guards against a merged response that reports the active and behind nodes of an older revision.
 func TestMerge(t *testing.T) {
 	newest := &operatorv1.ApplyResponse{Changes: []*operatorv1.ServiceChange{{}}, Revision: 9, NodesBehind: []string{"n2"}, NodesInForce: 1}
--- a/cmd/sardinereachctl/check.go
+++ b/cmd/sardinereachctl/check.go
@@ -10,6 +10,7 @@
 type checkJSON struct {
 	Services int `json:"services"`
 	Routes   int `json:"routes"`
+	Accounts int `json:"accounts"`
 }
 
 // check parses and validates the declarations of a file without calling a node.
@@ -22,14 +23,24 @@
 	if err != nil {
 		return call.reportParseError(call.arguments[0], text, err)
 	}
-	routes := 0
-	for i := range declarations {
-		routes += len(declarations[i].Service.Routes)
-	}
+	counts := count(declarations)
 	if call.output == "json" {
-		call.printJSON(checkJSON{len(declarations), routes})
+		call.printJSON(counts)
 		return exitOK
 	}
-	fmt.Fprintf(call.out, "no faults; services: %d, routes: %d\n", len(declarations), routes)
+	fmt.Fprintf(call.out, "no faults; services: %d, routes: %d, accounts: %d\n", counts.Services, counts.Routes, counts.Accounts)
 	return exitOK
 }
+
+func count(declarations []statement.Declaration) checkJSON {
+	var counts checkJSON
+	for i := range declarations {
+		if declarations[i].Account != nil {
+			counts.Accounts++
+			continue
+		}
+		counts.Services++
+		counts.Routes += len(declarations[i].Service.Routes)
+	}
+	return counts
+}
--- a/cmd/sardinereachctl/command.go
+++ b/cmd/sardinereachctl/command.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"time"
+
+	"github.com/sardinereach/sardinereach/internal/statement"
 )
 
 // command is one subcommand.
@@ -20,6 +22,8 @@
 	*options
 	stdio
 	arguments []string
+	// accounts are the declared accounts of the file by name.
+	accounts map[string]*statement.AccountDeclaration
 
 	dryRun   bool
 	force    bool
@@ -39,6 +43,7 @@
 		{"export", 0, noFlags, (*invocation).export},
 		{"watch", 1, watchFlags, (*invocation).watch},
 		{"check", 1, noFlags, (*invocation).check},
+		{"hash-key", 0, noFlags, (*invocation).hashKey},
 	}
 }
 
--- a/cmd/sardinereachctl/main.go
+++ b/cmd/sardinereachctl/main.go
@@ -10,6 +10,7 @@
 //	export                                  print all declarations with their revisions
 //	watch STATEMENT [-interval TIME] [-count N]  run a query periodically
 //	check FILE                              check declarations without a node
+//	hash-key                                print the hash of the API key on the standard input
 //
 // FILE may be - for the standard input. The exit code is 0 for success, 1 if the call failed or was refused, 2 for an
 // error in the usage, a statement or a declaration, 3 for a conflict with another change, 4 for a partial response, and
--- a/cmd/sardinereachctl/script_test.go
+++ b/cmd/sardinereachctl/script_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -107,6 +109,10 @@
 		fleet.Inject(fakefleet.ResponseLostAfterWrite)
 	case "store-down":
 		fleet.Inject(fakefleet.Unavailable)
+	case "other-account":
+		fleet.BeforeNextWrite(func() { putOtherAccount(ts, fleet, argument) })
+	case "read-only":
+		fleet.FailAccountWrites(errors.New("platform: the configuration is written by the platform's operator"))
 	case "other-operator":
 		fleet.BeforeNextWrite(func() { fleet.Put(otherDocument(ts, argument)) })
 	default:
@@ -123,3 +129,14 @@
 	service := declaration.Service{Name: "proofroom", FloorSlots: slots, Routes: []declaration.Route{{Path: "/proofs"}}}
 	return declaration.Document{Service: service, ChangeID: fmt.Sprint("other.", floor)}
 }
+
+// putOtherAccount stores an account without keys like the write of another operator, beside the accounts of its group.
+func putOtherAccount(ts *testscript.TestScript, fleet *fakefleet.Fleet, name string) {
+	group := declaration.GroupOf(model.AccountName(name))
+	stored, err := fleet.ReadAccounts(context.Background(), group)
+	ts.Check(err)
+	stored.Group.Accounts = slices.DeleteFunc(stored.Group.Accounts, func(a declaration.Account) bool { return string(a.Name) == name })
+	stored.Group.Accounts = append(stored.Group.Accounts, declaration.Account{Name: model.AccountName(name), RatePerSecond: 1})
+	stored.Group.ChangeID = "other." + name
+	fleet.PutAccounts(group, stored.Group)
+}
--- a/cmd/sardinereachctl/usage.go
+++ b/cmd/sardinereachctl/usage.go
@@ -16,6 +16,7 @@
   export                                       print all declarations with their revisions
   watch STATEMENT [-interval TIME] [-count N]  repeat a question
   check FILE                                   check declarations without a node
+  hash-key                                     print the hash of the API key on the standard input
 
 exit codes: 0 ok, 1 failed or refused, 2 usage or statement, 3 conflict, 4 partial answer, 5 unreachable`
 
