Store the accounts of the fake fleet as their encoding reads back

Cause: the fake fleet kept accounts as they were written, so that a difference between an account and its stored form stayed unseen.

Change: fakefleet encodes and decodes each group that is swapped.

--- a/internal/operator/fakefleet/accounts.go
+++ b/internal/operator/fakefleet/accounts.go
@@ -31,12 +31,25 @@
 		if f.writeError != nil {
 			return f.writeError
 		}
-		revision = f.storeAccounts(group, accounts)
+		decoded, err := reencoded(accounts)
+		if err != nil {
+			return err
+		}
+		revision = f.storeAccounts(group, decoded)
 		return nil
 	})
 	return revision, err
 }
 
+// reencoded returns the accounts as a store holds them.
+func reencoded(accounts *declaration.AccountGroup) (*declaration.AccountGroup, error) {
+	data, err := accounts.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return declaration.DecodeAccountGroup(data)
+}
+
 func accountConflict(group int, stored operator.StoredAccounts, exists bool) error {
 	if !exists {
 		return &store.ConflictError{}
