--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -37,7 +38,7 @@
 	s := &operator.Snapshot{Node: n.self.ID, Complete: n.distributor.Ready()}
 	if distributed.Config != nil {
 		s.ConfigRevision = distributed.Config.Complete
-		s.Accounts = distributed.Config.Accounts
+		s.Accounts = maps.Values(distributed.Config.Accounts)
 		for _, service := range view.Services() {
 			s.Services = append(s.Services, operator.ServiceStatus{
 				Service: *service.Service, Revision: distributed.Config.Revisions[service.Service.Name],
--- a/internal/operator/account_commands.go
+++ b/internal/operator/account_commands.go
@@ -124,7 +124,7 @@
 }
 
 func (s *Server) unknownAccount(name model.AccountName) error {
-	accounts := s.fleet.Snapshot().Accounts
+	accounts := s.fleet.Snapshot().accounts()
 	var names []string
 	if len(accounts) <= maxSuggestedAccounts {
 		for existing := range accounts {
--- a/internal/operator/account_rows.go
+++ b/internal/operator/account_rows.go
@@ -10,9 +10,10 @@
 )
 
 func accountRows(snapshot *Snapshot) [][]string {
-	shared := accountsWithSharedKeys(snapshot.Accounts)
-	rows := make([][]string, 0, len(snapshot.Accounts))
-	for _, account := range snapshot.Accounts {
+	accounts := snapshot.accounts()
+	shared := accountsWithSharedKeys(accounts)
+	rows := make([][]string, 0, len(accounts))
+	for _, account := range accounts {
 		rows = append(rows, accountRow(account, shared[account.Name]))
 	}
 	return rows
--- a/internal/operator/export.go
+++ b/internal/operator/export.go
@@ -31,8 +31,9 @@
 
 func exportedAccounts(snapshot *Snapshot) []statement.Declaration {
 	var declarations []statement.Declaration
-	for _, name := range slices.Sorted(maps.Keys(snapshot.Accounts)) {
-		account := *snapshot.Accounts[name]
+	accounts := snapshot.accounts()
+	for _, name := range slices.Sorted(maps.Keys(accounts)) {
+		account := *accounts[name]
 		account.KeyHashes = statement.SortedKeys(account.KeyHashes)
 		declared := &statement.AccountDeclaration{Account: account, Digest: statement.Digest(&account)}
 		declarations = append(declarations, statement.Declaration{Account: declared})
--- a/internal/operator/fakefleet/queries.go
+++ b/internal/operator/fakefleet/queries.go
@@ -1,6 +1,7 @@
 package fakefleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -19,7 +20,7 @@
 		Node:           "n1",
 		ConfigRevision: f.revision,
 		Complete:       !f.incomplete,
-		Accounts:       f.activeAccounts(),
+		Accounts:       maps.Values(f.activeAccounts()),
 		Nodes:          slices.Clone(f.nodes),
 		Ejections:      slices.Clone(f.ejections),
 		Quarantine:     slices.Clone(f.quarantine),
--- a/internal/operator/key_holders.go
+++ b/internal/operator/key_holders.go
@@ -23,10 +23,10 @@
 	for _, hash := range hashes {
 		holders.active[hash] = nil
 	}
-	for name, account := range fleet.Snapshot().Accounts {
+	for account := range fleet.Snapshot().eachAccount() {
 		for _, hash := range account.KeyHashes {
 			if names, ok := holders.active[hash]; ok {
-				holders.active[hash] = append(names, name)
+				holders.active[hash] = append(names, account.Name)
 			}
 		}
 	}
--- a/internal/operator/snapshot.go
+++ b/internal/operator/snapshot.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"iter"
+
 	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/model"
 )
@@ -14,8 +16,8 @@
 	// Complete is false before the node has read the whole configuration.
 	Complete bool
 	Services []ServiceStatus
-	// Accounts are the client accounts that are active on the node.
-	Accounts   map[model.AccountName]*declaration.Account
+	// Accounts are the client accounts that are active on the node, in any order; nil for none.
+	Accounts   iter.Seq[*declaration.Account]
 	Nodes      []NodeStatus
 	Ejections  []Ejection
 	Quarantine []QuarantineEntry
@@ -24,3 +26,19 @@
 	Failures []ReasonCount
 	Retries  []ReasonCount
 }
+
+// accounts returns the client accounts by name.
+func (s *Snapshot) accounts() map[model.AccountName]*declaration.Account {
+	byName := make(map[model.AccountName]*declaration.Account)
+	for account := range s.eachAccount() {
+		byName[account.Name] = account
+	}
+	return byName
+}
+
+func (s *Snapshot) eachAccount() iter.Seq[*declaration.Account] {
+	if s.Accounts == nil {
+		return func(func(*declaration.Account) bool) {}
+	}
+	return s.Accounts
+}
