Keep slots of targets that have not answered from requests that must not run twice

Cause: requests that can't be retried go to targets in the order of their IDs, because those in front have answered lately. Nothing tied the order to answers: before the first ones, and until a run is overdue, they filled one target after the other, also those that hang.

Change: a target with runs in a fifth of its slots, three at least, that began after its last success refuses requests that must not run twice and do not wait. If no target of the domain takes one, it goes to that with most free slots. The simulation of the placement tests passes on the free slots, as the node does; no check is changed.

--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -39,6 +39,9 @@
 	if !r.LastResort && !t.breaker.admits(p.activeTime(), r.Idempotent && !r.RequireClosedBreaker, t.probes(), t.Slots) {
 		return p.refuse(t, r, verdict.TargetDoubtful)
 	}
+	if r.IdleOnly && !r.LastResort && !r.Idempotent && t.hasUnansweredRuns() {
+		return p.refuse(t, r, verdict.SlotsFull)
+	}
 	if len(t.running) < t.rampSlots(p.activeTime(), p.limits.RampDuration) {
 		return p.admit(t, r)
 	}
--- a/internal/admission/finish.go
+++ b/internal/admission/finish.go
@@ -76,6 +76,7 @@
 	t := w.target
 	wasHalfOpen := t.breaker.halfOpen
 	t.breaker.recordSuccess(p.activeTime())
+	t.lastSuccess = p.activeTime()
 	if wasHalfOpen && !t.breaker.halfOpen {
 		p.pending = append(p.pending, Event{Kind: EventBreakerClosed, Target: t.Target, Evidence: p.evidence(w, run)})
 	}
--- a/internal/admission/target.go
+++ b/internal/admission/target.go
@@ -36,6 +36,8 @@
 	failures    uint64
 	breaker     breaker
 	runTimes    runTimes
+	// lastSuccess is the active time of the last successful response.
+	lastSuccess time.Duration
 }
 
 // rampSlots returns the number of slots that the slow-start ramp allows at the active time.
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -161,6 +161,7 @@
 	if load := trailer.Load; load != nil {
 		e.RequiredSuccesses = int(load.Doubt)
 		e.ExpectedWait = time.Duration(load.WaitMs) * time.Millisecond
+		e.FreeSlots = freeSlots(int(load.Slots), int(load.InFlight), int(load.Queued))
 	}
 	if trailer.Detail != "" {
 		e.Cause = errors.New(trailer.Detail)
--- a/internal/node/pick.go
+++ b/internal/node/pick.go
@@ -22,8 +22,10 @@
 // placementRefusal returns the target state that an admission point reported with its refusal.
 func placementRefusal(err *verdict.Error) placement.Refusal {
 	switch err.Reason {
-	case verdict.SlotsFull, verdict.TargetDoubtful:
-		return placement.Refusal{Full: err.Reason == verdict.SlotsFull, Wait: err.ExpectedWait, RequiredSuccesses: err.RequiredSuccesses}
+	case verdict.SlotsFull:
+		return placement.Refusal{Full: true, Free: err.FreeSlots, Wait: err.ExpectedWait, RequiredSuccesses: err.RequiredSuccesses}
+	case verdict.TargetDoubtful:
+		return placement.Refusal{Wait: err.ExpectedWait, RequiredSuccesses: err.RequiredSuccesses}
 	}
 	return placement.Refusal{}
 }
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -313,7 +313,7 @@
 	if r.distance != routing.SameDomain && r.arrived >= hangWindow {
 		r.tally().crossDomainRefusals++
 	}
-	r.plan.RecordRefusal(placement.Refusal{Full: err.Reason == verdict.SlotsFull, Wait: load.ExpectedWait, RequiredSuccesses: load.RequiredSuccesses})
+	r.plan.RecordRefusal(placement.Refusal{Full: err.Reason == verdict.SlotsFull, Free: toTargetLoad(load, 0).Free, Wait: load.ExpectedWait, RequiredSuccesses: load.RequiredSuccesses})
 	r.tryNext()
 }
 
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -179,16 +179,28 @@
 		if !ok || e.excluded || state.RequiredSuccesses > 0 || e.requested && !state.Full || e.candidate.Distance > within {
 			continue
 		}
-		if best == noEntry || p.cost(e) < p.cost(&p.entries[best]) {
+		if best == noEntry || p.isCheaper(e, &p.entries[best]) {
 			best = i
 		}
 	}
 	return best
 }
 
-// cost returns the expected wait at the target plus the cost of its distance.
+// isCheaper reports whether the request is expected to get a slot sooner at a than at b. Of two targets with free slots, the
+// one with more of them has fewer unanswered runs.
+func (p *Plan) isCheaper(a, b *entry) bool {
+	if costA, costB := p.cost(a), p.cost(b); costA != costB {
+		return costA < costB
+	}
+	return a.refusal.Free > b.refusal.Free
+}
+
+// cost returns the expected wait at the target plus the cost of its distance. A target with free slots has no wait.
 func (p *Plan) cost(e *entry) time.Duration {
 	state, _ := e.state()
+	if state.Free > 0 {
+		return p.distanceCost[e.candidate.Distance]
+	}
 	return state.Wait + p.distanceCost[e.candidate.Distance]
 }
 
@@ -218,7 +230,7 @@
 	}
 	e := &p.entries[p.last]
 	e.refusal = refusal
-	p.hasFullTarget = p.hasFullTarget || refusal.Full && refusal.RequiredSuccesses == 0
+	p.hasFullTarget = p.hasFullTarget || refusal.Full && refusal.Free == 0 && refusal.RequiredSuccesses == 0
 	if !refusal.Full && refusal.RequiredSuccesses == 0 {
 		e.excluded = true
 	}
--- a/internal/verdict/error.go
+++ b/internal/verdict/error.go
@@ -15,10 +15,11 @@
 	Reason Reason
 	// RetryAfter is the minimum delay before another attempt, 0 if the refusing side sent none.
 	RetryAfter time.Duration
-	// RequiredSuccesses and ExpectedWait describe the target that refused the request: the successes that its circuit
-	// breaker needs to close, 0 if it is closed, and the expected wait for a slot.
+	// RequiredSuccesses, ExpectedWait and FreeSlots describe the target that refused the request: the successes that its circuit
+	// breaker needs to close, 0 if it is closed, the expected wait for a slot, and the slots that it keeps free.
 	RequiredSuccesses int
 	ExpectedWait      time.Duration
+	FreeSlots         int
 	// Cause is the underlying error, nil if there is none.
 	Cause error
 }
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -12,7 +12,8 @@
 	RouteUnsupported Reason = "route_unsupported"
 	// NoTarget means that no target of the service is left for the request.
 	NoTarget Reason = "no_target"
-	// SlotsFull means that all slots of the target and its queue are in use.
+	// SlotsFull means that all slots of the target and its queue are in use, or that the target has answered none of its last
+	// runs and gets no more requests that must not run twice while other targets have free slots.
 	SlotsFull Reason = "slots_full"
 	// QueueDeadline means that the request could not get a slot before its deadline.
 	QueueDeadline Reason = "queue_deadline"
