Refuse unchecked attempts and redeemed tickets on routes that are not understood

Cause: an attempt of a node that makes no decision on access ran where the admitting node does not understand the route, and so does not know what it requires; a ticket was redeemed there, too (independent review).

Change: the refusal of the route holds for both.

--- a/internal/node/redeem.go
+++ b/internal/node/redeem.go
@@ -37,6 +37,9 @@
 	if match == nil {
 		return nil, verdict.Refused(verdict.NoRoute, nil)
 	}
+	if refusal := match.Route.Refusal(); refusal != nil {
+		return nil, refusal
+	}
 	if refusal := uncheckedRefusal(head, match.Route); refusal != nil {
 		return nil, refusal
 	}
--- a/internal/node/unchecked_access.go
+++ b/internal/node/unchecked_access.go
@@ -25,12 +25,16 @@
 	return nil
 }
 
-// uncheckedRefusal is as refuseUnchecked for a route that is known.
+// uncheckedRefusal is as refuseUnchecked for a route that is known. What a route that this build does not understand requires is not
+// known either.
 func uncheckedRefusal(head *peerv1.ForwardHead, route *declaration.Route) *verdict.Error {
-	if route.RequiresKey && !isChecked(head.Access) {
+	switch {
+	case isChecked(head.Access):
+		return nil
+	case route.RequiresKey:
 		return verdict.Refused(verdict.AccessUnchecked, nil)
 	}
-	return nil
+	return route.Refusal()
 }
 
 func isChecked(access peerv1.Access) bool {
