Let nested requests end with the run that has sent them

Change: the parent is found for every request without a key, and its deadline bounds the nested request.

--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -263,8 +263,8 @@
 	return false
 }
 
-// mayRun reports whether a local target may be running the request.
-func (a *admitter) mayRun(request string) bool {
+// mayRun reports whether a local target may be running the request, and the deadline of its last attempt there.
+func (a *admitter) mayRun(request string) (ends time.Duration, running bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.parents.mayRun(a.clock.now(), request)
--- a/internal/node/admitter_run.go
+++ b/internal/node/admitter_run.go
@@ -211,7 +211,7 @@
 	}
 	a.mu.Lock()
 	a.running[model.AttemptID(head.Attempt)] = p
-	a.parents.begin(head.RequestId)
+	a.parents.begin(head.RequestId, p.started+time.Duration(head.TimeoutMs)*time.Millisecond)
 	cutOffAt := a.runsCutOffAt
 	a.mu.Unlock()
 	if cutOffAt > 0 {
--- a/internal/node/parent_runs.go
+++ b/internal/node/parent_runs.go
@@ -14,12 +14,14 @@
 	running int
 	// until is the time up to which an ended attempt may go on at its target.
 	until time.Duration
+	// ends is the latest deadline of the attempts.
+	ends time.Duration
 }
 
 func newParentRuns() *parentRuns { return &parentRuns{byRequest: make(map[string]*parentRun)} }
 
-// begin records that an attempt of the request is sent to a target.
-func (p *parentRuns) begin(request string) {
+// begin records that an attempt of the request is sent to a target, which ends at its deadline at the latest.
+func (p *parentRuns) begin(request string, deadline time.Duration) {
 	if request == "" {
 		return
 	}
@@ -29,6 +31,7 @@
 		p.byRequest[request] = run
 	}
 	run.running++
+	run.ends = max(run.ends, deadline)
 }
 
 // end records that the attempt has ended. It may go on at its target until the given time; 0 if it does not.
@@ -44,10 +47,13 @@
 	}
 }
 
-// mayRun reports whether a local target may be running the request.
-func (p *parentRuns) mayRun(now time.Duration, request string) bool {
+// mayRun reports whether a local target may be running the request, and the latest deadline of its attempts there.
+func (p *parentRuns) mayRun(now time.Duration, request string) (ends time.Duration, running bool) {
 	run := p.byRequest[request]
-	return run != nil && run.mayRun(now)
+	if run == nil || !run.mayRun(now) {
+		return 0, false
+	}
+	return run.ends, true
 }
 
 func (r *parentRun) mayRun(now time.Duration) bool { return r.running > 0 || now < r.until }
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	rq.deadline = rq.started.Add(timeout)
+	rq.deadline = rq.started.Add(a.endsWithParent(rq, timeout))
 	rq.body, err = readBody(w, r, a.limits.MaxBodyBytes, rq.deadline)
 	if err != nil {
 		return err
--- a/internal/node/request_access.go
+++ b/internal/node/request_access.go
@@ -24,6 +24,8 @@
 	decision   access.Decision
 	credential access.Credential
 	parent     access.Parent
+	// parentEnds is the deadline of the run that has sent the request, on the clock of the node; 0 if there is none.
+	parentEnds time.Duration
 	// view is the one of the decision.
 	view               *core.View
 	host, method, path string
@@ -40,8 +42,8 @@
 	}
 	headers.Delete(r.Header, a.dialect.KeyHeader)
 	ra.revision.Store(view.Revision)
-	if match.Route.RequiresKey && ra.credential.IsEmpty() {
-		ra.parent = a.parentOf(id)
+	if ra.credential.IsEmpty() {
+		ra.parent, ra.parentEnds = a.parentOf(id)
 	}
 	var refusal *verdict.Error
 	ra.decision, refusal = access.Decide(ra.input(view, match.Route))
@@ -77,21 +79,29 @@
 }
 
 // parentOf returns what this node knows of the run that has sent a request with the ID. Each part of the ID before a separator may
-// be the ID of that run.
-func (a *acceptor) parentOf(id string) access.Parent {
+// be the ID of that run. ends is the deadline of the run.
+func (a *acceptor) parentOf(id string) (parent access.Parent, ends time.Duration) {
 	separator := a.dialect.CallSeparator
 	if separator == "" || !strings.Contains(id, separator) {
-		return access.NoParent
+		return access.NoParent, 0
 	}
 	for end := strings.LastIndex(id, separator); end > 0; end = strings.LastIndex(id[:end], separator) {
-		if a.admitter.mayRun(id[:end]) {
-			return access.ParentRunning
+		if ends, running := a.admitter.mayRun(id[:end]); running {
+			return access.ParentRunning, ends
 		}
 	}
 	if a.clock.now() < maxRunBeforeStart {
-		return access.ParentUnknown
+		return access.ParentUnknown, 0
 	}
-	return access.ParentAbsent
+	return access.ParentAbsent, 0
+}
+
+// endsWithParent returns the time that a nested request may take, which is no longer than the run that has sent it.
+func (a *acceptor) endsWithParent(rq *request, timeout time.Duration) time.Duration {
+	if rq.access.parent != access.ParentRunning {
+		return timeout
+	}
+	return max(min(timeout, rq.access.parentEnds-a.clock.now()), 0)
 }
 
 // applyAccess sets the fields of a head that depend on the decision.
