Divide the rate limits of accounts among nodes by loans and permits (pure part)

Change: package quota: the distributor's buckets, whose capacity follows the parts lent to it; the lender, which never lends its parts to two distributors at a time; the permits of a node. Nothing uses it yet.

--- /dev/null
+++ b/internal/quota/distributor.go
@@ -0,0 +1,148 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// Distributor grants permits from the parts that nodes have lent to it. Its buckets start empty, and shrink as soon as a loan
+// ends: the lender may then use the part elsewhere.
+type Distributor struct {
+	loans   map[model.NodeID]heldLoan
+	buckets map[model.AccountName]*bucket
+	// now is the time up to which shareSeconds was computed.
+	now          time.Duration
+	share        float64
+	shareSeconds float64
+	// shrunkAt are the share-seconds at the last decrease of the share. An account without a bucket has gained tokens since then.
+	shrunkAt float64
+	// nextEnd is not after the end of any loan.
+	nextEnd time.Duration
+}
+
+// NewDistributor returns a distributor without loans. It grants nothing.
+func NewDistributor() *Distributor {
+	return &Distributor{
+		loans: make(map[model.NodeID]heldLoan), buckets: make(map[model.AccountName]*bucket), nextEnd: math.MaxInt64,
+	}
+}
+
+// Lend records a loan that ends at the given time, in place of an earlier one of the node.
+func (d *Distributor) Lend(now time.Duration, loan Loan, until time.Duration) {
+	d.advance(now)
+	held, found := d.loans[loan.Node]
+	if found && held.incarnation > loan.Incarnation || loan.Divisor <= 0 || until <= d.now {
+		return
+	}
+	part := 1 / float64(loan.Divisor)
+	if found && (held.incarnation != loan.Incarnation || held.part > part) {
+		// The tokens of the part that is given back may be gained anew elsewhere.
+		d.fillAll()
+		delete(d.loans, loan.Node)
+		d.shrink()
+	}
+	d.loans[loan.Node] = heldLoan{incarnation: loan.Incarnation, part: part, until: until}
+	d.fillAll()
+	d.updateShare()
+}
+
+// Take grants permits of an account: first for the requests that wait, and for expected ones only from the upper half of the
+// bucket, because a permit that is not used is lost.
+func (d *Distributor) Take(now time.Duration, account model.AccountName, limit Limit, waiting, expected int) Grant {
+	d.advance(now)
+	b := d.bucket(account, limit)
+	b.fill(d.shareSeconds, d.share)
+	granted := min(max(waiting, 0), int(b.tokens))
+	b.tokens -= float64(granted)
+	spare := int(b.tokens - limit.capacity(d.share)/2)
+	extra := min(max(expected, 0), max(spare, 0))
+	b.tokens -= float64(extra)
+	grant := Grant{Permits: granted + extra}
+	if granted < waiting {
+		grant.NextIn = limit.fillTime(1-b.tokens, d.share)
+	}
+	return grant
+}
+
+// Keep forgets the buckets of all accounts but those for which it returns true.
+func (d *Distributor) Keep(isLimited func(model.AccountName) bool) {
+	for account := range d.buckets {
+		if !isLimited(account) {
+			delete(d.buckets, account)
+		}
+	}
+}
+
+// Share returns the share of every limit that the distributor holds.
+func (d *Distributor) Share(now time.Duration) float64 {
+	d.advance(now)
+	return d.share
+}
+
+// bucket returns the bucket of the account. One with a changed limit keeps its tokens, up to the new burst.
+func (d *Distributor) bucket(account model.AccountName, limit Limit) *bucket {
+	b := d.buckets[account]
+	if b == nil {
+		b = &bucket{limit: limit, filledTo: d.shrunkAt}
+		b.fill(d.shareSeconds, d.share)
+		d.buckets[account] = b
+	}
+	if b.limit != limit {
+		b.fill(d.shareSeconds, d.share)
+		b.limit = limit
+	}
+	return b
+}
+
+// advance ends the loans whose time has passed, in the order of their ends.
+func (d *Distributor) advance(now time.Duration) {
+	for d.nextEnd <= now {
+		d.integrate(d.nextEnd)
+		d.fillAll()
+		for node, loan := range d.loans {
+			if loan.until <= d.nextEnd {
+				delete(d.loans, node)
+			}
+		}
+		d.shrink()
+	}
+	d.integrate(now)
+}
+
+// integrate adds the share-seconds up to the time.
+func (d *Distributor) integrate(to time.Duration) {
+	if to <= d.now {
+		return
+	}
+	d.shareSeconds += d.share * (to - d.now).Seconds()
+	d.now = to
+}
+
+// updateShare computes the share and the next end of a loan.
+func (d *Distributor) updateShare() {
+	d.share, d.nextEnd = 0, math.MaxInt64
+	for _, loan := range d.loans {
+		d.share += loan.part
+		d.nextEnd = min(d.nextEnd, loan.until)
+	}
+	// Parts of nodes that count the fleet differently may add up to more.
+	d.share = min(d.share, 1)
+}
+
+// fillAll adds the tokens gained so far, before the share changes: a bucket may hold no more than its share at the time allows.
+func (d *Distributor) fillAll() {
+	for _, b := range d.buckets {
+		b.fill(d.shareSeconds, d.share)
+	}
+}
+
+// shrink takes the parts that were removed out of the share, and drops the tokens that the rest may not hold.
+func (d *Distributor) shrink() {
+	d.updateShare()
+	d.shrunkAt = d.shareSeconds
+	for _, b := range d.buckets {
+		b.clamp(d.share)
+	}
+}
--- /dev/null
+++ b/internal/quota/lender.go
@@ -0,0 +1,32 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// Lender records to whom a node lends its parts, so that it never lends them to two distributors at a time.
+type Lender struct {
+	holder model.NodeID
+	// until is the time at which the last loan has ended, whenever the holder has received it.
+	until time.Duration
+}
+
+// NewLender returns a lender that lends nothing before the given time: an earlier process of the node may have lent its parts.
+func NewLender(notBefore time.Duration) *Lender { return &Lender{until: notBefore} }
+
+// MayLendTo reports whether the parts may be lent to the distributor now.
+func (l *Lender) MayLendTo(now time.Duration, distributor model.NodeID) bool {
+	return l.holder == distributor || now >= l.until
+}
+
+// Lent records that the parts were lent to the distributor by a call that it has received, if at all, before the given time.
+// MayLendTo must have allowed it.
+func (l *Lender) Lent(distributor model.NodeID, receivedBefore, length time.Duration) {
+	l.holder = distributor
+	l.until = max(l.until, receivedBefore+length)
+}
+
+// Until returns the time from which the parts may be lent to any distributor.
+func (l *Lender) Until() time.Duration { return l.until }
--- /dev/null
+++ b/internal/quota/purse.go
@@ -0,0 +1,75 @@
+package quota
+
+import "time"
+
+// Permit lets one request of an account pass until it expires.
+type Permit struct{ Expires time.Duration }
+
+// Purse holds the permits of one account at a node.
+type Purse struct {
+	permits []Permit
+	// refusedUntil is the time before which the distributor has no permit.
+	refusedUntil time.Duration
+	usage        usage
+}
+
+// Take removes the permit that expires first, false if there is none.
+func (p *Purse) Take(now time.Duration) (Permit, bool) {
+	p.usage.add(now)
+	p.dropExpired(now)
+	if len(p.permits) == 0 {
+		return Permit{}, false
+	}
+	permit := p.permits[0]
+	p.permits = p.permits[1:]
+	return permit, true
+}
+
+// Add adds permits that expire at the given time.
+func (p *Purse) Add(count int, expires time.Duration) {
+	for range count {
+		p.insert(Permit{Expires: expires})
+	}
+}
+
+// Return gives back the permit of a request that has not run.
+func (p *Purse) Return(now time.Duration, permit Permit) {
+	if permit.Expires > now {
+		p.insert(permit)
+	}
+}
+
+// RefuseUntil records that there is no permit before the given time.
+func (p *Purse) RefuseUntil(end time.Duration) { p.refusedUntil = end }
+
+// RefusedFor returns the time for which requests are refused, 0 if a permit may be asked for.
+func (p *Purse) RefusedFor(now time.Duration) time.Duration { return max(p.refusedUntil-now, 0) }
+
+// Expected returns the number of permits beyond those at hand that the node will probably use while a new permit is valid.
+func (p *Purse) Expected(now time.Duration) int {
+	p.dropExpired(now)
+	return max(p.usage.recent(now)-len(p.permits), 0)
+}
+
+// IsIdle reports whether the purse can be forgotten.
+func (p *Purse) IsIdle(now time.Duration) bool {
+	p.dropExpired(now)
+	return len(p.permits) == 0 && p.refusedUntil <= now && p.usage.recent(now) == 0
+}
+
+// insert keeps the permits in the order in which they expire.
+func (p *Purse) insert(permit Permit) {
+	i := len(p.permits)
+	for i > 0 && p.permits[i-1].Expires > permit.Expires {
+		i--
+	}
+	p.permits = append(p.permits, Permit{})
+	copy(p.permits[i+1:], p.permits[i:])
+	p.permits[i] = permit
+}
+
+func (p *Purse) dropExpired(now time.Duration) {
+	for len(p.permits) > 0 && p.permits[0].Expires <= now {
+		p.permits = p.permits[1:]
+	}
+}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,196 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+const (
+	testLend    = 2 * time.Second
+	testTimeout = 500 * time.Millisecond
+	testStep    = 50 * time.Millisecond
+	account     = model.AccountName("a")
+)
+
+// testNode is a node of a fleet without a network. The distributor of the account is chosen by the test.
+type testNode struct {
+	id          model.NodeID
+	incarnation model.Incarnation
+	lender      *Lender
+	distributor *Distributor
+	purse       Purse
+	// cut means that calls from and to the node fail; a lost answer counts as a call that was received as late as possible.
+	cut bool
+}
+
+func (n *testNode) restart(now time.Duration) {
+	n.incarnation++
+	n.lender = NewLender(now + testTimeout + testLend)
+	n.distributor = NewDistributor()
+	n.purse = Purse{}
+}
+
+// ask lends the parts to the distributor and asks it for permits.
+func (n *testNode) ask(now time.Duration, to *testNode, nodes int, limit Limit, waiting int, random *rand.Rand) {
+	if !n.lender.MayLendTo(now, to.id) {
+		return
+	}
+	if n != to && (n.cut || to.cut) {
+		if random.IntN(2) == 0 {
+			to.distributor.Lend(now, Loan{Node: n.id, Incarnation: n.incarnation, Divisor: nodes}, now+testLend)
+			to.distributor.Take(now, account, limit, waiting, 0)
+		}
+		n.lender.Lent(to.id, now+testTimeout, testLend)
+		return
+	}
+	to.distributor.Lend(now, Loan{Node: n.id, Incarnation: n.incarnation, Divisor: nodes}, now+testLend)
+	n.lender.Lent(to.id, now, testLend)
+	grant := to.distributor.Take(now, account, limit, waiting, n.purse.Expected(now))
+	n.purse.Add(grant.Permits, now+PermitValidity)
+	if grant.NextIn > 0 {
+		n.purse.RefuseUntil(now + grant.NextIn)
+	}
+}
+
+// Guards against more requests of an account than its limit allows in any span, while nodes are cut off and restart, and the
+// distributor of the account changes and differs from node to node.
+func TestPermitsStayWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		limit := Limit{PerSecond: 1 + random.Float64()*200, Burst: random.Float64() * 200}
+		nodes := make([]*testNode, 2+random.IntN(12))
+		for i := range nodes {
+			nodes[i] = &testNode{id: model.NodeID(fmt.Sprint("n", i))}
+			nodes[i].restart(-time.Minute)
+		}
+		distributor := 0
+		var passed []time.Duration
+		for now := time.Duration(0); now < 20*time.Second; now += testStep {
+			switch random.IntN(30) {
+			case 0:
+				nodes[random.IntN(len(nodes))].restart(now)
+			case 1:
+				nodes[random.IntN(len(nodes))].cut = true
+			case 2, 3:
+				nodes[random.IntN(len(nodes))].cut = false
+			case 4:
+				distributor = random.IntN(len(nodes))
+			}
+			for _, n := range nodes {
+				to := nodes[distributor]
+				if random.IntN(20) == 0 {
+					to = nodes[random.IntN(len(nodes))]
+				}
+				if n.cut {
+					to = n
+				}
+				demand := random.IntN(1 + int(limit.PerSecond*testStep.Seconds()*3/float64(len(nodes))+2))
+				n.ask(now, to, len(nodes), limit, demand, random)
+				for range demand {
+					if _, ok := n.purse.Take(now); ok {
+						passed = append(passed, now)
+					}
+				}
+			}
+		}
+		checkSpans(t, passed, limit, len(nodes))
+	})
+}
+
+// checkSpans checks every span that begins and ends with a request. A permit may be used PermitValidity after it was granted.
+func checkSpans(t *rapid.T, passed []time.Duration, limit Limit, nodes int) {
+	for first := range passed {
+		for last := first; last < len(passed); last += 7 {
+			span := passed[last] - passed[first] + PermitValidity + testStep
+			allowed := limit.PerSecond*span.Seconds() + max(limit.Burst, 1) + 1
+			if count := last - first + 1; float64(count) > allowed {
+				t.Fatalf("%d requests in %s, %.1f are allowed (%d nodes, %+v)", count, span, allowed, nodes, limit)
+			}
+		}
+	}
+}
+
+// Guards against refusals below the limit while the nodes are calm.
+func TestNothingIsRefusedBelowTheLimit(t *testing.T) {
+	limit := Limit{PerSecond: 20, Burst: 10}
+	random := rand.New(rand.NewPCG(1, 0))
+	var nodes [30]*testNode
+	for i := range nodes {
+		nodes[i] = &testNode{id: model.NodeID(fmt.Sprint("n", i))}
+		nodes[i].restart(-time.Minute)
+	}
+	for now := time.Duration(0); now < 3*time.Second; now += testStep {
+		for _, n := range nodes {
+			n.ask(now, nodes[0], len(nodes), limit, 0, random)
+		}
+	}
+	refused := 0
+	for now := 3 * time.Second; now < time.Minute; now += testStep {
+		n := nodes[random.IntN(len(nodes))]
+		for _, other := range nodes {
+			if now%time.Second == 0 {
+				other.ask(now, nodes[0], len(nodes), limit, 0, random)
+			}
+		}
+		if _, ok := n.purse.Take(now); ok {
+			continue
+		}
+		n.ask(now, nodes[0], len(nodes), limit, 1, random)
+		if _, ok := n.purse.Take(now); !ok {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d requests at the rate of the limit were refused", refused)
+	}
+}
+
+// Guards against a waiting time after which there is still no permit, and one that is longer than necessary.
+func TestRefusedCallerIsToldWhenThereIsAPermit(t *testing.T) {
+	d := NewDistributor()
+	limit := Limit{PerSecond: 4, Burst: 2}
+	d.Lend(0, Loan{Node: "n", Divisor: 1}, time.Hour)
+	now := 10 * time.Second
+	if grant := d.Take(now, account, limit, 2, 0); grant.Permits != 2 || grant.NextIn != 0 {
+		t.Fatalf("the burst: %+v", grant)
+	}
+	grant := d.Take(now, account, limit, 3, 0)
+	if grant.Permits != 0 || math.Abs((grant.NextIn-250*time.Millisecond).Seconds()) > 1e-6 {
+		t.Fatalf("beyond the burst: %+v, want the next permit in 250 ms", grant)
+	}
+	if grant := d.Take(now+grant.NextIn, account, limit, 1, 0); grant.Permits != 1 {
+		t.Errorf("at the time told: %+v", grant)
+	}
+}
+
+// Guards against the tokens of a higher limit staying in use after it was lowered.
+func TestLoweredLimitBindsAtOnce(t *testing.T) {
+	d := NewDistributor()
+	d.Lend(0, Loan{Node: "n", Divisor: 1}, time.Hour)
+	d.Take(10*time.Second, account, Limit{PerSecond: 100, Burst: 100}, 0, 0)
+	if grant := d.Take(10*time.Second, account, Limit{PerSecond: 2, Burst: 3}, 50, 0); grant.Permits > 3 {
+		t.Errorf("%d permits from a burst of 3", grant.Permits)
+	}
+}
+
+// Guards against a permit that is lost with a request that did not run, and one that is used after it has expired.
+func TestPermitOfRequestThatDidNotRunIsUsedAgain(t *testing.T) {
+	var p Purse
+	p.Add(1, time.Second)
+	permit, _ := p.Take(0)
+	p.Return(500*time.Millisecond, permit)
+	if _, ok := p.Take(900 * time.Millisecond); !ok {
+		t.Error("the permit was lost")
+	}
+	p.Return(2*time.Second, permit)
+	if _, ok := p.Take(2 * time.Second); ok {
+		t.Error("a permit was used after it had expired")
+	}
+}
