--- a/internal/events/reason_numbers.go
+++ b/internal/events/reason_numbers.go
@@ -42,6 +42,8 @@
 	verdict.APIKeyUnknown:       1035,
 	verdict.AccountsUnknown:     1036,
 	verdict.AccessUnchecked:     1037,
+	verdict.QuotaExceeded:       1038,
+	verdict.QuotaUnavailable:    1039,
 	verdict.UpstreamLost:        1101,
 	verdict.UpstreamTimeout:     1102,
 	verdict.NodeLost:            1103,
--- a/internal/node/refusal.go
+++ b/internal/node/refusal.go
@@ -22,6 +22,8 @@
 		return http.StatusNotFound
 	case verdict.APIKeyRequired, verdict.APIKeyUnknown:
 		return http.StatusUnauthorized
+	case verdict.QuotaExceeded:
+		return http.StatusTooManyRequests
 	case verdict.BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case verdict.BodyIncomplete, verdict.BadRequest, verdict.KeyInvalid:
@@ -46,7 +48,7 @@
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	status := statusOf(e)
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		header.Set("Retry-After", a.retryAfterText(e.RetryAfter))
 	}
 	w.WriteHeader(status)
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -28,5 +28,13 @@
 	l.until = max(l.until, receivedBefore+length)
 }
 
+// Holder returns the distributor that has the parts, "" if none has them.
+func (l *Lender) Holder(now time.Duration) model.NodeID {
+	if now >= l.until {
+		return ""
+	}
+	return l.holder
+}
+
 // Until returns the time from which the parts may be lent to any distributor.
 func (l *Lender) Until() time.Duration { return l.until }
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -10,12 +10,13 @@
 	permits []Permit
 	// refusedUntil is the time before which the distributor has no permit.
 	refusedUntil time.Duration
-	usage        usage
+	// refused is the number of requests that were refused until then.
+	refused int
+	usage   usage
 }
 
 // Take removes the permit that expires first, false if there is none.
 func (p *Purse) Take(now time.Duration) (Permit, bool) {
-	p.usage.add(now)
 	p.dropExpired(now)
 	if len(p.permits) == 0 {
 		return Permit{}, false
@@ -25,6 +26,9 @@
 	return permit, true
 }
 
+// Count counts a request of the account, so that Expected follows its demand.
+func (p *Purse) Count(now time.Duration) { p.usage.add(now) }
+
 // Add adds permits that expire at the given time.
 func (p *Purse) Add(count int, expires time.Duration) {
 	for range count {
@@ -40,10 +44,18 @@
 }
 
 // RefuseUntil records that there is no permit before the given time.
-func (p *Purse) RefuseUntil(end time.Duration) { p.refusedUntil = end }
+func (p *Purse) RefuseUntil(end time.Duration) { p.refusedUntil, p.refused = end, 0 }
+
+// IsRefused reports whether no permit needs to be asked for, because there is none yet.
+func (p *Purse) IsRefused(now time.Duration) bool { return now < p.refusedUntil }
 
-// RefusedFor returns the time for which requests are refused, 0 if a permit may be asked for.
-func (p *Purse) RefusedFor(now time.Duration) time.Duration { return max(p.refusedUntil-now, 0) }
+// Refuse counts a refused request and returns the time after which it may come again. Requests that are refused one after the other
+// are told times at the distance of the limit's permits.
+func (p *Purse) Refuse(now time.Duration, limit Limit) time.Duration {
+	wait := max(p.refusedUntil-now, 0) + limit.fillTime(float64(p.refused), 1)
+	p.refused++
+	return min(wait, maxFillTime)
+}
 
 // Expected returns the number of permits beyond those at hand that the node will probably use while a new permit is valid.
 func (p *Purse) Expected(now time.Duration) int {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -94,6 +94,7 @@
 				demand := random.IntN(1 + int(limit.PerSecond*testStep.Seconds()*3/float64(len(nodes))+2))
 				n.ask(now, to, len(nodes), limit, demand, random)
 				for range demand {
+					n.purse.Count(now)
 					if _, ok := n.purse.Take(now); ok {
 						passed = append(passed, now)
 					}
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -25,6 +25,11 @@
 	AccountsUnknown Reason = "accounts_unknown"
 	// AccessUnchecked means that a node whose build does not know API keys has sent an attempt for a route that requires one.
 	AccessUnchecked Reason = "access_unchecked"
+	// QuotaExceeded means that the client account has used its quota.
+	QuotaExceeded Reason = "quota_exceeded"
+	// QuotaUnavailable means that the node has no part in the quota of the client account now, because it has lost the node that
+	// distributes it.
+	QuotaUnavailable Reason = "quota_unavailable"
 	// TargetDraining means that the target is draining and accepts no new requests.
 	TargetDraining Reason = "target_draining"
 	// TargetStarting means that the target is not ready yet.
@@ -129,7 +134,7 @@
 		AttemptDuplicate, AdmitExpired, WrongIncarnation, UpstreamShed, UpstreamUnreachable, NodeUnreachable,
 		NodeStopping, NotReady, Overloaded, DeadlineExceeded, BodyTooLarge, BodyIncomplete, BadRequest, KeyMissing, KeyInvalid,
 		KeyReused, StoreUnavailable, Quarantined, LinkBudget, RepeatsSpent, AcceptorStopping, CallerGone,
-		APIKeyRequired, APIKeyUnknown, AccountsUnknown, AccessUnchecked,
+		APIKeyRequired, APIKeyUnknown, AccountsUnknown, AccessUnchecked, QuotaExceeded, QuotaUnavailable,
 		UpstreamLost, UpstreamTimeout, NodeLost, AnswerIncomplete, AnswerDropped, ClaimRunning, ClaimHolderLost,
 		TicketLost, TicketUnreachable, CallerCancelled, ShutdownCutoff,
 		RetryBudget, UpstreamStatus, RetryAttempts,
