Limit the requests of client accounts at all nodes together

Change: an accepting node takes a permit for each request with the key of a limited account before its first attempt; retries and hedges use the same one, and a request that has not run gives it back. Nodes lend their parts only while an account of the configuration has a limit.

--- a/internal/core/view_test.go
+++ b/internal/core/view_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"github.com/sardinereach/sardinereach/internal/account"
 	"github.com/sardinereach/sardinereach/internal/capacity"
 	"github.com/sardinereach/sardinereach/internal/config"
 	"github.com/sardinereach/sardinereach/internal/declaration"
@@ -124,3 +125,36 @@
 		t.Error("the route table of the service before is in force")
 	}
 }
+
+// Guards against requests that reach a service with a restriction that this build does not know, through the split of a route of
+// another service.
+func TestRouteWithSplitToUnsupportedServiceIsRefused(t *testing.T) {
+	service := &declaration.Service{Name: "s", Routes: []declaration.Route{
+		{Path: "/a"}, {Path: "/b", Split: []declaration.Share{{Service: "s", Weight: 1}, {Service: "odd", Weight: 1}}},
+	}}
+	in := inputs(service, func(int, *model.NodeRecord) {})
+	in.Config.Services["odd"] = &declaration.Service{Name: "odd", Unsupported: "unknown field"}
+	table := BuildView(in).Table
+	if match := table.Match("", "GET", "/a"); match.Route.Refusal() != nil {
+		t.Errorf("the route without the split is refused: %v", match.Route.Refusal())
+	}
+	if match := table.Match("", "GET", "/b"); match.Route.Refusal() == nil {
+		t.Error("the route with the split is served")
+	}
+	if service.Routes[1].Unsupported != "" {
+		t.Error("the configuration was modified")
+	}
+}
+
+// Guards against views that copy or build the accounts again, and against accounts that a node without a configuration decides.
+func TestViewTakesTheAccountsOfTheConfiguration(t *testing.T) {
+	in := inputs(&declaration.Service{Name: "s"}, func(int, *model.NodeRecord) {})
+	in.Config.Accounts = account.NewTable(nil)
+	if view := BuildView(in); view.Accounts != in.Config.Accounts {
+		t.Error("the view has other accounts than the configuration")
+	}
+	in.Config = nil
+	if finding := BuildView(in).Accounts.Find(declaration.HashKey("k")); finding.Status != account.Undecided {
+		t.Errorf("without a configuration, a key is %+v", finding)
+	}
+}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -34,7 +34,11 @@
 	ConfirmationLate     = &Event{216, "confirmation_late", Warning, "the store has not confirmed the configuration to any node that this one hears of for longer than expected", []Key{Revision, Age, Operation}, 0}
 	ConfirmationReceived = &Event{217, "confirmation_received", Info, "the store has confirmed the configuration again", []Key{Revision, Duration}, 0}
 	RouteUnsupported     = &Event{220, "route_unsupported", Error, "this build does not understand a route of the configuration; its requests are refused, the other routes are in force", []Key{Service, Revision, Route, Cause}, 0}
-	QuotaCallFailed      = &Event{222, "quota_call_failed", Warning, "the node that distributes the quotas of a slot of accounts did not answer; the accounts have no permits here until the loan to it has ended", []Key{Node, Count}, 0}
+	QuotaCallFailed      = &Event{225, "quota_call_failed", Warning, "the node that distributes the quotas of a slot of accounts did not answer; the accounts have no permits here until the loan to it has ended", []Key{Node, Count}, 0}
+	AccountsApplied      = &Event{221, "accounts_applied", Info, "the client accounts of a group are in force on this node, as config_applied", []Key{Group, Revision, Count, Source, Duration, Age, Bytes, Wait}, 0}
+	AccountsInvalid      = &Event{222, "accounts_invalid", Error, "a group of client accounts in the store is not valid; none of its accounts is in force, and keys that no other account has are refused with accounts_unknown", []Key{Group, Revision, Cause}, 0}
+	AccountUnsupported   = &Event{223, "account_unsupported", Error, "this build does not understand a client account; requests with its keys are refused, the other accounts are in force", []Key{Accounts, Group, Revision, Cause}, 0}
+	KeyShared            = &Event{224, "key_shared", Error, "client accounts have an API key in common; it belongs to none of them, their other keys are in force", []Key{Accounts, Revision}, 0}
 	PullFailed           = &Event{219, "pull_failed", Warning, "a node did not answer a pull of records and configuration within the duration", []Key{Address, Revision, Duration, Cause}, 0}
 )
 
@@ -98,18 +102,20 @@
 
 // Events about every request.
 var (
-	AttemptEnded = &Event{801, "attempt_ended", Info, "an attempt at a target has ended", []Key{Request, Attempt, Target, Route, Rank, Remaining, Cutoff, Mode, Outcome, Wait, Duration, Doubt, Revision}, requestLinesPerSecond}
-	RequestEnded = &Event{802, "request_ended", Info, "a request has its final response", []Key{Request, Service, Route, Outcome, Status, Count, Duration, Cutoff, Revision}, requestLinesPerSecond}
+	AttemptEnded = &Event{801, "attempt_ended", Info, "an attempt at a target has ended", []Key{Request, Attempt, Target, Route, Rank, Remaining, Cutoff, Mode, Outcome, Wait, Duration, Doubt, Revision, Account, Access, AccessRevision}, requestLinesPerSecond}
+	RequestEnded = &Event{802, "request_ended", Info, "a request has its final response", []Key{Request, Service, Route, Outcome, Status, Count, Duration, Cutoff, Revision, Account, Access, AccessRevision}, requestLinesPerSecond}
 )
 
 // Events about operators' calls.
 var (
-	ApplyAccepted   = &Event{601, "apply_accepted", Info, "an operator's declaration was accepted", []Key{Service, Revision}, 0}
-	ApplyConflict   = &Event{602, "apply_conflict", Warning, "an operator's declaration conflicts with a newer revision", []Key{Service, Revision}, 0}
-	ApplyInForce    = &Event{603, "apply_in_force", Info, "a declaration is in force on all nodes that respond", []Key{Service, Revision, Count, Duration}, 0}
-	ApplyBehind     = &Event{604, "apply_behind", Warning, "a declaration is not yet in force on some nodes", []Key{Service, Revision, Count, Duration}, 0}
-	OperatorDenied  = &Event{605, "operator_denied", Warning, "an operator's call had no valid token", []Key{Operation}, 0}
-	OperatorCommand = &Event{606, "operator_command", Info, "an operator's command was carried out", []Key{Operation, Service, Target}, 0}
+	ApplyAccepted    = &Event{601, "apply_accepted", Info, "an operator's declaration was accepted", []Key{Service, Revision}, 0}
+	ApplyConflict    = &Event{602, "apply_conflict", Warning, "an operator's declaration conflicts with a newer revision", []Key{Service, Revision}, 0}
+	ApplyInForce     = &Event{603, "apply_in_force", Info, "a declaration is in force on all nodes that respond", []Key{Service, Revision, Count, Duration}, 0}
+	ApplyBehind      = &Event{604, "apply_behind", Warning, "a declaration is not yet in force on some nodes", []Key{Service, Revision, Count, Duration}, 0}
+	OperatorDenied   = &Event{605, "operator_denied", Warning, "an operator's call had no valid token", []Key{Operation}, 0}
+	AccountsChanged  = &Event{607, "accounts_changed", Info, "an operator has changed client accounts of one group", []Key{Count, Revision}, 0}
+	AccountsConflict = &Event{608, "accounts_conflict", Warning, "operators' declarations of client accounts conflict with newer changes", []Key{Count}, 0}
+	OperatorCommand  = &Event{606, "operator_command", Info, "an operator's command was carried out", []Key{Operation, Service, Target}, 0}
 )
 
 // Events about claims and operations.
@@ -124,6 +130,7 @@
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, GraceExceeded,
 	ListenerFailed, PanicRecovered, SettingsRead, SignalReceived, RequestsCutOff, StoreUnavailable, StoreRecovered,
 	StoreOutcomeUnknown, StoreRestored, StoreHistoryLost, ListOutdated, StoreEraReceived, ConfigApplied, ConfigInvalid, ConfigStale,
+	AccountsApplied, AccountsInvalid, AccountUnsupported, KeyShared,
 	WatcherStarted, WatcherStopped, StandInStarted, StandInStopped, StandInFailed, ConfirmationLate, ConfirmationReceived, PullFailed, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
 	RegionReachable, LinkBudgetSpent, LoadDigestFailed, TargetAnnounced, TargetPhaseChanged, UnknownTargetLeft, AnnounceIgnored, LeaveRefused,
@@ -132,6 +139,6 @@
 	TargetHeldDown, EjectionAtFloor, EjectionWithdrawn, DrainStarted, DrainForced,
 	DrainRefused, DrainEnded, AnnounceRefused, TargetDoubted, TargetTrusted, RequestHedged, RunWillBeCutOff, StopNoticeFailed, CrashAttributed, FingerprintQuarantined,
 	FingerprintReleased, QuarantineRewritten, QuarantineProbed, ApplyAccepted, ApplyConflict, ApplyInForce, ApplyBehind,
-	OperatorDenied, OperatorCommand, ClaimOutcomeUnwritten, ClaimsCollected,
+	OperatorDenied, OperatorCommand, AccountsChanged, AccountsConflict, ClaimOutcomeUnwritten, ClaimsCollected,
 	AnswersDropped, AttemptEnded, RequestEnded,
 }
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sardinereach/sardinereach/internal/model"
@@ -159,3 +160,24 @@
 
 // StatusField is the HTTP status of a response.
 func StatusField(status int) Field { return number(Status, int64(status)) }
+
+// GroupField is the number of a group of client accounts, as in the key of its document.
+func GroupField(number string) Field { return text(Group, number) }
+
+// AccountsField are the names of client accounts.
+func AccountsField(names []model.AccountName) Field {
+	texts := make([]string, len(names))
+	for i, name := range names {
+		texts[i] = string(name)
+	}
+	return text(Accounts, strings.Join(texts, ","))
+}
+
+// AccountField is the name of a client account, "" for none.
+func AccountField(name model.AccountName) Field { return text(Account, string(name)) }
+
+// AccessField is the decision on the access of a request, "" for none.
+func AccessField(decision string) Field { return text(Access, decision) }
+
+// AccessRevisionField is the revision of the configuration that decided on the access of a request.
+func AccessRevisionField(revision int64) Field { return position(AccessRevision, revision) }
--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -39,4 +39,10 @@
 	Remaining   Key = "remaining"
 	Cutoff      Key = "cutoff"
 	Age         Key = "age"
+	Group       Key = "account_group"
+	Accounts    Key = "accounts"
+	Account     Key = "account"
+	Access      Key = "access"
+	// AccessRevision is the revision of the configuration that decided on the access of a request.
+	AccessRevision Key = "access_revision"
 )
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -13,6 +13,7 @@
 	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/dialect"
 	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/headers"
 	"github.com/sardinereach/sardinereach/internal/metrics"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/peer"
@@ -39,6 +40,8 @@
 	clock   clock
 	limits  settings.Limits
 	dialect dialect.Caller
+	// headers says which headers of callers are passed on.
+	headers *headers.Rules
 	// callerService is sent to upstreams as the origin of the requests that this node accepts.
 	callerService model.ServiceName
 	// retryStatuses are the statuses retried on idempotent routes that list none of their own.
@@ -64,8 +67,10 @@
 	answerSizes      *routeAverages[int64]
 	attemptDurations *routeAverages[time.Duration]
 	once             *onceRunner
-	metrics          *metrics.Metrics
-	log              *events.Log
+	// quotas limits the requests of client accounts. It is nil in tests without limits.
+	quotas  *quotas
+	metrics *metrics.Metrics
+	log     *events.Log
 	// pathChanged is called when this node starts or stops avoiding another node.
 	pathChanged func()
 
@@ -96,7 +101,7 @@
 	_ = control.SetWriteDeadline(time.Time{})
 	rq, err := a.read(w, r)
 	if err != nil {
-		a.refuse(w, nil, err)
+		a.refuse(w, rq, err)
 		return
 	}
 	// A caller that stops reading must not occupy an upstream slot beyond the deadline of the request.
@@ -106,11 +111,16 @@
 	ctx, release := a.cutoff.bind(r.Context(), rq.deadline)
 	defer release()
 	r = r.WithContext(ctx)
+	if refusal := a.takePermit(ctx, rq); refusal != nil {
+		a.refuse(w, rq, refusal)
+		return
+	}
 	a.serve(w, r, rq)
 	a.metrics.Latency(rq.service, time.Since(started))
 }
 
-// read checks that the node accepts requests, matches the route and reads the request.
+// read checks that the node accepts requests, matches the route and reads the request. A request that is refused is returned as far
+// as it is known. One without access is refused before its body is read.
 func (a *acceptor) read(w http.ResponseWriter, r *http.Request) (*request, *verdict.Error) {
 	if a.stopping.Load() {
 		return nil, verdict.Refused(verdict.NodeStopping, nil)
@@ -126,9 +136,12 @@
 	if err := match.Route.Refusal(); err != nil {
 		return nil, err
 	}
-	rq, err := a.readRequest(w, r, match, a.seed^a.serial.Add(1))
+	rq, err := a.newRequest(r, view, match, a.seed^a.serial.Add(1))
+	if err == nil {
+		err = a.readRequest(w, r, rq)
+	}
 	if err == nil && (a.stopping.Load() || a.outlastsShutdown(rq)) {
-		return nil, verdict.Refused(verdict.NodeStopping, nil)
+		err = verdict.Refused(verdict.NodeStopping, nil)
 	}
 	return rq, err
 }
@@ -155,6 +168,9 @@
 	if err == nil {
 		return
 	}
+	if err.Verdict == verdict.NotRun {
+		a.returnPermit(rq)
+	}
 	if out.committed {
 		a.recordFailure(rq, err)
 		abortResponse(r)
@@ -171,9 +187,10 @@
 			status = statusOf(err)
 		}
 	}
-	a.log.Emit(events.RequestEnded, events.RequestField(rq.head.RequestId), events.ServiceField(rq.service),
+	fields := []events.Field{events.RequestField(rq.head.RequestId), events.ServiceField(rq.service),
 		events.RouteField(rq.match.Route.Path), events.TextOutcomeField(outcome), events.StatusField(status),
-		events.DurationField(time.Since(rq.started)), events.CutoffField(a.cutoff.left()), events.RevisionField(a.view.Load().Revision))
+		events.DurationField(time.Since(rq.started)), events.CutoffField(a.cutoff.left()), events.RevisionField(a.view.Load().Revision)}
+	a.log.Emit(events.RequestEnded, append(fields, accessFields(rq)...)...)
 }
 
 // serveNonIdempotent runs the request at most once. In a dialect with operations callers use a new ID for each request
@@ -239,6 +256,7 @@
 	fields := []events.Field{events.OutcomeField(handling)}
 	if rq != nil {
 		fields = append(fields, events.RequestField(rq.head.RequestId), events.ServiceField(rq.service))
+		fields = append(fields, accessFields(rq)...)
 	}
 	if err.Cause != nil {
 		fields = append(fields, events.CauseField(err.Cause))
--- a/internal/node/handler.go
+++ b/internal/node/handler.go
@@ -98,7 +98,7 @@
 	return h.node.control.detection.reports(model.ServiceName(req.Service))
 }
 
-// Quota implements peer.Handler. This node does not distribute quotas.
-func (h *handler) Quota(*peerv1.QuotaRequest) *peerv1.QuotaResponse {
-	return &peerv1.QuotaResponse{Declined: true}
+// Quota implements peer.Handler.
+func (h *handler) Quota(req *peerv1.QuotaRequest) *peerv1.QuotaResponse {
+	return h.node.quotas.serve(req)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,10 +14,12 @@
 	"github.com/sardinereach/sardinereach/internal/admission"
 	"github.com/sardinereach/sardinereach/internal/distribution"
 	"github.com/sardinereach/sardinereach/internal/events"
+	"github.com/sardinereach/sardinereach/internal/headers"
 	"github.com/sardinereach/sardinereach/internal/metrics"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/once"
 	"github.com/sardinereach/sardinereach/internal/peer"
+	"github.com/sardinereach/sardinereach/internal/quota"
 	"github.com/sardinereach/sardinereach/internal/settings"
 	"github.com/sardinereach/sardinereach/internal/store"
 	"github.com/sardinereach/sardinereach/internal/upstream"
@@ -47,6 +49,7 @@
 	crashes     *crashTracker
 	heartbeats  *heartbeats
 	departures  departureKeeper
+	quotas      *quotas
 
 	// storeFailing is set when a call to the store fails and cleared when the store responds again.
 	storeFailing atomic.Bool
@@ -75,6 +78,7 @@
 	n.store = ports.Store
 	n.peers = peer.NewClient(n.self.ID, peer.Options{OnBytes: n.countPeerBytes})
 	n.upstreams = upstream.NewClient(s.Limits.MaxHeaderBytes, ports.Upstreams)
+	n.upstreams.SetCallers(ports.Callers)
 	n.crashes = newCrashTracker(n.clock, n.self, n.store, log)
 	n.crashes.notify = n.notifyAdmittingNodes
 	n.admitter = newAdmitter(n.clock, incarnation, n.admissionLimits(), n.upstreams, n.crashes)
@@ -82,6 +86,7 @@
 	n.admitter.retryWindows.targetsOf = n.targetCount
 	n.buildAcceptor(binary.LittleEndian.Uint64(secret))
 	n.buildOnce(secret)
+	n.buildQuotas()
 	n.views = &viewPublisher{node: n, dirty: make(chan struct{}, 1), memberLogger: newMemberLogger(n.self, log)}
 	if err := n.buildDistributor(binary.LittleEndian.Uint64(secret[8:])); err != nil {
 		return nil, err
@@ -89,6 +94,7 @@
 	n.admitter.hold(true)
 	n.control = newControl(n)
 	n.admitter.countsAsFailure = n.countsAsFailure
+	n.admitter.checkAccess = n.acceptor.refuseUnchecked
 	n.admitter.onAttemptEnd = n.control.detection.observe
 	n.admitter.decideTrial = n.control.detection.decideTrial
 	n.admitter.onBreakerEvent = n.logBreakerEvent
@@ -108,7 +114,7 @@
 func (n *Node) buildAcceptor(seed uint64) {
 	n.acceptor = &acceptor{
 		self: n.self, clock: n.clock, limits: n.settings.Limits,
-		dialect: n.ports.Callers, callerService: n.settings.Upstream.Service, retryStatuses: n.settings.Retries.Statuses,
+		dialect: n.ports.Callers, headers: headers.NewRules(n.ports.Callers, n.ports.Upstreams), callerService: n.settings.Upstream.Service, retryStatuses: n.settings.Retries.Statuses,
 		ready: n.ready.Load, cutoff: newShutdownCutoff(),
 		peers: n.peers, openAttempts: newOpenAttempts(), admitter: n.admitter, paths: n.paths, regionLink: newLinkBudget(n.settings.Limits.LinkBytesPerSecond),
 		budgets: newBudgets(n.settings.Retries), answerSizes: newRouteAverages[int64](), attemptDurations: newRouteAverages[time.Duration](), metrics: n.metrics, log: n.log, seed: seed,
@@ -125,6 +131,22 @@
 	n.acceptor.once = n.once
 }
 
+func (n *Node) buildQuotas() {
+	q := newQuotas(n.self, n.clock, n.peers, n.log)
+	q.fleet = n.quotaFleet
+	q.limitOf = func(name model.AccountName) (quota.Limit, bool) {
+		return limitOfAccount(n.acceptor.view.Load().Accounts.ByName(name))
+	}
+	q.isNeeded = func() bool { return n.ready.Load() && n.acceptor.view.Load().Accounts.HasLimits() }
+	q.mayBorrow = func() bool { return n.ready.Load() && !n.acceptor.lameDuck.Load() }
+	q.onFailure = func(id model.NodeID, _ string, cause error) {
+		if node, found := n.nodeOf(id); found {
+			n.acceptor.recordPathFailure(node, cause)
+		}
+	}
+	n.quotas, n.acceptor.quotas = q, q
+}
+
 func (n *Node) buildDistributor(seed uint64) error {
 	seeds := make([]string, len(n.settings.Peers.Seeds))
 	for i, address := range n.settings.Peers.Seeds {
@@ -197,6 +219,7 @@
 	group.Go(func() error { n.newLoadExchange(listeners.loads).Run(ctx); return nil })
 	group.Go(func() error { n.views.run(ctx); return nil })
 	group.Go(func() error { n.crashes.run(ctx); return nil })
+	group.Go(func() error { n.quotas.run(ctx); return nil })
 	select {
 	case <-n.stop:
 		n.shutdown(servers)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,11 +12,13 @@
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/framing"
+	"github.com/sardinereach/sardinereach/internal/headers"
 	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/quota"
 	"github.com/sardinereach/sardinereach/internal/routing"
-	"github.com/sardinereach/sardinereach/internal/upstream"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
@@ -38,6 +39,11 @@
 	// head is the template of the heads of its attempts.
 	head *peerv1.ForwardHead
 	body []byte
+	// access is the decision on the access of the request, nil if another node has made it.
+	access *requestAccess
+	// permit is that of the quota of its account, if limited is the account.
+	permit  quota.Permit
+	limited *declaration.Account
 	// started is the arrival time of the request.
 	started  time.Time
 	deadline time.Time
@@ -50,45 +56,56 @@
 
 func (rq *request) remaining() time.Duration { return time.Until(rq.deadline) }
 
-// readRequest reads the request with its complete body.
-func (a *acceptor) readRequest(w http.ResponseWriter, r *http.Request, match *routing.Match, seed uint64) (*request, *verdict.Error) {
-	timeout, err := a.timeoutOf(r, match.Route)
-	if err != nil {
-		return nil, err
-	}
-	started := time.Now()
-	deadline := started.Add(timeout)
-	body, err := readBody(w, r, a.limits.MaxBodyBytes, deadline)
-	if err != nil {
-		return nil, err
-	}
+// newRequest returns the request without its body, and an error with it if it is refused.
+func (a *acceptor) newRequest(r *http.Request, view *core.View, match *routing.Match, seed uint64) (*request, *verdict.Error) {
 	rq := &request{
-		match: match, service: match.Service.Name, class: match.Route.ClassOf(r.Method), body: body,
-		started: started, deadline: deadline, rng: rand.New(rand.NewPCG(seed, 0)),
+		match: match, service: match.Service.Name, class: match.Route.ClassOf(r.Method),
+		started: time.Now(), rng: rand.New(rand.NewPCG(seed, 0)), head: &peerv1.ForwardHead{Route: match.Route.Path},
 	}
 	if len(match.Route.Split) > 0 {
 		rq.service = declaration.Pick(match.Route.Split, rq.rng.Float64())
 	}
+	id, err := a.requestID(r)
+	if err != nil {
+		return rq, err
+	}
+	rq.head.RequestId = id
+	rq.access, err = a.newRequestAccess(r, view, match, id)
+	return rq, err
+}
+
+// readRequest reads the rest of the request with its complete body.
+func (a *acceptor) readRequest(w http.ResponseWriter, r *http.Request, rq *request) *verdict.Error {
+	route := rq.match.Route
+	timeout, err := a.timeoutOf(r, route)
+	if err != nil {
+		return err
+	}
+	rq.deadline = rq.started.Add(timeout)
+	rq.body, err = readBody(w, r, a.limits.MaxBodyBytes, rq.deadline)
+	if err != nil {
+		return err
+	}
 	uri := requestURI(r)
-	rq.operation = operationFingerprint(r.Method, uri, body)
-	identity := requestIdentity{host: match.Route.Host, caller: a.callerOf(), method: r.Method, uri: uri, body: body}
+	rq.operation = operationFingerprint(rq.access.decision.AccountName(), r.Method, uri, rq.body)
+	identity := requestIdentity{host: route.Host, caller: a.callerOf(), method: r.Method, uri: uri, body: rq.body, account: rq.access.decision.AccountName()}
 	rq.head = &peerv1.ForwardHead{
 		Service:       string(rq.service),
 		Idempotent:    rq.idempotent(),
 		Method:        r.Method,
 		Uri:           uri,
 		Host:          r.Host,
-		Headers:       a.forwardedHeaders(r),
-		RequestId:     a.requestID(r),
-		Rank:          int32(match.Route.Rank),
+		Headers:       a.forwardedHeaders(r, rq.head.RequestId),
+		RequestId:     rq.head.RequestId,
 		Fingerprint:   uint64(identity.fingerprint()),
-		ContentLength: int64(len(body)),
-		Route:         match.Route.Path,
-		Bulk:          match.Route.Priority == declaration.Bulk,
+		ContentLength: int64(len(rq.body)),
+		Route:         route.Path,
+		Bulk:          route.Priority == declaration.Bulk,
 	}
+	applyAccess(rq.head, route, rq.access.decision)
 	rq.head.OfRepeat = a.admitter.isRetryRunning(a.parentID(rq.head.RequestId))
-	rq.head.FirstByteMs = orDefault(match.Route.FirstByteMS, declaration.DefaultFirstByteMS)
-	return rq, nil
+	rq.head.FirstByteMs = orDefault(route.FirstByteMS, declaration.DefaultFirstByteMS)
+	return nil
 }
 
 // requestURI returns path and query as the caller sent them.
@@ -99,12 +116,21 @@
 	return r.URL.RequestURI()
 }
 
+// errRequestIDs means that a request has several request IDs, so that it is not clear which one an upstream would take.
+var errRequestIDs = errors.New("node: the request has different request IDs")
+
 // requestID returns the request ID set by the caller, "" if there is none.
-func (a *acceptor) requestID(r *http.Request) string {
-	if a.dialect.RequestIDHeader == "" {
-		return ""
+func (a *acceptor) requestID(r *http.Request) (string, *verdict.Error) {
+	values := headers.Values(r.Header, a.dialect.RequestIDHeader)
+	if len(values) == 0 {
+		return "", nil
+	}
+	for _, value := range values {
+		if value != values[0] {
+			return "", verdict.Refused(verdict.BadRequest, errRequestIDs)
+		}
 	}
-	return r.Header.Get(a.dialect.RequestIDHeader)
+	return values[0], nil
 }
 
 // parentID returns the ID of the request whose run made the nested request with the given ID. It returns "" if the
@@ -187,10 +213,16 @@
 	return a.callerService
 }
 
-// operationFingerprint returns a hash of method, URI and body, to which a key or ticket is bound. It is stored with the key, so it
-// must stay the same in later builds. A key belongs to one service.
-func operationFingerprint(method, uri string, body []byte) uint64 {
+// operationFingerprint returns a hash of account, method, URI and body, to which an idempotency key or ticket is bound. It is stored
+// with the key, so it must stay the same in later builds. A key belongs to one service.
+func operationFingerprint(account model.AccountName, method, uri string, body []byte) uint64 {
 	digest := xxhash.New()
+	if account != "" {
+		// No method begins with this byte, so that no request without an account gives the same bytes.
+		_, _ = digest.WriteString("\x00")
+		writeLength(digest, len(account))
+		_, _ = digest.WriteString(string(account))
+	}
 	// The digest never returns an error.
 	_, _ = digest.WriteString(method)
 	_, _ = digest.WriteString(" ")
@@ -200,39 +232,6 @@
 	return digest.Sum64()
 }
 
-// forwardedHeaders returns the headers for the upstream: the end-to-end headers of the caller without those that the
-// fleet sets, and the headers that this node adds.
-func (a *acceptor) forwardedHeaders(r *http.Request) []*peerv1.Header {
-	all := upstream.EndToEnd(r.Header)
-	kept := all[:0]
-	forwardedFor := ""
-	for _, h := range all {
-		switch {
-		case h.Name == "X-Forwarded-For" && a.dialect.SardinereachHeaders:
-			forwardedFor = h.Value + ", "
-		case a.setsHeader(h.Name), h.Name == "Content-Length", h.Name == "Expect":
-		default:
-			kept = append(kept, h)
-		}
-	}
-	if a.dialect.CallerServiceHeader != "" {
-		kept = append(kept, &peerv1.Header{Name: a.dialect.CallerServiceHeader, Value: string(a.callerService)})
-	}
-	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil && a.dialect.SardinereachHeaders {
-		kept = append(kept, &peerv1.Header{Name: "X-Forwarded-For", Value: forwardedFor + host})
-	}
-	return kept
-}
-
-// setsHeader reports whether the fleet sets the header itself. The caller's value of such a header is not forwarded.
-func (a *acceptor) setsHeader(name string) bool {
-	switch name {
-	case a.dialect.TimeoutHeader, a.dialect.CallerServiceHeader:
-		return true
-	}
-	return strings.HasPrefix(name, headerPrefix)
-}
-
 // validKey reports whether the value may be an idempotency key.
 func validKey(key string) bool {
 	if key == "" || len(key) > maxKeyBytes {
