Let a node that has just started use the parts of others

An account that had not been used was refused after any node had taken its part back. The failure of a call to a distributor was not logged, because its event was not in the list.

Change: a started node asks for permits without lending; the decreases of a distributor's share bound what an unused account has, instead of the last one voiding it; the event is listed.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -131,7 +131,7 @@
 	ListenerFailed, PanicRecovered, SettingsRead, SignalReceived, RequestsCutOff, StoreUnavailable, StoreRecovered,
 	StoreOutcomeUnknown, StoreRestored, StoreHistoryLost, ListOutdated, StoreEraReceived, ConfigApplied, ConfigInvalid, ConfigStale,
 	AccountsApplied, AccountsInvalid, AccountUnsupported, KeyShared,
-	WatcherStarted, WatcherStopped, StandInStarted, StandInStopped, StandInFailed, ConfirmationLate, ConfirmationReceived, PullFailed, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
+	WatcherStarted, WatcherStopped, StandInStarted, StandInStopped, StandInFailed, ConfirmationLate, ConfirmationReceived, PullFailed, QuotaCallFailed, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
 	RegionReachable, LinkBudgetSpent, LoadDigestFailed, TargetAnnounced, TargetPhaseChanged, UnknownTargetLeft, AnnounceIgnored, LeaveRefused,
 	DepartureNotKept, DepartureRestored,
--- a/internal/node/quota_call.go
+++ b/internal/node/quota_call.go
@@ -17,6 +17,8 @@
 	quotaLend quotaCallKind = iota
 	// quotaTakeBack ends a loan.
 	quotaTakeBack
+	// quotaAsk asks for permits from the parts of others. A node that has just started may not lend its own yet.
+	quotaAsk
 	// quotaProbe lends nothing. It shows that the receiver answers.
 	quotaProbe
 )
--- a/internal/node/quota_slot.go
+++ b/internal/node/quota_slot.go
@@ -75,6 +75,9 @@
 		return quotaCall{distributor: preferred, kind: quotaLend}
 	}
 	holder := s.lender.Holder(now)
+	if holder == "" {
+		return quotaCall{distributor: preferred, kind: quotaAsk}
+	}
 	if _, known := fleet.addresses[holder]; !known || now < s.failedUntil[holder] {
 		return quotaCall{}
 	}
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -227,7 +227,7 @@
 	case response == nil && call.kind == quotaLend:
 		// The call may still be on its way.
 		s.lender.Lent(call.distributor, ended+quotaCallTimeout, quotaLoan)
-	case response == nil:
+	case response == nil, call.kind == quotaAsk:
 	case call.kind == quotaProbe:
 		s.answered = call.distributor
 	case response.Declined || call.kind == quotaTakeBack:
@@ -248,16 +248,19 @@
 	return q.peers.Quota(ctx, address, request)
 }
 
-// request returns the message of a call. One that lends the parts has the demands of all accounts of the slot.
+// request returns the message of a call, with the demands of all accounts of the slot if the receiver can grant permits.
 func (s *quotaSlot) request(now time.Duration, self model.Node, fleet quotaFleet, kind quotaCallKind) *peerv1.QuotaRequest {
 	s.serial++
 	request := &peerv1.QuotaRequest{
 		Node: string(self.ID), Incarnation: uint64(self.Incarnation), Slot: int32(s.number), Serial: s.serial,
 	}
-	if kind != quotaLend {
+	if kind == quotaLend {
+		request.Divisor, request.LendMs = int32(fleet.divisor), quotaLoan.Milliseconds()
+	}
+	request.TakeBack = kind == quotaTakeBack
+	if kind != quotaLend && kind != quotaAsk {
 		return request
 	}
-	request.Divisor, request.LendMs = int32(fleet.divisor), quotaLoan.Milliseconds()
 	for account, p := range s.purses {
 		if len(p.waiting) > 0 {
 			request.Demands = append(request.Demands, &peerv1.QuotaDemand{
@@ -306,13 +309,13 @@
 	}
 	if request.Divisor > 0 && !response.Declined {
 		distributor.Lend(now, loan, now+min(time.Duration(request.LendMs)*time.Millisecond, quotaLoan))
-	} else {
+	} else if request.TakeBack || response.Declined {
 		distributor.TakeBack(now, loan)
 	}
 	for _, demand := range request.Demands {
 		account := model.AccountName(demand.Account)
 		limit, limited := q.limitOf(account)
-		if !limited || quota.SlotOf(account) != int(request.Slot) {
+		if !limited || quota.SlotOf(account) != int(request.Slot) || distributor.Share(now) == 0 {
 			continue
 		}
 		grant := distributor.Take(now, account, limit, int(demand.Waiting), int(demand.Expected))
--- a/internal/node/quotas_test.go
+++ b/internal/node/quotas_test.go
@@ -182,3 +182,30 @@
 		}
 	})
 }
+
+// Guards against a node that refuses all requests of limited accounts after its restart, because it may not lend its parts yet.
+func TestRestartedNodeUsesThePartsOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		account := &declaration.Account{Name: "a", RatePerSecond: 20, Burst: 20}
+		f := startQuotaTestFleet(ctx, account)
+		time.Sleep(10 * time.Second)
+		old := f.nodes["n0"]
+		if f.distributor(account.Name) == "n0" {
+			old = f.nodes["n1"]
+		}
+		self := old.self
+		self.Incarnation++
+		restarted := newQuotas(self, newClock(), f, old.log)
+		restarted.fleet, restarted.limitOf, restarted.isNeeded = old.fleet, old.limitOf, old.isNeeded
+		restarted.mayBorrow, restarted.onFailure = old.mayBorrow, old.onFailure
+		for range 10 {
+			if _, err := restarted.take(ctx, account); err != nil {
+				t.Fatalf("a request right after the restart: %v", err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
--- a/internal/quota/distributor.go
+++ b/internal/quota/distributor.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/sardinereach/sardinereach/internal/model"
@@ -18,8 +19,8 @@
 	now          time.Duration
 	share        float64
 	shareSeconds float64
-	// shrunkAt are the share-seconds at the last decrease of the share. An account without a bucket has gained tokens since then.
-	shrunkAt float64
+	// shrinks are the decreases of the share, the oldest first. They bound the tokens of an account that has no bucket yet.
+	shrinks []shrink
 	// nextEnd is not after the end of any loan.
 	nextEnd time.Duration
 }
@@ -113,8 +114,7 @@
 func (d *Distributor) bucket(account model.AccountName, limit Limit) *bucket {
 	b := d.buckets[account]
 	if b == nil {
-		b = &bucket{limit: limit, filledTo: d.shrunkAt}
-		b.fill(d.shareSeconds, d.share)
+		b = &bucket{limit: limit, filledTo: d.shareSeconds, tokens: d.unusedTokens(limit)}
 		d.buckets[account] = b
 	}
 	if b.limit != limit {
@@ -169,8 +169,27 @@
 // shrink takes the parts that were removed out of the share, and drops the tokens that the rest may not hold.
 func (d *Distributor) shrink() {
 	d.updateShare()
-	d.shrunkAt = d.shareSeconds
+	d.recordShrink()
 	for _, b := range d.buckets {
 		b.clamp(d.share)
 	}
 }
+
+// recordShrink records a decrease to the current share. The oldest two records become one that allows no more than either.
+func (d *Distributor) recordShrink() {
+	d.shrinks = append(d.shrinks, shrink{share: d.share, shareSeconds: d.shareSeconds})
+	if len(d.shrinks) <= maxShrinks {
+		return
+	}
+	d.shrinks[1].share = min(d.shrinks[0].share, d.shrinks[1].share)
+	d.shrinks = slices.Delete(d.shrinks, 0, 1)
+}
+
+// unusedTokens returns the tokens of a bucket with the limit from which nothing was taken.
+func (d *Distributor) unusedTokens(limit Limit) float64 {
+	tokens := min(limit.PerSecond*d.shareSeconds, limit.capacity(d.share))
+	for _, s := range d.shrinks {
+		tokens = min(tokens, limit.capacity(s.share)+limit.PerSecond*(d.shareSeconds-s.shareSeconds))
+	}
+	return tokens
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -195,3 +195,19 @@
 		t.Error("a permit was used after it had expired")
 	}
 }
+
+// Guards against an account that is refused at its first request because another node has taken its part back shortly before.
+func TestUnusedAccountKeepsItsBurstWhenThePartsChange(t *testing.T) {
+	d := NewDistributor()
+	limit := Limit{PerSecond: 10, Burst: 10}
+	for i := range 10 {
+		d.Lend(0, Loan{Node: model.NodeID(fmt.Sprint("n", i)), Divisor: 10}, time.Hour)
+	}
+	d.TakeBack(10*time.Second, Loan{Node: "n0", Serial: 1})
+	if grant := d.Take(10*time.Second, account, limit, 9, 0); grant.Permits != 9 {
+		t.Errorf("%+v, want the 9 permits of nine tenths of the burst", grant)
+	}
+	if grant := d.Take(10*time.Second, account, limit, 1, 0); grant.Permits != 0 {
+		t.Errorf("%+v beyond the share", grant)
+	}
+}
--- /dev/null
+++ b/internal/quota/shrink.go
@@ -0,0 +1,9 @@
+package quota
+
+// maxShrinks is the number of decreases that a distributor remembers one by one.
+const maxShrinks = 32
+
+// shrink is a decrease of the share of a distributor, at the given share-seconds.
+type shrink struct {
+	share, shareSeconds float64
+}
