--- a/internal/account/group.go
+++ b/internal/account/group.go
@@ -14,6 +14,8 @@
 	accounts []*declaration.Account
 	// hasUnknownKeys means that an account may have keys that are not known.
 	hasUnknownKeys bool
+	// hasLimits means that an account has a quota.
+	hasLimits bool
 }
 
 // NewGroup returns the group of the accounts, which must not be modified afterwards. Supported accounts that are the same in the
@@ -27,6 +29,7 @@
 		}
 		g.accounts[i] = account
 		g.hasUnknownKeys = g.hasUnknownKeys || account.HasUnknownKeys()
+		g.hasLimits = g.hasLimits || account.IsLimited()
 	}
 	slices.SortStableFunc(g.accounts, func(a, b *declaration.Account) int { return cmp.Compare(a.Name, b.Name) })
 	return g
--- a/internal/account/table.go
+++ b/internal/account/table.go
@@ -68,6 +68,19 @@
 // IsDecided reports whether the table has all accounts with all of their keys. If not, a key that it does not have may be valid.
 func (t *Table) IsDecided() bool { return t != nil && !t.isPartial && !t.hasUnknownKeys }
 
+// HasLimits reports whether an account has a quota.
+func (t *Table) HasLimits() bool {
+	if t == nil {
+		return false
+	}
+	for _, group := range t.groups {
+		if group != nil && group.hasLimits {
+			return true
+		}
+	}
+	return false
+}
+
 // IsPartial reports whether accounts may be missing.
 func (t *Table) IsPartial() bool { return t == nil || t.isPartial }
 
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -67,8 +67,10 @@
 	answerSizes      *routeAverages[int64]
 	attemptDurations *routeAverages[time.Duration]
 	once             *onceRunner
-	metrics          *metrics.Metrics
-	log              *events.Log
+	// quotas limits the requests of client accounts. It is nil in tests without limits.
+	quotas  *quotas
+	metrics *metrics.Metrics
+	log     *events.Log
 	// pathChanged is called when this node starts or stops avoiding another node.
 	pathChanged func()
 
@@ -109,6 +111,10 @@
 	ctx, release := a.cutoff.bind(r.Context(), rq.deadline)
 	defer release()
 	r = r.WithContext(ctx)
+	if refusal := a.takePermit(ctx, rq); refusal != nil {
+		a.refuse(w, rq, refusal)
+		return
+	}
 	a.serve(w, r, rq)
 	a.metrics.Latency(rq.service, time.Since(started))
 }
@@ -162,6 +168,9 @@
 	if err == nil {
 		return
 	}
+	if err.Verdict == verdict.NotRun {
+		a.returnPermit(rq)
+	}
 	if out.committed {
 		a.recordFailure(rq, err)
 		abortResponse(r)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/once"
 	"github.com/sardinereach/sardinereach/internal/peer"
+	"github.com/sardinereach/sardinereach/internal/quota"
 	"github.com/sardinereach/sardinereach/internal/settings"
 	"github.com/sardinereach/sardinereach/internal/store"
 	"github.com/sardinereach/sardinereach/internal/upstream"
@@ -48,6 +49,7 @@
 	crashes     *crashTracker
 	heartbeats  *heartbeats
 	departures  departureKeeper
+	quotas      *quotas
 
 	// storeFailing is set when a call to the store fails and cleared when the store responds again.
 	storeFailing atomic.Bool
@@ -84,6 +86,7 @@
 	n.admitter.retryWindows.targetsOf = n.targetCount
 	n.buildAcceptor(binary.LittleEndian.Uint64(secret))
 	n.buildOnce(secret)
+	n.buildQuotas()
 	n.views = &viewPublisher{node: n, dirty: make(chan struct{}, 1), memberLogger: newMemberLogger(n.self, log)}
 	if err := n.buildDistributor(binary.LittleEndian.Uint64(secret[8:])); err != nil {
 		return nil, err
@@ -128,6 +131,22 @@
 	n.acceptor.once = n.once
 }
 
+func (n *Node) buildQuotas() {
+	q := newQuotas(n.self, n.clock, n.peers, n.log)
+	q.fleet = n.quotaFleet
+	q.limitOf = func(name model.AccountName) (quota.Limit, bool) {
+		return limitOfAccount(n.acceptor.view.Load().Accounts.ByName(name))
+	}
+	q.isNeeded = func() bool { return n.ready.Load() && n.acceptor.view.Load().Accounts.HasLimits() }
+	q.mayBorrow = func() bool { return n.ready.Load() && !n.acceptor.lameDuck.Load() }
+	q.onFailure = func(id model.NodeID, _ string, cause error) {
+		if node, found := n.nodeOf(id); found {
+			n.acceptor.recordPathFailure(node, cause)
+		}
+	}
+	n.quotas, n.acceptor.quotas = q, q
+}
+
 func (n *Node) buildDistributor(seed uint64) error {
 	seeds := make([]string, len(n.settings.Peers.Seeds))
 	for i, address := range n.settings.Peers.Seeds {
@@ -200,6 +219,7 @@
 	group.Go(func() error { n.newLoadExchange(listeners.loads).Run(ctx); return nil })
 	group.Go(func() error { n.views.run(ctx); return nil })
 	group.Go(func() error { n.crashes.run(ctx); return nil })
+	group.Go(func() error { n.quotas.run(ctx); return nil })
 	select {
 	case <-n.stop:
 		n.shutdown(servers)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -17,6 +17,7 @@
 	"github.com/sardinereach/sardinereach/internal/framing"
 	"github.com/sardinereach/sardinereach/internal/headers"
 	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/quota"
 	"github.com/sardinereach/sardinereach/internal/routing"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
@@ -40,6 +41,9 @@
 	body []byte
 	// access is the decision on the access of the request, nil if another node has made it.
 	access *requestAccess
+	// permit is that of the quota of its account, if limited is the account.
+	permit  quota.Permit
+	limited *declaration.Account
 	// started is the arrival time of the request.
 	started  time.Time
 	deadline time.Time
