Keep requests waiting for a permit when the distributor declines, and lend for 1.5 s

Cause: a distributor that stops declines the loan, and the requests of that call were refused as without a distributor although the next one can be asked at once. A node that loses its distributor refuses for the length of a loan.

Change: a declined call grants nothing and ends no wait; loans last 1.5 s and are renewed after 0.75 s.

--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -15,9 +15,9 @@
 
 const (
 	// quotaLoan is the time for which a node lends its parts. A node that loses the distributor is without permits for so long.
-	quotaLoan = 2500 * time.Millisecond
+	quotaLoan = 1500 * time.Millisecond
 	// quotaRenewal is the time after which a node that needs no permits lends its parts again.
-	quotaRenewal = time.Second
+	quotaRenewal = 750 * time.Millisecond
 	// quotaCallTimeout bounds a call to a distributor.
 	quotaCallTimeout = 500 * time.Millisecond
 	// quotaFailureBackoff is the time for which a distributor that did not answer is left out. It is longer than a loan, so that the
@@ -209,7 +209,7 @@
 	slot.recordCall(ended, next, response)
 	if err != nil {
 		q.log.Emit(events.QuotaCallFailed, events.NodeField(next.distributor), events.CountField(slot.number))
-	} else {
+	} else if !response.Declined {
 		slot.apply(ended, now, request, response)
 	}
 	slot.asking = slot.hasWaiting()
@@ -312,6 +312,9 @@
 	} else if request.TakeBack || response.Declined {
 		distributor.TakeBack(now, loan)
 	}
+	if response.Declined {
+		return response
+	}
 	for _, demand := range request.Demands {
 		account := model.AccountName(demand.Account)
 		limit, limited := q.limitOf(account)
