Let the quota tests run under the race detector

Cause: the test fleet starts its nodes while it still fills its maps, and reads a lender without its lock. Change: the nodes start when the maps are complete; the lender is read under the lock. No check has changed. Measured: go test -race -p 2 ./internal/quota ./internal/node -run 'Quota|Permit|Stopping|Waits|RestartedNode': before, races in the test fleet fail the tests of internal/node; after, both packages pass.

--- a/internal/node/quotas_test.go
+++ b/internal/node/quotas_test.go
@@ -56,6 +56,8 @@
 		q.isNeeded = func() bool { return true }
 		q.mayBorrow = func() bool { stopping := f.stopping.Load(); return stopping == nil || *stopping != id }
 		f.nodes[id] = q
+	}
+	for _, q := range f.nodes {
 		go q.run(ctx)
 	}
 	return f
@@ -92,7 +94,10 @@
 
 // distributor returns the node that distributes the quota of the account.
 func (f *quotaTestFleet) distributor(account model.AccountName) string {
-	return string(f.nodes["n0"].slots[quota.SlotOf(account)].lender.Holder(0))
+	q := f.nodes["n0"]
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return string(q.slots[quota.SlotOf(account)].lender.Holder(0))
 }
 
 // Guards against refusals below the limit, and against more requests than the limit, at all nodes together in calm.
