--- /dev/null
+++ b/internal/quota/half_share_test.go
@@ -0,0 +1,23 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/model"
+)
+
+// Guards against two distributors that each hold half of the parts and, by rounding, a whole token of a small limit.
+func TestHalfOfThePartsHoldsNoTokenOfASmallLimit(t *testing.T) {
+	limit := Limit{PerSecond: 0.1, Burst: 1}
+	for nodes := 2; nodes <= 200; nodes += 2 {
+		d := NewDistributor()
+		for i := range nodes / 2 {
+			d.Lend(0, Loan{Node: model.NodeID(fmt.Sprint("n", i)), Divisor: nodes}, time.Hour)
+		}
+		if grant := d.Take(time.Minute, account, limit, 1, 0); grant.Permits > 0 {
+			t.Errorf("%d nodes: half of the parts grants %d permits of a burst of 1", nodes, grant.Permits)
+		}
+	}
+}
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -17,12 +17,15 @@
 // have at a time, holds at least one token, so that small limits let requests pass while some parts are missing.
 func (l Limit) capacity(share float64) float64 {
 	capacity := l.Burst * share
-	if share > 0.5 {
+	if share > halfShare {
 		return max(capacity, 1)
 	}
 	return capacity
 }
 
+// halfShare is above the sum of half of the parts with its rounding error.
+const halfShare = 0.5 + 1e-9
+
 // fillTime returns the time in which the share of the limit gains the tokens, at most maxFillTime.
 func (l Limit) fillTime(tokens, share float64) time.Duration {
 	rate := l.PerSecond * share
