Keep the purses of calls on their way, end waits without a distributor, and ask a distributor again after a lost call

Cause, by the review of the quotas: a purse could be forgotten while a call for its account was on its way, and its answer ended the process; if the last node declines its own parts, requests waited in a loop of calls without a pause; one lost call left a working distributor out for 2.5 s and refused everything meanwhile.

Change: a purse with requests in the current span is not idle, and an answer for a forgotten one is dropped; the last node refuses what waits; a node is left out after two calls in a row without an answer; quota_unavailable tells when the parts may be lent.

--- a/internal/node/quota_call.go
+++ b/internal/node/quota_call.go
@@ -7,6 +7,8 @@
 	// distributor is empty if there is no node to call.
 	distributor model.NodeID
 	kind        quotaCallKind
+	// isLast means that all other nodes are left out.
+	isLast bool
 }
 
 // quotaCallKind is what a call does with the parts of the sender. Each kind may ask for permits as well.
--- a/internal/node/quota_slot.go
+++ b/internal/node/quota_slot.go
@@ -20,6 +20,8 @@
 	lentAt time.Duration
 	// failedUntil are the nodes that did not answer, with the times until which they are left out.
 	failedUntil map[model.NodeID]time.Duration
+	// failures are the calls in a row that a node did not answer.
+	failures map[model.NodeID]int
 	// answered is the node that is to have the parts and has answered a probe, "" if there is none.
 	answered model.NodeID
 	// serial is that of the last call.
@@ -42,7 +44,7 @@
 func newQuotaSlot(number int, notBefore time.Duration) *quotaSlot {
 	return &quotaSlot{
 		number: number, lender: quota.NewLender(notBefore), distributor: quota.NewDistributor(),
-		purses: make(map[model.AccountName]*accountPurse), failedUntil: make(map[model.NodeID]time.Duration), lentAt: -quotaLoan,
+		purses: make(map[model.AccountName]*accountPurse), failedUntil: make(map[model.NodeID]time.Duration), failures: make(map[model.NodeID]int), lentAt: -quotaLoan,
 	}
 }
 
@@ -70,9 +72,14 @@
 // choose returns the next call, one without a distributor if there is none now. The parts stay where they are until the node that is
 // to have them has answered.
 func (s *quotaSlot) choose(now time.Duration, fleet quotaFleet, self model.NodeID) quotaCall {
-	preferred := quota.Preferred(s.number, s.candidates(now, fleet, self))
+	candidates := s.candidates(now, fleet)
+	isLast := len(candidates) == 0
+	if isLast {
+		candidates = []model.NodeID{self}
+	}
+	preferred := quota.Preferred(s.number, candidates)
 	if s.lender.MayLendTo(now, preferred) {
-		return quotaCall{distributor: preferred, kind: quotaLend}
+		return quotaCall{distributor: preferred, kind: quotaLend, isLast: isLast}
 	}
 	holder := s.lender.Holder(now)
 	if holder == "" {
@@ -89,19 +96,26 @@
 }
 
 // candidates returns the nodes to which the parts may be lent.
-func (s *quotaSlot) candidates(now time.Duration, fleet quotaFleet, self model.NodeID) []model.NodeID {
+func (s *quotaSlot) candidates(now time.Duration, fleet quotaFleet) []model.NodeID {
 	candidates := make([]model.NodeID, 0, len(fleet.eligible))
 	for _, id := range fleet.eligible {
 		if now >= s.failedUntil[id] {
 			candidates = append(candidates, id)
 		}
 	}
-	if len(candidates) == 0 {
-		return []model.NodeID{self}
-	}
 	return candidates
 }
 
+// recordFailure leaves out a node that did not answer two calls in a row. After the first one it is asked again: a single lost call
+// should not take the parts away from a distributor that works.
+func (s *quotaSlot) recordFailure(now time.Duration, node model.NodeID) {
+	s.failures[node]++
+	if s.failures[node] >= maxQuotaFailures {
+		s.failedUntil[node] = now + quotaFailureBackoff
+		delete(s.failures, node)
+	}
+}
+
 // serveWaiting gives the permits at hand to the requests that wait, in the order of their arrival, and refuses the others.
 func (s *quotaSlot) serveWaiting(now time.Duration, account model.AccountName, asked int) {
 	p := s.purses[account]
@@ -113,7 +127,7 @@
 			waiter <- permitResult{permit: permit}
 			continue
 		}
-		waiter <- permitResult{err: p.refusal(now)}
+		waiter <- permitResult{err: p.refusal(now, s.lender.Until())}
 	}
 }
 
@@ -136,10 +150,10 @@
 	}
 }
 
-// refusal returns the refusal of a request without a permit.
-func (p *accountPurse) refusal(now time.Duration) *verdict.Error {
+// refusal returns the refusal of a request without a permit. Without a distributor, the node may lend its parts from the given time.
+func (p *accountPurse) refusal(now, mayLendAt time.Duration) *verdict.Error {
 	if !p.IsRefused(now) {
-		return quotaUnavailable(0)
+		return quotaUnavailable(mayLendAt - now)
 	}
 	err := verdict.Refused(verdict.QuotaExceeded, nil)
 	err.RetryAfter = p.Refuse(now, p.limit)
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -20,6 +20,8 @@
 	quotaRenewal = 750 * time.Millisecond
 	// quotaCallTimeout bounds a call to a distributor.
 	quotaCallTimeout = 500 * time.Millisecond
+	// maxQuotaFailures is the number of calls in a row without an answer after which a distributor is left out.
+	maxQuotaFailures = 2
 	// quotaFailureBackoff is the time for which a distributor that did not answer is left out. It is longer than a loan, so that the
 	// parts are lent elsewhere in between.
 	quotaFailureBackoff = quotaLoan + 2*quotaCallTimeout
@@ -99,7 +101,7 @@
 		return nil, permitResult{permit: permit}
 	}
 	if p.IsRefused(now) {
-		return nil, permitResult{err: p.refusal(now)}
+		return nil, permitResult{err: p.refusal(now, slot.lender.Until())}
 	}
 	waiter := make(chan permitResult, 1)
 	p.waiting = append(p.waiting, waiter)
@@ -211,6 +213,8 @@
 		q.log.Emit(events.QuotaCallFailed, events.NodeField(next.distributor), events.CountField(slot.number))
 	} else if !response.Declined {
 		slot.apply(ended, now, request, response)
+	} else if next.isLast {
+		slot.refuseWaiting(ended, ended)
 	}
 	slot.asking = slot.hasWaiting()
 	return slot.asking
@@ -218,10 +222,14 @@
 
 // recordCall records what a call means for the parts of this node. response is nil if there was none.
 func (s *quotaSlot) recordCall(ended time.Duration, call quotaCall, response *peerv1.QuotaResponse) {
-	if response == nil || response.Declined {
+	switch {
+	case response == nil:
+		s.recordFailure(ended, call.distributor)
+	case response.Declined:
 		s.failedUntil[call.distributor] = ended + quotaFailureBackoff
-	} else {
+	default:
 		delete(s.failedUntil, call.distributor)
+		delete(s.failures, call.distributor)
 	}
 	switch {
 	case response == nil && call.kind == quotaLend:
@@ -280,6 +288,9 @@
 	for _, demand := range request.Demands {
 		account := model.AccountName(demand.Account)
 		p := s.purses[account]
+		if p == nil {
+			continue
+		}
 		if grant := grants[demand.Account]; grant != nil {
 			p.Add(int(min(grant.Permits, demand.Waiting+demand.Expected)), asked+time.Duration(grant.ValidMs)*time.Millisecond)
 			if grant.NextInMs > 0 {
--- a/internal/quota/purse.go
+++ b/internal/quota/purse.go
@@ -73,7 +73,7 @@
 // IsIdle reports whether the purse can be forgotten.
 func (p *Purse) IsIdle(now time.Duration) bool {
 	p.dropExpired(now)
-	return len(p.permits) == 0 && p.refusedUntil <= now && p.usage.recent(now) == 0
+	return len(p.permits) == 0 && p.refusedUntil <= now && p.usage.isIdle(now)
 }
 
 // insert keeps the permits in the order in which they expire.
--- a/internal/quota/usage.go
+++ b/internal/quota/usage.go
@@ -22,6 +22,12 @@
 	return u.previous
 }
 
+// isIdle reports whether there was no request in either span.
+func (u *usage) isIdle(now time.Duration) bool {
+	u.advance(now)
+	return u.previous == 0 && u.current == 0
+}
+
 func (u *usage) advance(now time.Duration) {
 	span := now / PermitValidity
 	switch span {
