Keep a caller's connection open until the response is sent

Cause: a server that stops closes the connections that it takes for idle. Between that look and the close, the next request of such a connection may be read and handled. Conn.Close did nothing while the request was watched, but the watch ends with the handler, and net/http sends the rest of the response after the handler: a Close between the two shut the connection for writing.

Change: from the end of the watch until the server reports the connection idle or closed, Close does nothing; the server closes it again. RecordState is the server's ConnState function for this. The test's server installs it, as the node's does.

TestCloseBeforeTheResponseIsSentKeepsTheConnection failed before (broken pipe).

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -35,6 +35,10 @@
 	// readErr is the error that ended reading, nil while the caller may send more.
 	readErr error
 	closing bool
+	// stateKnown means that RecordState is told of the connection's states.
+	stateKnown bool
+	// finishing means that the handler of a watched request has returned and the server may still hold part of its response.
+	finishing bool
 }
 
 // New returns the connection c. onClosed is called when it is closed for good; it may be nil.
@@ -82,6 +86,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = cancel
+	c.finishing = false
 	if c.readErr != nil || c.closing {
 		cancel(ErrCallerClosed)
 		return c.unwatch
@@ -94,6 +99,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = nil
+	c.finishing = c.stateKnown
 }
 
 // readAheadIfNeeded starts to read ahead if a request is watched and nobody else reads. c.mu is held.
@@ -158,16 +164,16 @@
 	return nil
 }
 
-// Close closes the connection. It returns at once. While a request is watched it does nothing: a server that stops closes the
-// connections that it takes for idle, and the next request of such a one may have begun. The server closes it again when the
-// request has ended.
+// Close closes the connection. It returns at once. From the watch of a request until its response is sent it does nothing: a
+// server that stops closes the connections that it takes for idle, and the next request of such a one may have begun. The
+// server closes it again when the request has ended.
 //
 // Unless the caller has closed its side, the rest of what it sends is read and dropped for up to lingerTimeout: closing a
 // connection with unread bytes would reset it, and the caller might lose the last response.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || c.cancel != nil {
+	if c.closing || c.cancel != nil || c.finishing {
 		return nil
 	}
 	c.closing = true
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -311,6 +311,37 @@
 	}
 }
 
+func TestCloseBeforeTheResponseIsSentKeepsTheConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	_ = caller.SetDeadline(time.Now().Add(testLimit))
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := New(accepted, nil)
+	RecordState(conn, http.StateNew)
+	conn.Watch(func(error) {})()
+	_ = conn.Close()
+	const response = "HTTP/1.1 200 OK\r\n\r\n"
+	if _, err := io.WriteString(conn, response); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close()
+	RecordState(conn, http.StateClosed)
+	if got, err := io.ReadAll(caller); err != nil || string(got) != response {
+		t.Fatalf("the caller received %q, %v", got, err)
+	}
+}
+
 // playPlannedStop stops a server gracefully while clients pipeline.
 func playPlannedStop(t *testing.T) {
 	t.Helper()
@@ -329,7 +360,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: handler, ConnContext: WithConn}
+	server := &http.Server{Handler: handler, ConnContext: WithConn, ConnState: RecordState}
 	go func() { _ = server.Serve(wrappingListener{listener}) }()
 	defer server.Close()
 	var wait sync.WaitGroup
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -84,7 +84,10 @@
 		callersListener: newLimitListener(l.callers, n.settings.Limits.MaxConnections),
 		callersActive:   newActiveConnections(),
 	}
-	s.callers.ConnState = s.callersActive.record
+	s.callers.ConnState = func(c net.Conn, state http.ConnState) {
+		s.callersActive.record(c, state)
+		callerconn.RecordState(c, state)
+	}
 	s.callers.ConnContext = callerconn.WithConn
 	group.Go(func() error {
 		return serveHTTP(s.callers, s.callersListener)
