--- a/internal/admission/fifo.go
+++ b/internal/admission/fifo.go
@@ -13,6 +13,13 @@
 // first returns the oldest item. The queue must not be empty.
 func (f *fifo[T]) first() *T { return &f.items[f.head] }
 
+// each calls do with the items, the oldest first.
+func (f *fifo[T]) each(do func(item T)) {
+	for _, item := range f.items[f.head:] {
+		do(item)
+	}
+}
+
 // pop removes the oldest item. It compacts the remaining items once half of the slice is unused.
 func (f *fifo[T]) pop() {
 	var zero T
--- a/internal/admission/retained.go
+++ b/internal/admission/retained.go
@@ -1,4 +1,12 @@
 package admission
 
-// RetainedBytes returns the total size of the retained responses.
-func (p *Point) RetainedBytes() int64 { return p.retainedBytes }
+// RetainedResponses returns the number of retained responses.
+func (p *Point) RetainedResponses() int {
+	n := 0
+	p.retained.each(func(e expiry) {
+		if r := p.records[e.attempt]; r != nil && r.answer != nil {
+			n++
+		}
+	})
+	return n
+}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -6,7 +6,7 @@
 	NodeReady      = &Event{102, "node_ready", Info, "the node has a complete configuration and accepts callers", []Key{Node, Revision, Duration}, 0}
 	NodeStopping   = &Event{103, "node_stopping", Info, "the node is shutting down and finishes the requests in flight", []Key{Node, Count}, 0}
 	NodeStopped    = &Event{104, "node_stopped", Info, "the node has shut down", []Key{Node, Duration}, 0}
-	GraceExceeded  = &Event{105, "grace_exceeded", Error, "the shutdown grace period has ended with requests in flight", []Key{Node, Count, Duration}, 0}
+	GraceExceeded  = &Event{105, "grace_exceeded", Error, "the shutdown grace period has ended with requests in flight", []Key{Node, Accepted, Admitted, Responses, Calls, Duration}, 0}
 	ListenerFailed = &Event{107, "listener_failed", Error, "a listener could not be opened or has failed", []Key{Address, Operation, Cause}, 0}
 	SettingsRead   = &Event{109, "settings_read", Info, "the settings file was read again; changes take effect at the next start", []Key{Node, Outcome, Cause}, 0}
 	SignalReceived = &Event{110, "signal_received", Info, "the process has received a signal to stop; the grace period runs from the first one", []Key{Node, Operation, Count, Duration}, 0}
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -100,6 +100,18 @@
 // CountField is a number of items.
 func CountField(n int) Field { return number(Count, int64(n)) }
 
+// AcceptedField is a number of requests that this node has accepted and not yet answered.
+func AcceptedField(n int) Field { return number(Accepted, int64(n)) }
+
+// AdmittedField is a number of attempts that wait or run at local targets.
+func AdmittedField(n int) Field { return number(Admitted, int64(n)) }
+
+// ResponsesField is a number of retained responses that accepting nodes may still ask for.
+func ResponsesField(n int) Field { return number(Responses, int64(n)) }
+
+// CallsField is a number of open calls of other nodes.
+func CallsField(n int) Field { return number(Calls, int64(n)) }
+
 // SlotsField is a capacity in slots.
 func SlotsField(n int) Field { return number(Slots, int64(n)) }
 
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -144,14 +144,11 @@
 	return a.point.InFlight()
 }
 
-// retainedIndicator returns 1 if retained responses have not been acknowledged yet, 0 otherwise.
-func (a *admitter) retainedIndicator() int {
+// retainedResponses returns the number of retained responses that have not been acknowledged yet.
+func (a *admitter) retainedResponses() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.point.RetainedBytes() > 0 {
-		return 1
-	}
-	return 0
+	return a.point.RetainedResponses()
 }
 
 // setOperatorDrains drains the given targets and ends the operator drain of all other local targets.
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -39,7 +39,7 @@
 // node, finishes those in flight, and keeps responding to other nodes until they have acknowledged the retained responses.
 func (n *Node) shutdown(s servers) {
 	started := time.Now()
-	n.log.Emit(events.NodeStopping, events.NodeField(n.self.ID), events.CountField(n.pendingWork()))
+	n.log.Emit(events.NodeStopping, events.NodeField(n.self.ID), events.CountField(n.pendingWork().total()))
 	grace := n.settings.Shutdown.Grace
 	ctx, cancel := context.WithTimeout(context.Background(), shareOf(grace, exitShare))
 	defer cancel()
@@ -53,8 +53,8 @@
 	n.awaitIdle(ctx, s.callersActive)
 	_ = sleep(ctx, closeDelay)
 	awaitClosed(ctx, s.callersListener)
-	if remaining := n.pendingWork(); remaining > 0 {
-		n.log.Emit(events.GraceExceeded, events.NodeField(n.self.ID), events.CountField(remaining), events.DurationField(n.settings.Shutdown.Grace))
+	if pending := n.pendingWork(); pending.total() > 0 {
+		n.log.Emit(events.GraceExceeded, append(pending.fields(), events.NodeField(n.self.ID), events.DurationField(grace))...)
 	}
 	// An error only means that the grace period has ended. The process exits either way.
 	_ = s.operators.Shutdown(ctx)
@@ -110,15 +110,19 @@
 	n.acceptor.cutoff.pass()
 }
 
-// pendingWork returns the number of requests in flight, as accepting and as admitting node, and of open calls of other
-// nodes, plus 1 if any retained response is not yet acknowledged.
-func (n *Node) pendingWork() int {
-	return int(n.acceptor.inFlight.Load()) + n.admitter.inFlight() + n.admitter.retainedIndicator() + n.peerServer.Calls()
+// pendingWork returns what keeps a stopping node from its exit.
+func (n *Node) pendingWork() pendingWork {
+	return pendingWork{
+		accepted:  int(n.acceptor.inFlight.Load()),
+		admitted:  n.admitter.inFlight(),
+		responses: n.admitter.retainedResponses(),
+		calls:     n.peerServer.Calls(),
+	}
 }
 
 // awaitIdle waits until nothing is in flight and the last responses are sent to the callers.
 func (n *Node) awaitIdle(ctx context.Context, callers *activeConnections) {
-	for n.pendingWork() > 0 || callers.count() > 0 {
+	for n.pendingWork().total() > 0 || callers.count() > 0 {
 		if sleep(ctx, idlePollInterval) != nil {
 			return
 		}
