End a stop when no accepting node can ask for a retained response

A stopping node refuses new runs, so its target gets nothing for that time.

Cause: a response to a request that must not run twice is retained until its accepting node acknowledges it or for 30 s, and a stop waits for that. An accepting node whose caller has gone or whose call has failed never acknowledges, and asks only until the deadline of its request. One such response in the 30 s before a stop held it to the end of the grace period.

Change: a stop waits for a retained response until the deadline of its request. It is retained and found as long as before.

--- a/internal/admission/finish.go
+++ b/internal/admission/finish.go
@@ -156,7 +156,7 @@
 	switch result.Outcome {
 	case Answered:
 		p.end(w, StateEnded, "")
-		p.retainResponse(w.request.Attempt, r, result.Answer)
+		p.retainResponse(w, r, result.Answer)
 	case Shed:
 		p.end(w, StateRefused, verdict.UpstreamShed)
 	case Unreachable:
@@ -206,14 +206,15 @@
 
 // retainResponse retains the response until it is acknowledged or expires. Over the size limit the oldest retained
 // responses are dropped.
-func (p *Point) retainResponse(attempt model.AttemptID, r *record, answer *Answer) {
+func (p *Point) retainResponse(w *work, r *record, answer *Answer) {
 	if answer == nil || answer.Size() > p.limits.RetainedBytes {
 		return
 	}
 	r.answer = answer
+	r.awaitedUntil = w.request.end()
 	r.state = StateAnswered
 	p.retainedBytes += answer.Size()
-	p.retained.push(expiry{attempt: attempt, at: p.activeTime() + p.limits.RetainedTTL})
+	p.retained.push(expiry{attempt: w.request.Attempt, at: p.activeTime() + p.limits.RetainedTTL})
 	for p.retainedBytes > p.limits.RetainedBytes {
 		p.dropOldestAnswer()
 	}
--- a/internal/admission/record.go
+++ b/internal/admission/record.go
@@ -27,8 +27,10 @@
 	// work is nil once the attempt has ended.
 	work   *work
 	answer *Answer
-	reason verdict.Reason
-	state  State
+	// awaitedUntil is the time after which the accepting node no longer asks for the answer.
+	awaitedUntil time.Duration
+	reason       verdict.Reason
+	state        State
 }
 
 // expiry is the time from which a record or a retained response may be dropped.
--- a/internal/node/admitter.go
+++ b/internal/node/admitter.go
@@ -144,11 +144,11 @@
 	return a.point.InFlight()
 }
 
-// retainedResponses returns the number of retained responses that have not been acknowledged yet.
-func (a *admitter) retainedResponses() int {
+// awaitedResponses returns the number of retained responses that accepting nodes may still ask for.
+func (a *admitter) awaitedResponses() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.point.RetainedResponses()
+	return a.point.AwaitedResponses(a.clock.now())
 }
 
 // setOperatorDrains drains the given targets and ends the operator drain of all other local targets.
--- a/internal/node/pending_work.go
+++ b/internal/node/pending_work.go
@@ -6,7 +6,7 @@
 type pendingWork struct {
 	// accepted are the requests in flight as accepting node, admitted the attempts in flight as admitting node.
 	accepted, admitted int
-	// responses are the retained responses that their accepting nodes have not acknowledged.
+	// responses are the retained responses that accepting nodes may still ask for.
 	responses int
 	// calls are the open calls of other nodes.
 	calls int
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -115,7 +115,7 @@
 	return pendingWork{
 		accepted:  int(n.acceptor.inFlight.Load()),
 		admitted:  n.admitter.inFlight(),
-		responses: n.admitter.retainedResponses(),
+		responses: n.admitter.awaitedResponses(),
 		calls:     n.peerServer.Calls(),
 	}
 }
