Route the path that is sent, with the restrictions of its other reading

Without a key, /open/../s and /open/%2e%2e/s reached a target that may read them as /s, a route that requires one.

Cause: one path in two readings. The route, the access at arrival and before each attempt, unchecked attempts and redeemed tickets were decided on the decoded path; the target got the encoded one. Dot segments, doubled slashes and backslashes were plain characters to the node and separators to some upstreams.

Change: routing.Match takes the path as sent. The routed reading leaves an encoded slash as data and selects the route. If an upstream may read the path otherwise, the request also gets the restrictions of the routes of that reading: key, non-idempotent class, unsupported. A path with a segment ".." is refused, 400 path_ambiguous (SR1040). All deciding places start from the bytes that are sent. explain shows a refusal of the route.

Open: upstreams that decode twice or ignore case.

--- a/internal/events/reason_numbers.go
+++ b/internal/events/reason_numbers.go
@@ -44,6 +44,7 @@
 	verdict.AccessUnchecked:     1037,
 	verdict.QuotaExceeded:       1038,
 	verdict.QuotaUnavailable:    1039,
+	verdict.PathAmbiguous:       1040,
 	verdict.UpstreamLost:        1101,
 	verdict.UpstreamTimeout:     1102,
 	verdict.NodeLost:            1103,
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -17,6 +17,7 @@
 	"github.com/sardinereach/sardinereach/internal/metrics"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/peer"
+	"github.com/sardinereach/sardinereach/internal/routing"
 	"github.com/sardinereach/sardinereach/internal/settings"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
@@ -129,11 +130,11 @@
 		return nil, verdict.Refused(verdict.NotReady, nil)
 	}
 	view := a.view.Load()
-	match := view.Table.Match(r.Host, r.Method, r.URL.Path)
+	match := view.Table.Match(r.Host, r.Method, routing.PathOf(requestURI(r)))
 	if match == nil {
 		return nil, verdict.Refused(verdict.NoRoute, nil)
 	}
-	if err := match.Route.Refusal(); err != nil {
+	if err := match.Refusal(); err != nil {
 		return nil, err
 	}
 	rq, err := a.newRequest(r, view, match, a.seed^a.serial.Add(1))
--- a/internal/node/fleet.go
+++ b/internal/node/fleet.go
@@ -126,6 +126,9 @@
 	if match == nil {
 		return operator.Explanation{Refusal: verdict.NoRoute}
 	}
+	if refusal := match.Refusal(); refusal != nil {
+		return operator.Explanation{Service: match.Service.Name, Route: match.Route, Refusal: refusal.Reason}
+	}
 	service := view.Service(match.Service.Name)
 	out := operator.Explanation{
 		Service: match.Service.Name, Route: match.Route, Class: match.Route.ClassOf(request.Method),
--- a/internal/node/redeem.go
+++ b/internal/node/redeem.go
@@ -11,6 +11,7 @@
 	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/model"
+	"github.com/sardinereach/sardinereach/internal/routing"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
@@ -26,21 +27,20 @@
 // requestFromHead returns the request that another node forwarded with a ticket. It matches the route again, because
 // this node is responsible for the outcome.
 func requestFromHead(view *core.View, head *peerv1.ForwardHead, body []byte, seed uint64) (*request, *verdict.Error) {
-	uri, err := url.ParseRequestURI(head.Uri)
-	if err != nil {
+	if _, err := url.ParseRequestURI(head.Uri); err != nil {
 		return nil, verdict.Refused(verdict.BadRequest, errors.Wrap(err, "URI"))
 	}
 	if view == nil {
 		return nil, verdict.Refused(verdict.NotReady, nil)
 	}
-	match := view.Table.Match(head.Host, head.Method, uri.Path)
+	match := view.Table.Match(head.Host, head.Method, routing.PathOf(head.Uri))
 	if match == nil {
 		return nil, verdict.Refused(verdict.NoRoute, nil)
 	}
-	if refusal := match.Route.Refusal(); refusal != nil {
+	if refusal := match.Refusal(); refusal != nil {
 		return nil, refusal
 	}
-	if refusal := uncheckedRefusal(head, match.Route); refusal != nil {
+	if refusal := uncheckedRefusal(head, match); refusal != nil {
 		return nil, refusal
 	}
 	rq := &request{
--- a/internal/node/refusal.go
+++ b/internal/node/refusal.go
@@ -26,7 +26,7 @@
 		return http.StatusTooManyRequests
 	case verdict.BodyTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case verdict.BodyIncomplete, verdict.BadRequest, verdict.KeyInvalid:
+	case verdict.BodyIncomplete, verdict.BadRequest, verdict.KeyInvalid, verdict.PathAmbiguous:
 		return http.StatusBadRequest
 	case verdict.KeyMissing:
 		return http.StatusPreconditionRequired
--- a/internal/node/request_access.go
+++ b/internal/node/request_access.go
@@ -38,7 +38,7 @@
 func (a *acceptor) newRequestAccess(r *http.Request, view *core.View, match *routing.Match, id string) (*requestAccess, *verdict.Error) {
 	ra := &requestAccess{
 		credential: access.NewCredential(headers.Values(r.Header, a.dialect.KeyHeader)),
-		view:       view, host: r.Host, method: r.Method, path: r.URL.Path,
+		view:       view, host: r.Host, method: r.Method, path: routing.PathOf(requestURI(r)),
 	}
 	headers.Delete(r.Header, a.dialect.KeyHeader)
 	ra.revision.Store(view.Revision)
@@ -61,7 +61,7 @@
 		// The route has been removed. What it required holds for the requests that it has accepted.
 		match = ra.view.Table.Match(ra.host, ra.method, ra.path)
 	}
-	if refusal := match.Route.Refusal(); refusal != nil {
+	if refusal := match.Refusal(); refusal != nil {
 		return access.Decision{}, refusal
 	}
 	return access.Renew(ra.input(view, match.Route), ra.decision)
--- a/internal/node/unchecked_access.go
+++ b/internal/node/unchecked_access.go
@@ -1,10 +1,8 @@
 package node
 
 import (
-	"net/url"
-
 	"github.com/sardinereach/sardinereach/api/peerv1"
-	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/routing"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
@@ -15,26 +13,22 @@
 	if isChecked(head.Access) {
 		return nil
 	}
-	uri, err := url.ParseRequestURI(head.Uri)
-	if err != nil {
-		return nil
-	}
-	if match := a.view.Load().Table.Match(head.Host, head.Method, uri.Path); match != nil {
-		return uncheckedRefusal(head, match.Route)
+	if match := a.view.Load().Table.Match(head.Host, head.Method, routing.PathOf(head.Uri)); match != nil {
+		return uncheckedRefusal(head, match)
 	}
 	return nil
 }
 
 // uncheckedRefusal is as refuseUnchecked for a route that is known. What a route that this build does not understand requires is not
 // known either.
-func uncheckedRefusal(head *peerv1.ForwardHead, route *declaration.Route) *verdict.Error {
+func uncheckedRefusal(head *peerv1.ForwardHead, match *routing.Match) *verdict.Error {
 	switch {
 	case isChecked(head.Access):
 		return nil
-	case route.RequiresKey:
+	case match.Route.RequiresKey:
 		return verdict.Refused(verdict.AccessUnchecked, nil)
 	}
-	return route.Refusal()
+	return match.Refusal()
 }
 
 func isChecked(access peerv1.Access) bool {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -20,12 +20,6 @@
 	path string
 }
 
-// Match is a matching route and the service that declares it.
-type Match struct {
-	Service *declaration.Service
-	Route   *declaration.Route
-}
-
 // NewTable returns the table of the services' routes. If two services declare the same route, the service whose name
 // sorts first takes precedence, so that all nodes choose the same one.
 func NewTable(services []*declaration.Service) *Table {
@@ -46,7 +40,7 @@
 		return
 	}
 	host := CanonicalHost(m.Route.Host)
-	key := pathKey{host: host, path: trimSlash(m.Route.Path)}
+	key := pathKey{host: host, path: trimSlash(parsePath(m.Route.Path).routed)}
 	t.paths[key] = append(t.paths[key], m)
 	if host != "" {
 		t.hosts[host] = true
@@ -55,36 +49,77 @@
 
 // Match returns the most specific route for the request, nil if there is none. A route for the request's host takes
 // precedence over one for any host, then a longer path over a shorter one, then a named method over any method. host is
-// the Host header; its letter case, port and final dot do not matter. path is the decoded path of the URL.
+// the Host header; its letter case, port and final dot do not matter. path is the path as it was sent, with its
+// percent-encoding. If an upstream may read it in another way, the match has the restrictions of the routes of that reading, too.
 func (t *Table) Match(host, method, path string) *Match {
 	if path != "" && path[0] != '/' {
 		// "OPTIONS *" has no path.
 		return nil
 	}
 	host = CanonicalHost(host)
+	readings := parsePath(path)
+	m := t.matchHosts(host, method, readings.routed)
+	switch {
+	case m == nil:
+		return nil
+	case readings.climbs:
+		return &Match{Service: m.Service, Route: m.Route, climbs: true}
+	case readings.merged == readings.routed:
+		return m
+	}
+	return t.restrict(m, host, method, readings.merged)
+}
+
+func (t *Table) matchHosts(host, method, path string) *Match {
 	if t.hosts[host] {
-		if m := t.matchHost(host, method, path); m != nil {
+		if m, _ := t.longest(host, method, path, trimSlash(path)); m != nil {
 			return m
 		}
 	}
-	return t.matchHost("", method, path)
+	m, _ := t.longest("", method, path, trimSlash(path))
+	return m
 }
 
-func (t *Table) matchHost(host, method, path string) *Match {
-	fullPath := path
-	path = trimSlash(path)
+// restrict returns the match with the restrictions of all routes that the path leads to and that are not as general as that of the
+// match: an upstream may take some separators of the path and leave others.
+func (t *Table) restrict(m *Match, host, method, path string) *Match {
+	restricted := m
+	for _, h := range []string{host, ""} {
+		for prefix := trimSlash(path); ; prefix = parent(prefix) {
+			var other *Match
+			other, prefix = t.longest(h, method, path, prefix)
+			if other == m {
+				return restricted
+			}
+			if other != nil {
+				restricted = restricted.restrictedBy(other.Route, method)
+			}
+			if prefix == "" {
+				break
+			}
+		}
+	}
+	return restricted
+}
+
+// longest returns the route with the longest prefix of the path, and that prefix without its final slash. It considers prefix and
+// the shorter ones. Without a route it returns nil and "".
+func (t *Table) longest(host, method, path, prefix string) (*Match, string) {
 	for {
-		m := pickMethod(t.paths[pathKey{host: host, path: path}], method)
-		if m != nil && (!m.Route.BelowOnly || len(fullPath) > len(path)) {
-			return m
+		m := pickMethod(t.paths[pathKey{host: host, path: prefix}], method)
+		if m != nil && (!m.Route.BelowOnly || len(path) > len(prefix)) {
+			return m, prefix
 		}
-		if path == "" {
-			return nil
+		if prefix == "" {
+			return nil, ""
 		}
-		path = path[:strings.LastIndexByte(path, '/')]
+		prefix = parent(prefix)
 	}
 }
 
+// parent returns the path without its last segment.
+func parent(path string) string { return path[:strings.LastIndexByte(path, '/')] }
+
 func pickMethod(matches []*Match, method string) *Match {
 	var anyMethod *Match
 	for _, m := range matches {
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -8,6 +8,8 @@
 const (
 	// NoRoute means that no route matches the method and path.
 	NoRoute Reason = "no_route"
+	// PathAmbiguous means that the path has a segment "..", so that the node and an upstream may take it for different paths.
+	PathAmbiguous Reason = "path_ambiguous"
 	// RouteUnsupported means that the configuration has a route for the request that this build does not understand.
 	RouteUnsupported Reason = "route_unsupported"
 	// NoTarget means that no target of the service is left for the request.
@@ -131,7 +133,7 @@
 // Reasons returns every reason, in declaration order.
 func Reasons() []Reason {
 	return []Reason{
-		NoRoute, RouteUnsupported, NoTarget, SlotsFull, QueueDeadline, TargetDraining, TargetStarting, TargetOnTrial, TargetDoubtful, TargetUnknown, AttemptFenced,
+		NoRoute, PathAmbiguous, RouteUnsupported, NoTarget, SlotsFull, QueueDeadline, TargetDraining, TargetStarting, TargetOnTrial, TargetDoubtful, TargetUnknown, AttemptFenced,
 		AttemptDuplicate, AdmitExpired, WrongIncarnation, UpstreamShed, UpstreamUnreachable, NodeUnreachable,
 		NodeStopping, NotReady, Overloaded, DeadlineExceeded, BodyTooLarge, BodyIncomplete, BadRequest, KeyMissing, KeyInvalid,
 		KeyReused, StoreUnavailable, Quarantined, LinkBudget, RepeatsSpent, AcceptorStopping, CallerGone,
