Spread out the claims of a probe, so that its writes do not grow with the fleet

The fleet shares the store's limit of writes; when the request comes back to all nodes at once, one probe costs a write of each.

Cause: each node that had the request when its probe was due read the entry and wrote the next probe at once. All read before the first write, so that only the compare-and-swap kept them apart.

Ruled out: turns spread evenly (the writes still grow with the fleet); claims by a few elected nodes (the request may reach none of them, and the quarantine would not end); claims by the admitting node of the target (accepting nodes would send it every quarantined request).

Change: a node waits for its turn before it reads, and reads only if the probe is still due. Turns are exponentially distributed over 1 s, or over a quarter of the time left for the request if that is shorter, by a hash of node and probe. Few turns come within the time of a call after the first one, whatever the number of nodes. Who gets the probe is still decided by the store.

Open: each node that has the request still reads the entry, unless it hears of the claim before its turn.

--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
@@ -28,6 +29,8 @@
 	// short timeout.
 	notify func(service model.ServiceName, entry []byte)
 
+	// nodeHash is a hash of the node and its incarnation.
+	nodeHash uint64
 	// isWatching reports whether this node watches the store.
 	isWatching func() bool
 
@@ -54,6 +57,7 @@
 func newCrashTracker(c clock, self model.Node, s store.Store, log *events.Log) *crashTracker {
 	return &crashTracker{
 		clock: c, store: s, log: log, table: quarantine.New(),
+		nodeHash:   xxhash.Sum64String(string(self.ID)) ^ uint64(self.Incarnation),
 		notify:     func(model.ServiceName, []byte) {},
 		isWatching: func() bool { return false },
 		// The serials of two incarnations differ, so that a loss after a restart is not mistaken for an earlier one.
--- a/internal/node/probes.go
+++ b/internal/node/probes.go
@@ -17,14 +17,22 @@
 // probeClaimTimeout limits the calls of the store that claim a probe. A node that learns later that it has a probe does not use it.
 const probeClaimTimeout = 500 * time.Millisecond
 
+const (
+	// maxProbeClaimDelay is the time over which the nodes that have the request when its probe is due spread out their claims. It is no
+	// longer than the time after which a node may try again.
+	maxProbeClaimDelay = time.Second
+	// probeClaimDelayShare is the part of the time left for a request over which its node spreads out its claim, if that is shorter.
+	probeClaimDelayShare = 0.25
+)
+
 // claimProbe reports whether the attempt is the probe of its quarantined fingerprint, and notes it in head. The store decides which
 // node gets it: the first one that writes the entry with the next probe.
 func (c *crashTracker) claimProbe(ctx context.Context, head *peerv1.ForwardHead) bool {
 	fingerprint := quarantine.Fingerprint(head.Fingerprint)
 	c.mu.Lock()
-	due := c.table.ProbeDue(c.clock.now(), fingerprint)
+	due, turn := c.table.ProbeDue(c.clock.now(), fingerprint), c.table.ProbeTurn(fingerprint, c.nodeHash)
 	c.mu.Unlock()
-	if !due {
+	if !due || !c.awaitProbeTurn(ctx, fingerprint, turn) {
 		return false
 	}
 	began := c.clock.now()
@@ -62,6 +70,28 @@
 	return true
 }
 
+// awaitProbeTurn waits for the turn of this node to claim the probe, so that the nodes behind the first one find its claim and write
+// nothing. It returns false if the probe is claimed meanwhile or ctx ends.
+func (c *crashTracker) awaitProbeTurn(ctx context.Context, fingerprint quarantine.Fingerprint, turn float64) bool {
+	if sleep(ctx, time.Duration(turn*float64(probeClaimDelay(ctx)))) != nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, due := c.table.ClaimProbe(c.clock.now(), fingerprint)
+	return due
+}
+
+// probeClaimDelay returns the time within which the node of a request claims a probe.
+func probeClaimDelay(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return maxProbeClaimDelay
+	}
+	share := time.Duration(probeClaimDelayShare * float64(time.Until(deadline)))
+	return max(min(share, maxProbeClaimDelay), 0)
+}
+
 // decideProbe is decide for an attempt with a claimed probe. c.mu is held.
 func (c *crashTracker) decideProbe(head *peerv1.ForwardHead, start bool) quarantine.Decision {
 	fingerprint, target := quarantine.Fingerprint(head.Fingerprint), model.TargetID(head.Target)
