Refuse requests of HTTP/1.0 whose end is not known

Cause: HTTP/1.0 has no chunks, so such a request shows two ends (RFC 9112, section 6.1). net/http ignores Transfer-Encoding in HTTP/1.0 and removes the field before a handler sees the head.

Ruled out: following all heads on a connection (bodies and chunks of pipelined requests would have to be delimited a second time); looking for the field anywhere in the bytes (a body may hold it); refusing all bodies in HTTP/1.0 (TestWholeRequestsAreRun).

Change: callerconn reads the head of the first request of a connection along, at the point where net/http takes its bytes, and keeps its request line if it is of HTTP/1.0 and whether it has the field. The node ends the connection after a request of HTTP/1.0, and refuses one (400, body_incomplete) that has the field or is not that first request, as behind a request of HTTP/1.1 or behind OPTIONS *, which net/http answers itself. Nothing is kept or read for HTTP/1.1 after the first line of a connection.

Price: a caller of HTTP/1.0 with keep-alive gets a new connection for each request.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -35,6 +35,8 @@
 	// readErr is the error that ended reading, nil while the caller may send more.
 	readErr error
 	closing bool
+	// first is what is known of the head of the first request.
+	first firstHead
 	// stateKnown means that RecordState is told of the connection's states.
 	stateKnown bool
 	// finishing means that the handler of a watched request has returned and the server may still hold part of its response.
@@ -52,6 +54,13 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	n, err := c.read(p)
+	c.first.read(p[:n])
+	return n, err
+}
+
+// read is Read without its effect on first. c.mu is held, but not while it waits for the caller.
+func (c *Conn) read(p []byte) (int, error) {
 	for c.readingAhead && len(c.ahead) == 0 {
 		c.cond.Wait()
 	}
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -85,6 +85,10 @@
 
 // ServeHTTP implements http.Handler for the callers' listener.
 func (a *acceptor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		// Only the first request of HTTP/1.0 on a connection is known to be whole.
+		w.Header().Set("Connection", "close")
+	}
 	if strings.HasPrefix(r.URL.Path, nodePathPrefix) {
 		a.serveNodePath(w, r)
 		return
--- a/internal/node/cut_request_test.go
+++ b/internal/node/cut_request_test.go
@@ -180,3 +180,40 @@
 		t.Errorf("status %d, run with %q; want no run", status, bodies)
 	}
 }
+
+// Guards against a request of HTTP/1.0 with chunks that hides its framing behind another request of its connection.
+func TestHTTP10RequestBehindAnotherIsNotRun(t *testing.T) {
+	const head = "POST /s HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n"
+	const chunked = head + "Content-Length: 5\r\ntransfer-encoding: chunked\r\n\r\na\r\n" + requestBody + "\r\n0\r\n\r\n"
+	for name, c := range map[string]struct {
+		before string
+		runs   int
+	}{
+		"HTTP/1.1":             {"GET /s HTTP/1.1\r\nHost: h\r\n\r\n", 1},
+		"HTTP/1.0":             {head + "Content-Length: 0\r\n\r\n", 1},
+		"node's own path":      {"GET /_sardinereach/health HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n", 0},
+		"answered by net/http": {"OPTIONS * HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runs := new(recordedRuns)
+			a, _ := startAcceptor(t)
+			addTarget(t, a, &declaration.Service{Name: "s", Routes: []declaration.Route{{Path: "/s", Class: declaration.Idempotent}}}, runs.serve(t))
+			connection, err := net.Dial("tcp", serveCallers(t, a))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer connection.Close()
+			_ = connection.SetDeadline(time.Now().Add(requestTestLimit))
+			if _, err := io.WriteString(connection, c.before+chunked); err != nil {
+				t.Fatal(err)
+			}
+			if answers, err := io.ReadAll(connection); err != nil || len(answers) == 0 {
+				t.Fatalf("%q %v", answers, err)
+			}
+			bodies := runs.all()
+			if len(bodies) != c.runs || strings.Join(bodies, "") != "" {
+				t.Errorf("run with %q; want %d runs without a body", bodies, c.runs)
+			}
+		})
+	}
+}
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
+	"github.com/sardinereach/sardinereach/internal/callerconn"
 	"github.com/sardinereach/sardinereach/internal/core"
 	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/framing"
@@ -176,14 +177,20 @@
 	return min(timeout, time.Duration(ms)*time.Millisecond), nil
 }
 
-// errNoLength means that the end of a request's body is not known.
-var errNoLength = errors.New("node: a request of HTTP/1.0 has no length")
+// Errors of requests of HTTP/1.0 whose end is not known.
+var (
+	errNoLength  = errors.New("node: a request of HTTP/1.0 has no length")
+	errUnseenEnd = errors.New("node: a request of HTTP/1.0 has a transfer encoding, or is not the first one of its connection")
+)
 
 // readBody reads the complete body. A caller that has not sent it by the deadline loses its connection.
 func readBody(w http.ResponseWriter, r *http.Request, maxBody int64, deadline time.Time) ([]byte, *verdict.Error) {
 	if framing.LacksLength(r) {
 		return nil, verdict.Refused(verdict.BodyIncomplete, errNoLength)
 	}
+	if conn := callerconn.FromContext(r.Context()); conn != nil && !conn.KnowsEnd(r) {
+		return nil, verdict.Refused(verdict.BodyIncomplete, errUnseenEnd)
+	}
 	if r.ContentLength > maxBody {
 		return nil, verdict.Refused(verdict.BodyTooLarge, nil)
 	}
