End a quota loan at a fixed time after the distributor's own clock

Cause: a loan began when the distributor handled the call. One that was frozen handled the calls that it had missed when it woke, by when their senders had lent the parts elsewhere.

Ruled out: a loan from the time of sending, because the clocks of two nodes have nothing in common; refusing calls that waited long, because the receiver cannot see how long they waited.

Change: an answer carries the distributor's clock and incarnation, and the next loan echoes them. The loan ends 2 s after the echoed clock; the lender waits 2 s from the receipt of that answer, which was later. A loan with the echo of another incarnation, or none, lends nothing; the answer to it tells the clock, and the loan follows at once while requests wait. Nodes learn the clock while they start (they ask from the parts of others then) and from the probe before parts move, so that neither takes longer. The 2 s are the sum of the former 1.5 s and the 0.5 s for a call without an answer, which a lender no longer adds: it waits 2 s after the last answer in place of 2 s and more after the last call. Calls of idle nodes go out every 0.75 s, as documented, no longer every 1.125 s, because each loan begins with the echo of the one before. A node of a build that tells no clock gets no parts.

Tests changed: the lost calls of testNode.ask in internal/quota echo clocks as nodes do, in place of the lender's former wait; slowQuotaCaller answers with a clock, as nodes do.

Open: a distributor whose clock stands still (a paused VM) uses its loans for longer.

--- a/internal/node/quota_purse_kept_test.go
+++ b/internal/node/quota_purse_kept_test.go
@@ -19,7 +19,7 @@
 
 func (c slowQuotaCaller) Quota(_ context.Context, _ string, req *peerv1.QuotaRequest) (*peerv1.QuotaResponse, error) {
 	time.Sleep(c.delay)
-	response := &peerv1.QuotaResponse{}
+	response := &peerv1.QuotaResponse{Clock: &peerv1.QuotaClock{}}
 	for _, d := range req.Demands {
 		response.Grants = append(response.Grants, &peerv1.QuotaGrant{Account: d.Account, Permits: d.Waiting, ValidMs: 400})
 	}
--- a/internal/node/quota_slot.go
+++ b/internal/node/quota_slot.go
@@ -16,14 +16,12 @@
 	purses      map[model.AccountName]*accountPurse
 	// asking means that a call to a distributor is on its way, or about to be made.
 	asking bool
-	// lentAt is the time of the last loan.
+	// lentAt is the time of the last call that lent the parts and was answered.
 	lentAt time.Duration
 	// failedUntil are the nodes that did not answer, with the times until which they are left out.
 	failedUntil map[model.NodeID]time.Duration
 	// failures are the calls in a row that a node did not answer.
 	failures map[model.NodeID]int
-	// answered is the node that is to have the parts and has answered a probe, "" if there is none.
-	answered model.NodeID
 	// serial is that of the last call.
 	serial uint64
 }
@@ -41,9 +39,10 @@
 	err    *verdict.Error
 }
 
-func newQuotaSlot(number int, notBefore time.Duration) *quotaSlot {
+// newQuotaSlot returns the slot of a node that starts at the time 0.
+func newQuotaSlot(number int) *quotaSlot {
 	return &quotaSlot{
-		number: number, lender: quota.NewLender(notBefore), distributor: quota.NewDistributor(),
+		number: number, lender: quota.NewLender(0, quotaLoan), distributor: quota.NewDistributor(),
 		purses: make(map[model.AccountName]*accountPurse), failedUntil: make(map[model.NodeID]time.Duration), failures: make(map[model.NodeID]int), lentAt: -quotaLoan,
 	}
 }
@@ -70,7 +69,7 @@
 }
 
 // choose returns the next call, one without a distributor if there is none now. The parts stay where they are until the node that is
-// to have them has answered.
+// to have them has told its clock.
 func (s *quotaSlot) choose(now time.Duration, fleet quotaFleet, self model.NodeID) quotaCall {
 	candidates := s.candidates(now, fleet)
 	isLast := len(candidates) == 0
@@ -78,9 +77,13 @@
 		candidates = []model.NodeID{self}
 	}
 	preferred := quota.Preferred(s.number, candidates)
-	if s.lender.MayLendTo(now, preferred) {
+	mayLend, hasHeard := s.lender.MayLendTo(now, preferred), s.lender.HasHeard(now, preferred)
+	if mayLend && hasHeard {
 		return quotaCall{distributor: preferred, kind: quotaLend, isLast: isLast}
 	}
+	if mayLend {
+		return quotaCall{distributor: preferred, kind: quotaProbe, isLast: isLast}
+	}
 	holder := s.lender.Holder(now)
 	if holder == "" {
 		return quotaCall{distributor: preferred, kind: quotaAsk}
@@ -88,10 +91,9 @@
 	if _, known := fleet.addresses[holder]; !known || now < s.failedUntil[holder] {
 		return quotaCall{}
 	}
-	if s.answered != preferred {
+	if !hasHeard {
 		return quotaCall{distributor: preferred, kind: quotaProbe}
 	}
-	s.answered = ""
 	return quotaCall{distributor: holder, kind: quotaTakeBack}
 }
 
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -14,17 +14,20 @@
 )
 
 const (
-	// quotaLoan is the time for which a node lends its parts. A node that loses the distributor is without permits for so long.
-	quotaLoan = 1500 * time.Millisecond
+	// quotaLoan is the time from the echoed clock for which a node lends its parts. A node that loses the distributor is without permits
+	// for so long. A loan echoes the answer to the one before, so that half of it is left when it begins.
+	quotaLoan = 2 * time.Second
 	// quotaRenewal is the time after which a node that needs no permits lends its parts again.
 	quotaRenewal = 750 * time.Millisecond
+	// quotaTick is the time between two checks whether parts are to be lent again.
+	quotaTick = quotaRenewal / 2
 	// quotaCallTimeout bounds a call to a distributor.
 	quotaCallTimeout = 500 * time.Millisecond
 	// maxQuotaFailures is the number of calls in a row without an answer after which a distributor is left out.
 	maxQuotaFailures = 2
 	// quotaFailureBackoff is the time for which a distributor that did not answer is left out. It is longer than a loan, so that the
 	// parts are lent elsewhere in between.
-	quotaFailureBackoff = quotaLoan + 2*quotaCallTimeout
+	quotaFailureBackoff = quotaLoan + quotaCallTimeout
 )
 
 // quotaCaller sends the calls to the distributors at other nodes.
@@ -57,7 +60,7 @@
 func newQuotas(self model.Node, c clock, peers quotaCaller, log *events.Log) *quotas {
 	q := &quotas{self: self, clock: c, peers: peers, log: log}
 	for i := range q.slots {
-		q.slots[i] = newQuotaSlot(i, quotaCallTimeout+quotaLoan)
+		q.slots[i] = newQuotaSlot(i)
 	}
 	return q
 }
@@ -143,7 +146,7 @@
 
 // run lends the parts of this node again in time.
 func (q *quotas) run(ctx context.Context) {
-	ticker := time.NewTicker(quotaRenewal / 2)
+	ticker := time.NewTicker(quotaTick)
 	defer ticker.Stop()
 	for {
 		select {
@@ -155,7 +158,7 @@
 	}
 }
 
-// renew lends the parts of the slots that have not been lent for quotaRenewal.
+// renew lends the parts of the slots that have not been lent for quotaRenewal, to the nearest quotaTick.
 func (q *quotas) renew() {
 	if !q.isNeeded() {
 		return
@@ -166,7 +169,7 @@
 	for _, slot := range q.slots {
 		slot.forgetIdle(now)
 		slot.distributor.Keep(func(account model.AccountName) bool { _, limited := q.limitOf(account); return limited })
-		if now-slot.lentAt >= quotaRenewal {
+		if now-slot.lentAt >= quotaRenewal-quotaTick/2 {
 			q.startAsking(slot)
 		}
 	}
@@ -199,7 +202,7 @@
 		q.mu.Unlock()
 		return false
 	}
-	request := slot.request(now, q.self, fleet, next.kind)
+	request := slot.request(now, q.self, fleet, next)
 	q.mu.Unlock()
 	response, err := q.call(next.distributor, fleet.addresses[next.distributor], request)
 	if err != nil {
@@ -208,15 +211,20 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	ended := q.clock.now()
+	lentNothing := next.lentNothing(request, response)
 	slot.recordCall(ended, next, response)
-	if err != nil {
+	if next.kind == quotaLend && response != nil && !response.Declined && !lentNothing {
+		slot.lentAt = now
+	}
+	switch {
+	case err != nil:
 		q.log.Emit(events.QuotaCallFailed, events.NodeField(next.distributor), events.CountField(slot.number))
-	} else if !response.Declined {
-		slot.apply(ended, now, request, response)
-	} else if next.isLast {
+	case response.Declined && next.isLast:
 		slot.refuseWaiting(ended, ended)
+	case !response.Declined && !lentNothing:
+		slot.apply(ended, now, request, response)
 	}
-	slot.asking = slot.hasWaiting()
+	slot.asking = lentNothing && slot.lender.MayLendTo(ended, next.distributor) || slot.hasWaiting()
 	return slot.asking
 }
 
@@ -225,24 +233,21 @@
 	switch {
 	case response == nil:
 		s.recordFailure(ended, call.distributor)
-	case response.Declined:
+	case response.Declined, response.Clock == nil:
+		// A node of a build that tells no clock takes no loans either.
 		s.failedUntil[call.distributor] = ended + quotaFailureBackoff
 	default:
 		delete(s.failedUntil, call.distributor)
 		delete(s.failures, call.distributor)
 	}
-	switch {
-	case response == nil && call.kind == quotaLend:
-		// The call may still be on its way.
-		s.lender.Lent(call.distributor, ended+quotaCallTimeout, quotaLoan)
-	case response == nil, call.kind == quotaAsk:
-	case call.kind == quotaProbe:
-		s.answered = call.distributor
-	case response.Declined || call.kind == quotaTakeBack:
+	if response == nil {
+		return
+	}
+	if response.Clock != nil {
+		s.lender.Hear(ended, call.distributor, quotaClock(response.Clock))
+	}
+	if call.kind == quotaLend && response.Declined || call.kind == quotaTakeBack {
 		s.lender.TakenBack(ended)
-	default:
-		s.lender.Lent(call.distributor, ended, quotaLoan)
-		s.lentAt = ended
 	}
 }
 
@@ -257,16 +262,17 @@
 }
 
 // request returns the message of a call, with the demands of all accounts of the slot if the receiver can grant permits.
-func (s *quotaSlot) request(now time.Duration, self model.Node, fleet quotaFleet, kind quotaCallKind) *peerv1.QuotaRequest {
+func (s *quotaSlot) request(now time.Duration, self model.Node, fleet quotaFleet, call quotaCall) *peerv1.QuotaRequest {
 	s.serial++
 	request := &peerv1.QuotaRequest{
 		Node: string(self.ID), Incarnation: uint64(self.Incarnation), Slot: int32(s.number), Serial: s.serial,
 	}
-	if kind == quotaLend {
+	if call.kind == quotaLend {
 		request.Divisor, request.LendMs = int32(fleet.divisor), quotaLoan.Milliseconds()
+		request.Echo = quotaClockMessage(s.lender.Lend(call.distributor))
 	}
-	request.TakeBack = kind == quotaTakeBack
-	if kind != quotaLend && kind != quotaAsk {
+	request.TakeBack = call.kind == quotaTakeBack
+	if call.kind != quotaLend && call.kind != quotaAsk {
 		return request
 	}
 	for account, p := range s.purses {
@@ -301,6 +307,14 @@
 	}
 }
 
+// loanEnd returns the time at which the loan of the request ends at the node with the clock, false if the request lends nothing.
+func loanEnd(clock quota.ClockReading, request *peerv1.QuotaRequest) (time.Duration, bool) {
+	if request.Divisor <= 0 || request.Echo == nil {
+		return 0, false
+	}
+	return clock.LoanEnd(quotaClock(request.Echo), min(time.Duration(request.LendMs)*time.Millisecond, quotaLoan))
+}
+
 // ceilMilliseconds rounds up, so that a caller does not come too early.
 func ceilMilliseconds(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
 
@@ -313,15 +327,17 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.now()
+	clock := quota.ClockReading{Incarnation: q.self.Incarnation, At: now}
+	response.Clock = quotaClockMessage(clock)
 	distributor := q.slots[request.Slot].distributor
 	loan := quota.Loan{
 		Node: model.NodeID(request.Node), Incarnation: model.Incarnation(request.Incarnation), Divisor: int(request.Divisor),
 		Serial: request.Serial,
 	}
-	if request.Divisor > 0 && !response.Declined {
-		distributor.Lend(now, loan, now+min(time.Duration(request.LendMs)*time.Millisecond, quotaLoan))
-	} else if request.TakeBack || response.Declined {
+	if request.TakeBack || response.Declined {
 		distributor.TakeBack(now, loan)
+	} else if until, lends := loanEnd(clock, request); lends {
+		distributor.Lend(now, loan, until)
 	}
 	if response.Declined {
 		return response
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -6,25 +6,58 @@
 	"github.com/sardinereach/sardinereach/internal/model"
 )
 
-// Lender records to whom a node lends its parts, so that it never lends them to two distributors at a time.
+// Lender records to whom a node lends its parts, so that it never lends them to two distributors at a time. A loan begins with a reading
+// of the distributor's clock, which the lender echoes: the distributor ends the loan at a fixed time after the reading, and the lender
+// counts the same time from when it heard the reading, which was later.
 type Lender struct {
+	length time.Duration
 	holder model.NodeID
-	// until is the time at which the last loan has ended, whenever the holder has received it.
+	// until is the time at which the last loan has ended, whether or not the holder has received it.
 	until time.Duration
+	// heard are the last readings of the clocks of distributors.
+	heard map[model.NodeID]heardClock
 }
 
-// NewLender returns a lender that lends nothing before the given time: an earlier process of the node may have lent its parts.
-func NewLender(notBefore time.Duration) *Lender { return &Lender{until: notBefore} }
+// heardClock is a reading with the time at which the lender heard it.
+type heardClock struct {
+	reading ClockReading
+	at      time.Duration
+}
+
+// NewLender returns a lender that starts now. It lends nothing for the length of a loan: an earlier process of the node may have lent
+// its parts.
+func NewLender(now, length time.Duration) *Lender {
+	return &Lender{length: length, until: now + length, heard: make(map[model.NodeID]heardClock)}
+}
 
 // MayLendTo reports whether the parts may be lent to the distributor now.
 func (l *Lender) MayLendTo(now time.Duration, distributor model.NodeID) bool {
 	return l.holder == distributor || now >= l.until
 }
 
-// Lent records that the distributor has the parts. It has received the call before the given time. MayLendTo must have allowed it.
-func (l *Lender) Lent(distributor model.NodeID, receivedBefore, length time.Duration) {
+// Hear records the clock that a distributor has told now.
+func (l *Lender) Hear(now time.Duration, distributor model.NodeID, reading ClockReading) {
+	for node := range l.heard {
+		if !l.HasHeard(now, node) {
+			delete(l.heard, node)
+		}
+	}
+	l.heard[distributor] = heardClock{reading: reading, at: now}
+}
+
+// HasHeard reports whether the lender has heard the clock of the distributor so recently that half of a loan is left.
+func (l *Lender) HasHeard(now time.Duration, distributor model.NodeID) bool {
+	heard, found := l.heard[distributor]
+	return found && now-heard.at <= l.length/2
+}
+
+// Lend records that the distributor may have the parts from now on, and returns the reading that the call echoes. MayLendTo and HasHeard
+// must have allowed it.
+func (l *Lender) Lend(distributor model.NodeID) ClockReading {
+	heard := l.heard[distributor]
 	l.holder = distributor
-	l.until = max(l.until, receivedBefore+length)
+	l.until = max(l.until, heard.at+l.length)
+	return heard.reading
 }
 
 // TakenBack records that the distributor has given the parts back, and ignores earlier calls.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -13,10 +13,9 @@
 )
 
 const (
-	testLend    = 2 * time.Second
-	testTimeout = 500 * time.Millisecond
-	testStep    = 50 * time.Millisecond
-	account     = model.AccountName("a")
+	testLend = 2 * time.Second
+	testStep = 50 * time.Millisecond
+	account  = model.AccountName("a")
 )
 
 // testNode is a node of a fleet without a network. The distributor of the account is chosen by the test.
@@ -26,40 +25,85 @@
 	lender      *Lender
 	distributor *Distributor
 	purse       Purse
-	// cut means that calls from and to the node fail; a lost answer counts as a call that was received as late as possible.
+	// started is the time at which the clock of the incarnation began.
+	started time.Duration
+	serial  uint64
+	// cut means that calls from and to the node get no answer. It may have handled them, or handles them when it is no longer cut.
 	cut bool
+	// late are the calls that the node has not handled yet.
+	late []testCall
+}
+
+// testCall lends parts, if it has an echo, and asks for permits.
+type testCall struct {
+	loan    Loan
+	echo    *ClockReading
+	waiting int
+}
+
+// reading returns the node's own clock.
+func (n *testNode) reading(now time.Duration) ClockReading {
+	return ClockReading{Incarnation: n.incarnation, At: now - n.started}
+}
+
+// handle handles a call as the distributor.
+func (n *testNode) handle(now time.Duration, call testCall, limit Limit, expected int) Grant {
+	clock := n.reading(now)
+	if call.echo != nil {
+		if until, lends := clock.LoanEnd(*call.echo, testLend); lends {
+			n.distributor.Lend(clock.At, call.loan, until)
+		}
+	}
+	return n.distributor.Take(clock.At, account, limit, call.waiting, expected)
+}
+
+// wake ends the cut. The node handles the calls that it has missed.
+func (n *testNode) wake(now time.Duration, limit Limit) {
+	n.cut = false
+	for _, call := range n.late {
+		n.handle(now, call, limit, 0)
+	}
+	n.late = nil
 }
 
 func (n *testNode) restart(now time.Duration) {
 	n.incarnation++
-	n.lender = NewLender(now + testTimeout + testLend)
+	n.started, n.serial = now, 0
+	n.lender = NewLender(0, testLend)
 	n.distributor = NewDistributor()
 	n.purse = Purse{}
 }
 
 // ask lends the parts to the distributor and asks it for permits.
 func (n *testNode) ask(now time.Duration, to *testNode, nodes int, limit Limit, waiting int, random *rand.Rand) {
-	if !n.lender.MayLendTo(now, to.id) {
+	at := n.reading(now).At
+	if !n.lender.MayLendTo(at, to.id) {
 		return
 	}
+	n.serial++
+	call := testCall{loan: Loan{Node: n.id, Incarnation: n.incarnation, Divisor: nodes, Serial: n.serial}, waiting: waiting}
+	if n.lender.HasHeard(at, to.id) {
+		echo := n.lender.Lend(to.id)
+		call.echo = &echo
+	}
 	if n != to && (n.cut || to.cut) {
-		if random.IntN(2) == 0 {
-			to.distributor.Lend(now, Loan{Node: n.id, Incarnation: n.incarnation, Divisor: nodes}, now+testLend)
-			to.distributor.Take(now, account, limit, waiting, 0)
+		switch random.IntN(3) {
+		case 0:
+			to.handle(now, call, limit, 0)
+		case 1:
+			to.late = append(to.late, call)
 		}
-		n.lender.Lent(to.id, now+testTimeout, testLend)
 		return
 	}
-	to.distributor.Lend(now, Loan{Node: n.id, Incarnation: n.incarnation, Divisor: nodes}, now+testLend)
-	n.lender.Lent(to.id, now, testLend)
-	grant := to.distributor.Take(now, account, limit, waiting, n.purse.Expected(now))
+	grant := to.handle(now, call, limit, n.purse.Expected(now))
+	n.lender.Hear(at, to.id, to.reading(now))
 	n.purse.Add(grant.Permits, now+PermitValidity)
 	if grant.NextIn > 0 {
 		n.purse.RefuseFor(now, grant.NextIn)
 	}
 }
 
-// Guards against more requests of an account than its limit allows in any span, while nodes are cut off and restart, and the
+// Guards against more requests of an account than its limit allows in any span, while nodes are cut off or frozen and restart, and the
 // distributor of the account changes and differs from node to node.
 func TestPermitsStayWithinTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -79,7 +123,7 @@
 			case 1:
 				nodes[random.IntN(len(nodes))].cut = true
 			case 2, 3:
-				nodes[random.IntN(len(nodes))].cut = false
+				nodes[random.IntN(len(nodes))].wake(now, limit)
 			case 4:
 				distributor = random.IntN(len(nodes))
 			}
@@ -100,11 +144,23 @@
 					}
 				}
 			}
+			checkShares(t, now, nodes)
 		}
 		checkSpans(t, passed, limit, len(nodes))
 	})
 }
 
+// checkShares checks that no part is in use at two distributors.
+func checkShares(t *rapid.T, now time.Duration, nodes []*testNode) {
+	total := 0.0
+	for _, n := range nodes {
+		total += n.distributor.Share(n.reading(now).At)
+	}
+	if total > 1+1e-9 {
+		t.Fatalf("at %s the distributors hold %.3f of the limit", now, total)
+	}
+}
+
 // checkSpans checks every span that begins and ends with a request. A permit may be used PermitValidity after it was granted.
 func checkSpans(t *rapid.T, passed []time.Duration, limit Limit, nodes int) {
 	for first := range passed {
