Let small quotas pass at the half of the parts that has the casting one

What callers saw: while exactly half of the nodes were lost (one of two, until its record is evicted after 10 minutes to 24 h), no request of an account with a burst below 2 passed, and each was told to return in up to a second.

Cause: a bucket holds at most burst x share. More than half of the parts hold at least one token, because only one distributor can have them; since, exactly half of them do not, because both halves could.

What holds now: with less than half nothing of a quota passes whose burst x share is below 1, and nothing can without breaking the bound: two distributors that cannot talk must not both grant the one request of a burst of 1. With exactly half, one of the halves may, if it is certain which.

Ruled out: a whole token at any half (two requests at once of a burst of 1; the property test fails with it); unequal parts, which only move the tie; turns by the clock, because nothing keeps the clocks of the nodes together.

Change: one part is the casting one, that of the node which the rendezvous hash of all known nodes, lost ones included, chooses for the slot. Exactly half of the parts with it count as a majority. The lender says so in its calls.

Measured: TestHalfOfThePartsWithTheCastingOneGrantsASmallLimit failed before (0 permits of a burst of 0, 1 and 1.99, from 2 nodes on); TestOneHalfOfTheNodesGrantsASmallQuota fails without the casting part (0 pass, 1 wanted) and with a casting part at every node (1 passes at the other half).

Open: the survivor of two nodes has the casting part for half of the slots only.

--- a/internal/node/quota_fleet.go
+++ b/internal/node/quota_fleet.go
@@ -7,8 +7,8 @@
 
 // quotaFleet is what the quotas need to know of the fleet.
 type quotaFleet struct {
-	// divisor is the number of nodes among which each limit is divided, lost ones included: they may still use their parts.
-	divisor int
+	// members are the nodes among which each limit is divided, lost ones included: they may still use their parts.
+	members []model.NodeID
 	// addresses are the peer addresses of the nodes that answer, this node included.
 	addresses map[model.NodeID]string
 	// eligible are those of them that do not stop. Quotas are lent to one of them.
@@ -17,8 +17,9 @@
 
 // quotaFleet returns the fleet as this node knows it now.
 func (n *Node) quotaFleet() quotaFleet {
+	self := n.self.ID
 	fleet := quotaFleet{
-		divisor: 1, addresses: map[model.NodeID]string{n.self.ID: n.self.PeerAddress}, eligible: []model.NodeID{n.self.ID},
+		members: []model.NodeID{self}, addresses: map[model.NodeID]string{self: n.self.PeerAddress}, eligible: []model.NodeID{self},
 	}
 	members := n.distributor.Snapshot().Members
 	if members == nil {
@@ -26,10 +27,10 @@
 	}
 	avoided := n.paths.avoided()
 	for id, member := range members.Members {
-		if id == n.self.ID {
+		if id == self {
 			continue
 		}
-		fleet.divisor++
+		fleet.members = append(fleet.members, id)
 		if member.State != membership.Alive || avoided[id] {
 			continue
 		}
--- /dev/null
+++ b/internal/node/quota_half_fleet_test.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sardinereach/sardinereach/internal/declaration"
+	"github.com/sardinereach/sardinereach/internal/quota"
+)
+
+// Guards against a small quota of which no request passes at either half of the nodes, or one at both, while the other half is lost.
+func TestOneHalfOfTheNodesGrantsASmallQuota(t *testing.T) {
+	for _, lostFrom := range []int{0, quotaTestNodes / 2} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer time.Sleep(time.Second)
+			defer cancel()
+			account := &declaration.Account{Name: "a", RatePerSecond: 1, Burst: 1}
+			f := newQuotaTestFleet(account)
+			nodes := slices.Sorted(slices.Values(f.members().members))
+			casting := quota.Preferred(quota.SlotOf(account.Name), nodes)
+			lost := nodes[lostFrom : lostFrom+quotaTestNodes/2]
+			for _, id := range nodes {
+				isLost := slices.Contains(lost, id)
+				f.lost[string(id)].Store(isLost)
+				f.avoided[string(id)].Store(isLost)
+				if !isLost {
+					go f.nodes[string(id)].run(ctx)
+				}
+			}
+			time.Sleep(10 * time.Second)
+			passed := 0
+			for _, id := range nodes {
+				if slices.Contains(lost, id) {
+					continue
+				}
+				if _, err := f.nodes[string(id)].take(ctx, account); err == nil {
+					passed++
+				}
+			}
+			want := 1
+			if slices.Contains(lost, casting) {
+				want = 0
+			}
+			if passed != want {
+				t.Errorf("%d requests pass without %v, want %d; the casting part is that of %s", passed, lost, want, casting)
+			}
+		})
+	}
+}
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -268,7 +268,8 @@
 		Node: string(self.ID), Incarnation: uint64(self.Incarnation), Slot: int32(s.number), Serial: s.serial,
 	}
 	if call.kind == quotaLend {
-		request.Divisor, request.LendMs = int32(fleet.divisor), quotaLoan.Milliseconds()
+		request.Divisor, request.LendMs = int32(len(fleet.members)), quotaLoan.Milliseconds()
+		request.Casting = quota.Preferred(s.number, fleet.members) == self.ID
 		request.Echo = quotaClockMessage(s.lender.Lend(call.distributor))
 	}
 	request.TakeBack = call.kind == quotaTakeBack
@@ -332,7 +333,7 @@
 	distributor := q.slots[request.Slot].distributor
 	loan := quota.Loan{
 		Node: model.NodeID(request.Node), Incarnation: model.Incarnation(request.Incarnation), Divisor: int(request.Divisor),
-		Serial: request.Serial,
+		IsCasting: request.Casting, Serial: request.Serial,
 	}
 	if request.TakeBack || response.Declined {
 		distributor.TakeBack(now, loan)
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -9,12 +9,12 @@
 	filledTo float64
 }
 
-// fill adds the tokens gained since the last call, up to the capacity of the share.
-func (b *bucket) fill(shareSeconds, share float64) {
+// fill adds the tokens gained since the last call, up to the capacity of the holding.
+func (b *bucket) fill(shareSeconds float64, h holding) {
 	b.tokens += b.limit.PerSecond * max(shareSeconds-b.filledTo, 0)
 	b.filledTo = shareSeconds
-	b.clamp(share)
+	b.clamp(h)
 }
 
-// clamp drops the tokens above the capacity of the share.
-func (b *bucket) clamp(share float64) { b.tokens = min(b.tokens, b.limit.capacity(share)) }
+// clamp drops the tokens above the capacity of the holding.
+func (b *bucket) clamp(h holding) { b.tokens = min(b.tokens, b.limit.capacity(h)) }
--- a/internal/quota/distributor.go
+++ b/internal/quota/distributor.go
@@ -17,9 +17,9 @@
 	buckets map[model.AccountName]*bucket
 	// now is the time up to which shareSeconds was computed.
 	now          time.Duration
-	share        float64
+	holding      holding
 	shareSeconds float64
-	// shrinks are the decreases of the share, the oldest first. They bound the tokens of an account that has no bucket yet.
+	// shrinks are the decreases of the holding, the oldest first. They bound the tokens of an account that has no bucket yet.
 	shrinks []shrink
 	// nextEnd is not after the end of any loan.
 	nextEnd time.Duration
@@ -39,13 +39,13 @@
 		return
 	}
 	d.advance(now)
-	part := 1 / float64(loan.Divisor)
-	if d.loans[loan.Node].part > part {
+	held := heldLoan{part: 1 / float64(loan.Divisor), isCasting: loan.IsCasting, until: until}
+	if d.loans[loan.Node].allowsMoreThan(held) {
 		d.remove(loan.Node)
 	}
 	d.fillAll()
-	d.loans[loan.Node] = heldLoan{part: part, until: until}
-	d.updateShare()
+	d.loans[loan.Node] = held
+	d.updateHolding()
 }
 
 // TakeBack ends the loan of the node.
@@ -82,15 +82,15 @@
 func (d *Distributor) Take(now time.Duration, account model.AccountName, limit Limit, waiting, expected int) Grant {
 	d.advance(now)
 	b := d.bucket(account, limit)
-	b.fill(d.shareSeconds, d.share)
+	b.fill(d.shareSeconds, d.holding)
 	granted := min(max(waiting, 0), int(b.tokens))
 	b.tokens -= float64(granted)
-	spare := int(b.tokens - limit.capacity(d.share)/2)
+	spare := int(b.tokens - limit.capacity(d.holding)/2)
 	extra := min(max(expected, 0), max(spare, 0))
 	b.tokens -= float64(extra)
 	grant := Grant{Permits: granted + extra}
 	if granted < waiting {
-		grant.NextIn = limit.fillTime(1-b.tokens, d.share)
+		grant.NextIn = limit.fillTime(1-b.tokens, d.holding.share)
 	}
 	return grant
 }
@@ -107,7 +107,7 @@
 // Share returns the share of every limit that the distributor holds.
 func (d *Distributor) Share(now time.Duration) float64 {
 	d.advance(now)
-	return d.share
+	return d.holding.share
 }
 
 // bucket returns the bucket of the account. One with a changed limit keeps its tokens, up to the new burst.
@@ -118,7 +118,7 @@
 		d.buckets[account] = b
 	}
 	if b.limit != limit {
-		b.fill(d.shareSeconds, d.share)
+		b.fill(d.shareSeconds, d.holding)
 		b.limit = limit
 	}
 	return b
@@ -144,52 +144,53 @@
 	if to <= d.now {
 		return
 	}
-	d.shareSeconds += d.share * (to - d.now).Seconds()
+	d.shareSeconds += d.holding.share * (to - d.now).Seconds()
 	d.now = to
 }
 
-// updateShare computes the share and the next end of a loan.
-func (d *Distributor) updateShare() {
-	d.share, d.nextEnd = 0, math.MaxInt64
+// updateHolding computes the holding and the next end of a loan.
+func (d *Distributor) updateHolding() {
+	share, hasCasting := 0.0, false
+	d.nextEnd = math.MaxInt64
 	for _, loan := range d.loans {
-		d.share += loan.part
+		share += loan.part
+		hasCasting = hasCasting || loan.isCasting
 		d.nextEnd = min(d.nextEnd, loan.until)
 	}
-	// Parts of nodes that count the fleet differently may add up to more.
-	d.share = min(d.share, 1)
+	d.holding = newHolding(share, hasCasting)
 }
 
-// fillAll adds the tokens gained so far, before the share changes: a bucket may hold no more than its share at the time allows.
+// fillAll adds the tokens gained so far, before the holding changes: a bucket has no more than the holding at the time allows.
 func (d *Distributor) fillAll() {
 	for _, b := range d.buckets {
-		b.fill(d.shareSeconds, d.share)
+		b.fill(d.shareSeconds, d.holding)
 	}
 }
 
-// shrink takes the parts that were removed out of the share, and drops the tokens that the rest may not hold.
+// shrink takes the parts that were removed out of the holding, and drops the tokens that the rest may not hold.
 func (d *Distributor) shrink() {
-	d.updateShare()
+	d.updateHolding()
 	d.recordShrink()
 	for _, b := range d.buckets {
-		b.clamp(d.share)
+		b.clamp(d.holding)
 	}
 }
 
-// recordShrink records a decrease to the current share. The oldest two records become one that allows no more than either.
+// recordShrink records a decrease to the current holding. The oldest two records become one that allows no more than either.
 func (d *Distributor) recordShrink() {
-	d.shrinks = append(d.shrinks, shrink{share: d.share, shareSeconds: d.shareSeconds})
+	d.shrinks = append(d.shrinks, shrink{holding: d.holding, shareSeconds: d.shareSeconds})
 	if len(d.shrinks) <= maxShrinks {
 		return
 	}
-	d.shrinks[1].share = min(d.shrinks[0].share, d.shrinks[1].share)
+	d.shrinks[1].holding = d.shrinks[0].holding.least(d.shrinks[1].holding)
 	d.shrinks = slices.Delete(d.shrinks, 0, 1)
 }
 
 // unusedTokens returns the tokens of a bucket with the limit from which nothing was taken.
 func (d *Distributor) unusedTokens(limit Limit) float64 {
-	tokens := min(limit.PerSecond*d.shareSeconds, limit.capacity(d.share))
+	tokens := min(limit.PerSecond*d.shareSeconds, limit.capacity(d.holding))
 	for _, s := range d.shrinks {
-		tokens = min(tokens, limit.capacity(s.share)+limit.PerSecond*(d.shareSeconds-s.shareSeconds))
+		tokens = min(tokens, limit.capacity(s.holding)+limit.PerSecond*(d.shareSeconds-s.shareSeconds))
 	}
 	return tokens
 }
--- a/internal/quota/half_share_test.go
+++ b/internal/quota/half_share_test.go
@@ -21,3 +21,19 @@
 		}
 	}
 }
+
+// Guards against a small limit of which no request passes while exactly half of the parts are missing.
+func TestHalfOfThePartsWithTheCastingOneGrantsASmallLimit(t *testing.T) {
+	for _, burst := range []float64{0, 1, 1.99} {
+		for nodes := 2; nodes <= 200; nodes += 2 {
+			d := NewDistributor()
+			for i := range nodes / 2 {
+				d.Lend(0, Loan{Node: model.NodeID(fmt.Sprint("n", i)), Divisor: nodes, IsCasting: i == 0}, time.Hour)
+			}
+			limit := Limit{PerSecond: 0.1, Burst: burst}
+			if grant := d.Take(time.Minute, account, limit, 2, 0); grant.Permits != 1 {
+				t.Errorf("%d nodes: half of the parts grants %d permits of a burst of %g", nodes, grant.Permits, burst)
+			}
+		}
+	}
+}
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -13,19 +13,16 @@
 	Burst float64
 }
 
-// capacity returns the most tokens that the share of the limit may hold. A share of more than a half, which only one distributor can
-// have at a time, holds at least one token, so that small limits let requests pass while some parts are missing.
-func (l Limit) capacity(share float64) float64 {
-	capacity := l.Burst * share
-	if share > halfShare {
+// capacity returns the most tokens that a distributor may have. A majority has at least one token, so that small limits let requests pass
+// while some parts are missing.
+func (l Limit) capacity(h holding) float64 {
+	capacity := l.Burst * h.share
+	if h.isMajority {
 		return max(capacity, 1)
 	}
 	return capacity
 }
 
-// halfShare is above the sum of half of the parts with its rounding error.
-const halfShare = 0.5 + 1e-9
-
 // fillTime returns the time in which the share of the limit gains the tokens, at most maxFillTime.
 func (l Limit) fillTime(tokens, share float64) time.Duration {
 	rate := l.PerSecond * share
--- a/internal/quota/loan.go
+++ b/internal/quota/loan.go
@@ -12,14 +12,22 @@
 	Incarnation model.Incarnation
 	// Divisor is the number of nodes among which the lender divides each limit. Its part is one in so many.
 	Divisor int
+	// IsCasting is true for one node among those that divide the limits. Its part decides which half of the parts is a majority.
+	IsCasting bool
 	// Serial orders the calls of the incarnation.
 	Serial uint64
 }
 
 // heldLoan is a loan that a distributor holds.
 type heldLoan struct {
-	part  float64
-	until time.Duration
+	part      float64
+	isCasting bool
+	until     time.Duration
+}
+
+// allowsMoreThan reports whether a distributor may have more tokens with this loan than with the other one.
+func (l heldLoan) allowsMoreThan(other heldLoan) bool {
+	return l.part > other.part || l.isCasting && !other.isCasting
 }
 
 // callOrder is the position of a call among those of its sender.
--- a/internal/quota/shrink.go
+++ b/internal/quota/shrink.go
@@ -3,7 +3,8 @@
 // maxShrinks is the number of decreases that a distributor remembers one by one.
 const maxShrinks = 32
 
-// shrink is a decrease of the share of a distributor, at the given share-seconds.
+// shrink is a decrease of the holding of a distributor, at the given share-seconds.
 type shrink struct {
-	share, shareSeconds float64
+	holding      holding
+	shareSeconds float64
 }
