Refuse with quota_unavailable where a distributor's parts hold no request of a quota

Cause: the distributor answered with the time until the bucket would gain a token, which its capacity does not allow.

Change: a distributor answers nothing for an account whose bucket can never hold a permit there, as it does without parts. The account has not used up its quota; the node refuses with quota_unavailable, 503.

Measured: TestOneHalfOfTheNodesGrantsASmallQuota, with the check of the reason, failed before at 5 of 5 nodes (quota_exceeded) and passes.

--- a/internal/node/quota_half_fleet_test.go
+++ b/internal/node/quota_half_fleet_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/quota"
+	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
 // Guards against a small quota of which no request passes at either half of the nodes, or one at both, while the other half is lost.
@@ -37,8 +38,11 @@
 				if slices.Contains(lost, id) {
 					continue
 				}
-				if _, err := f.nodes[string(id)].take(ctx, account); err == nil {
+				_, err := f.nodes[string(id)].take(ctx, account)
+				if err == nil {
 					passed++
+				} else if slices.Contains(lost, casting) && err.Reason != verdict.QuotaUnavailable {
+					t.Errorf("a request at %s, where the quota holds none: %v", id, err)
 				}
 			}
 			want := 1
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -346,7 +346,7 @@
 	for _, demand := range request.Demands {
 		account := model.AccountName(demand.Account)
 		limit, limited := q.limitOf(account)
-		if !limited || quota.SlotOf(account) != int(request.Slot) || distributor.Share(now) == 0 {
+		if !limited || quota.SlotOf(account) != int(request.Slot) || !distributor.CanGrant(now, limit) {
 			continue
 		}
 		grant := distributor.Take(now, account, limit, int(demand.Waiting), int(demand.Expected))
--- a/internal/quota/distributor.go
+++ b/internal/quota/distributor.go
@@ -104,6 +104,12 @@
 	}
 }
 
+// CanGrant reports whether the parts lent now are enough for a bucket of the limit to hold a permit.
+func (d *Distributor) CanGrant(now time.Duration, limit Limit) bool {
+	d.advance(now)
+	return limit.capacity(d.holding) >= 1
+}
+
 // Share returns the share of every limit that the distributor holds.
 func (d *Distributor) Share(now time.Duration) float64 {
 	d.advance(now)
