Take no whole token from a bucket for the rounding error of its share

What callers saw: with one half, third, quarter, fifth or tenth of the parts, and a burst of which that is exactly one request, no request passed for some numbers of nodes.

Cause: the parts are summed as floating-point numbers, in any order, and their sum may be slightly less than the fraction: the bucket then holds 0.999... tokens at most. Found while the case of half of the parts was read.

Change: a capacity within the rounding error of a whole number is that number.

--- a/internal/quota/half_share_test.go
+++ b/internal/quota/half_share_test.go
@@ -37,3 +37,18 @@
 		}
 	}
 }
+
+// Guards against a limit of which no request passes because the sum of the parts is slightly less than the share that holds one.
+func TestSumOfPartsThatMakesATokenGrantsIt(t *testing.T) {
+	for _, burst := range []int{2, 3, 4, 5, 10} {
+		for nodes := burst; nodes <= 200; nodes += burst {
+			d := NewDistributor()
+			for i := range nodes / burst {
+				d.Lend(0, Loan{Node: model.NodeID(fmt.Sprint("n", i)), Divisor: nodes}, 2*time.Hour)
+			}
+			if grant := d.Take(time.Hour, account, Limit{PerSecond: 1, Burst: float64(burst)}, 2, 0); grant.Permits != 1 {
+				t.Errorf("%d nodes: one part in %d grants %d permits of a burst of %d", nodes, burst, grant.Permits, burst)
+			}
+		}
+	}
+}
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -14,9 +14,12 @@
 }
 
 // capacity returns the most tokens that a distributor may have. A majority has at least one token, so that small limits let requests pass
-// while some parts are missing.
+// while some parts are missing. The rounding error of the share takes no whole token away.
 func (l Limit) capacity(h holding) float64 {
 	capacity := l.Burst * h.share
+	if whole := math.Round(capacity); math.Abs(capacity-whole) <= whole*shareRounding {
+		capacity = whole
+	}
 	if h.isMajority {
 		return max(capacity, 1)
 	}
