Split the quotas of a node by their jobs

Change: requests' side (quotas.go), calls to distributors (quota_calls.go), the distributor's side (quota_serving.go), and one file each for the timing, the caller's interface, the kinds of calls, an exchange with its outcome, failed distributors, and purses with their requests. askOnce is divided into its three steps. Nothing behaves differently.

Measured: the quota tests of internal/node pass unchanged.

--- a/internal/node/quota_slot.go
+++ b/internal/node/quota_slot.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/quota"
-	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
 // quotaSlot is the state of one slot of accounts at a node, as a lender and as a distributor. quotas.mu guards it.
@@ -14,36 +14,20 @@
 	lender      *quota.Lender
 	distributor *quota.Distributor
 	purses      map[model.AccountName]*accountPurse
+	failures    quotaFailures
 	// asking means that a call to a distributor is on its way, or about to be made.
 	asking bool
 	// lentAt is the time of the last call that lent the parts and was answered.
 	lentAt time.Duration
-	// failedUntil are the nodes that did not answer, with the times until which they are left out.
-	failedUntil map[model.NodeID]time.Duration
-	// failures are the calls in a row that a node did not answer.
-	failures map[model.NodeID]int
 	// serial is that of the last call.
 	serial uint64
 }
 
-// accountPurse is the purse of an account with the requests that wait for a permit.
-type accountPurse struct {
-	quota.Purse
-	limit   quota.Limit
-	waiting []chan permitResult
-}
-
-// permitResult ends the wait of a request.
-type permitResult struct {
-	permit quota.Permit
-	err    *verdict.Error
-}
-
 // newQuotaSlot returns the slot of a node that starts at the time 0.
 func newQuotaSlot(number int) *quotaSlot {
 	return &quotaSlot{
 		number: number, lender: quota.NewLender(0, quotaLoan), distributor: quota.NewDistributor(),
-		purses: make(map[model.AccountName]*accountPurse), failedUntil: make(map[model.NodeID]time.Duration), failures: make(map[model.NodeID]int), lentAt: -quotaLoan,
+		purses: make(map[model.AccountName]*accountPurse), failures: newQuotaFailures(), lentAt: -quotaLoan,
 	}
 }
 
@@ -88,7 +72,7 @@
 	if holder == "" {
 		return quotaCall{distributor: preferred, kind: quotaAsk}
 	}
-	if _, known := fleet.addresses[holder]; !known || now < s.failedUntil[holder] {
+	if _, known := fleet.addresses[holder]; !known || s.failures.isLeftOut(now, holder) {
 		return quotaCall{}
 	}
 	if !hasHeard {
@@ -101,45 +85,92 @@
 func (s *quotaSlot) candidates(now time.Duration, fleet quotaFleet) []model.NodeID {
 	candidates := make([]model.NodeID, 0, len(fleet.eligible))
 	for _, id := range fleet.eligible {
-		if now >= s.failedUntil[id] {
+		if !s.failures.isLeftOut(now, id) {
 			candidates = append(candidates, id)
 		}
 	}
 	return candidates
 }
 
-// recordFailure leaves out a node that did not answer two calls in a row. After the first one it is asked again: a single lost call
-// should not take the parts away from a distributor that works.
-func (s *quotaSlot) recordFailure(now time.Duration, node model.NodeID) {
-	s.failures[node]++
-	if s.failures[node] >= maxQuotaFailures {
-		s.failedUntil[node] = now + quotaFailureBackoff
-		delete(s.failures, node)
+// request returns the message of a call, with the demands of all accounts of the slot if the receiver can grant permits.
+func (s *quotaSlot) request(now time.Duration, self model.Node, fleet quotaFleet, call quotaCall) *peerv1.QuotaRequest {
+	s.serial++
+	request := &peerv1.QuotaRequest{
+		Node: string(self.ID), Incarnation: uint64(self.Incarnation), Slot: int32(s.number), Serial: s.serial,
+		TakeBack: call.kind == quotaTakeBack,
 	}
+	if call.kind == quotaLend {
+		request.Divisor, request.LendMs = int32(len(fleet.members)), quotaLoan.Milliseconds()
+		request.Casting = quota.Preferred(s.number, fleet.members) == self.ID
+		request.Echo = quotaClockMessage(s.lender.Lend(call.distributor))
+	}
+	if call.kind.asksForPermits() {
+		request.Demands = s.demands(now)
+	}
+	return request
 }
 
-// serveWaiting gives the permits at hand to the requests that wait, in the order of their arrival, and refuses the others.
-func (s *quotaSlot) serveWaiting(now time.Duration, account model.AccountName, asked int) {
-	p := s.purses[account]
-	for len(p.waiting) > 0 && asked > 0 {
-		asked--
-		waiter := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		if permit, ok := p.Take(now); ok {
-			waiter <- permitResult{permit: permit}
+// demands returns what the accounts with requests that wait need.
+func (s *quotaSlot) demands(now time.Duration) []*peerv1.QuotaDemand {
+	var demands []*peerv1.QuotaDemand
+	for account, p := range s.purses {
+		if len(p.waiting) > 0 {
+			demands = append(demands, &peerv1.QuotaDemand{
+				Account: string(account), Waiting: int32(len(p.waiting)), Expected: int32(p.Expected(now)),
+			})
+		}
+	}
+	return demands
+}
+
+// record records what a call that has ended means for the distributor and for the parts of this node.
+func (s *quotaSlot) record(x quotaExchange) {
+	distributor := x.call.distributor
+	switch {
+	case x.response == nil:
+		s.failures.unanswered(x.ended, distributor)
+	case x.response.Declined, x.response.Clock == nil:
+		// A node of a build that tells no clock takes no loans either.
+		s.failures.leaveOut(x.ended, distributor)
+	default:
+		s.failures.answered(distributor)
+	}
+	if clock := x.response.GetClock(); clock != nil {
+		s.lender.Hear(x.ended, distributor, quotaClock(clock))
+	}
+	if x.hasReturned() {
+		s.lender.TakenBack(x.ended)
+	}
+	if x.hasLent() {
+		s.lentAt = x.asked
+	}
+}
+
+// apply gives the granted permits to the requests that wait. The permits are valid from the time at which they were asked for.
+func (s *quotaSlot) apply(x quotaExchange) {
+	grants := make(map[string]*peerv1.QuotaGrant, len(x.response.Grants))
+	for _, grant := range x.response.Grants {
+		grants[grant.Account] = grant
+	}
+	for _, demand := range x.request.Demands {
+		p := s.purses[model.AccountName(demand.Account)]
+		if p == nil {
 			continue
 		}
-		waiter <- permitResult{err: p.refusal(now, s.lender.Until())}
+		if grant := grants[demand.Account]; grant != nil {
+			p.Add(int(min(grant.Permits, demand.Waiting+demand.Expected)), x.asked+time.Duration(grant.ValidMs)*time.Millisecond)
+			if grant.NextInMs > 0 {
+				p.RefuseFor(x.ended, time.Duration(grant.NextInMs)*time.Millisecond)
+			}
+		}
+		p.serveWaiting(x.ended, int(demand.Waiting), s.lender.Until())
 	}
 }
 
 // refuseWaiting refuses all requests that wait, because the node has no distributor before the given time.
 func (s *quotaSlot) refuseWaiting(now, until time.Duration) {
 	for _, p := range s.purses {
-		for _, waiter := range p.waiting {
-			waiter <- permitResult{err: quotaUnavailable(until - now)}
-		}
-		p.waiting = nil
+		p.refuseWaiting(until - now)
 	}
 }
 
@@ -151,19 +182,3 @@
 		}
 	}
 }
-
-// refusal returns the refusal of a request without a permit. Without a distributor, the node may lend its parts from the given time.
-func (p *accountPurse) refusal(now, mayLendAt time.Duration) *verdict.Error {
-	if !p.IsRefused(now) {
-		return quotaUnavailable(mayLendAt - now)
-	}
-	err := verdict.Refused(verdict.QuotaExceeded, nil)
-	err.RetryAfter = p.Refuse(now, p.limit)
-	return err
-}
-
-func quotaUnavailable(wait time.Duration) *verdict.Error {
-	err := verdict.Refused(verdict.QuotaUnavailable, nil)
-	err.RetryAfter = max(wait, 0)
-	return err
-}
