--- a/internal/node/quota_half_fleet_test.go
+++ b/internal/node/quota_half_fleet_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/quota"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
@@ -19,7 +18,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			defer time.Sleep(time.Second)
 			defer cancel()
-			account := &declaration.Account{Name: "a", RatePerSecond: 1, Burst: 1}
+			account := quotaAccount(1, 1)
 			f := newQuotaTestFleet(account)
 			nodes := slices.Sorted(slices.Values(f.members().members))
 			casting := quota.Preferred(quota.SlotOf(account.Name), nodes)
--- a/internal/node/quota_late_loan_test.go
+++ b/internal/node/quota_late_loan_test.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
-	"github.com/sardinereach/sardinereach/internal/declaration"
-	"github.com/sardinereach/sardinereach/internal/quota"
 )
 
 // frozenQuotaFleet keeps the calls to one node while it is frozen and hands them over when it wakes.
@@ -29,41 +26,23 @@
 
 // Guards against parts that are used twice because a frozen distributor handles the calls it has missed when it wakes.
 func TestFrozenDistributorTakesNoLateLoans(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		// Calls on their way end within quotaCallTimeout.
-		defer time.Sleep(time.Second)
-		defer cancel()
-		account := &declaration.Account{Name: "a", RatePerSecond: 200, Burst: 20}
-		f := startQuotaTestFleet(ctx, account)
-		time.Sleep(10 * time.Second)
+	account := quotaAccount(200, 20)
+	testQuotas(t, account, func(t *testing.T, ctx context.Context, f *quotaTestFleet) {
 		frozen := f.distributor(account.Name)
 		wrapped := &frozenQuotaFleet{quotaTestFleet: f, frozen: frozen, kept: make(chan *peerv1.QuotaRequest, 1000)}
-		for _, q := range f.nodes {
-			q.mu.Lock()
-			q.peers = wrapped
-			q.mu.Unlock()
-		}
+		f.route(wrapped)
 		time.Sleep(10 * time.Second)
-		slot := quota.SlotOf(account.Name)
 		f.lost[frozen].Store(true)
 		woken := f.nodes[frozen]
 		for range len(wrapped.kept) {
 			woken.serve(<-wrapped.kept)
 		}
-		woken.mu.Lock()
-		share := woken.slots[slot].distributor.Share(woken.clock.now())
-		woken.mu.Unlock()
-		total := share
-		for id, q := range f.nodes {
-			if id != frozen {
-				q.mu.Lock()
-				total += q.slots[slot].distributor.Share(q.clock.now())
-				q.mu.Unlock()
-			}
+		total := 0.0
+		for _, q := range f.nodes {
+			total += q.share(account.Name)
 		}
 		if total > 1.001 {
-			t.Errorf("the nodes hold %.2f of the quota, the woken one %.2f", total, share)
+			t.Errorf("the nodes hold %.2f of the quota, the woken one %.2f", total, woken.share(account.Name))
 		}
 	})
 }
--- a/internal/node/quota_purse_kept_test.go
+++ b/internal/node/quota_purse_kept_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
-	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/quota"
@@ -29,7 +28,7 @@
 // Guards against a purse that is forgotten while a call for its account is on its way.
 func TestPurseIsKeptWhileItsQuotaCallIsOnItsWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		account := &declaration.Account{Name: "a", RatePerSecond: 20, Burst: 20}
+		account := quotaAccount(20, 20)
 		q := newQuotas(model.Node{ID: "n0"}, newClock(), slowQuotaCaller{300 * time.Millisecond}, events.New(discardLog{}, time.Now))
 		q.fleet = func() quotaFleet {
 			return quotaFleet{members: []model.NodeID{"n0", "n1"}, addresses: map[model.NodeID]string{"n1": "n1"}, eligible: []model.NodeID{"n1"}}
--- a/internal/node/quota_restarted_distributor_test.go
+++ b/internal/node/quota_restarted_distributor_test.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
-	"github.com/sardinereach/sardinereach/internal/declaration"
-	"github.com/sardinereach/sardinereach/internal/quota"
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
@@ -28,35 +25,21 @@
 
 // Guards against requests without a distributor, or a loan of the process before, when a distributor restarts within a loan.
 func TestRestartedDistributorIsLentThePartsAnew(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer time.Sleep(time.Second)
-		defer cancel()
-		account := &declaration.Account{Name: "a", RatePerSecond: 20, Burst: 20}
-		f := startQuotaTestFleet(ctx, account)
-		time.Sleep(10 * time.Second)
+	account := quotaAccount(20, 20)
+	testQuotas(t, account, func(t *testing.T, ctx context.Context, f *quotaTestFleet) {
 		old := f.nodes[f.distributor(account.Name)]
-		self := old.self
-		self.Incarnation++
-		restarted := newQuotas(self, newClock(), f, old.log)
-		restarted.fleet, restarted.limitOf, restarted.isNeeded = old.fleet, old.limitOf, old.isNeeded
-		restarted.mayBorrow, restarted.onFailure = old.mayBorrow, old.onFailure
-		wrapped := &restartedQuotaFleet{quotaTestFleet: f, restarted: restarted}
+		restarted := f.restarted(old)
+		f.route(&restartedQuotaFleet{quotaTestFleet: f, restarted: restarted})
 		asked := 0
 		for id, q := range f.nodes {
 			if q == old {
 				continue
 			}
-			q.mu.Lock()
-			q.peers = wrapped
-			q.mu.Unlock()
 			if _, err := q.take(ctx, account); err != nil && err.Reason == verdict.QuotaUnavailable {
 				t.Errorf("a request at %s: %v", id, err)
 			}
 			asked++
-			restarted.mu.Lock()
-			share := restarted.slots[quota.SlotOf(account.Name)].distributor.Share(restarted.clock.now())
-			restarted.mu.Unlock()
+			share := restarted.share(account.Name)
 			if want := float64(asked) / quotaTestNodes; share < want-1e-9 {
 				t.Errorf("after %d calls the restarted distributor holds %.2f of the quota", asked, share)
 			}
