--- a/internal/node/quota_purse_kept_test.go
+++ b/internal/node/quota_purse_kept_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/sardinereach/sardinereach/api/peerv1"
-	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
 	"github.com/sardinereach/sardinereach/internal/quota"
@@ -19,7 +18,7 @@
 
 func (c slowQuotaCaller) Quota(_ context.Context, _ string, req *peerv1.QuotaRequest) (*peerv1.QuotaResponse, error) {
 	time.Sleep(c.delay)
-	response := &peerv1.QuotaResponse{}
+	response := &peerv1.QuotaResponse{Clock: &peerv1.QuotaClock{}}
 	for _, d := range req.Demands {
 		response.Grants = append(response.Grants, &peerv1.QuotaGrant{Account: d.Account, Permits: d.Waiting, ValidMs: 400})
 	}
@@ -29,10 +28,10 @@
 // Guards against a purse that is forgotten while a call for its account is on its way.
 func TestPurseIsKeptWhileItsQuotaCallIsOnItsWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		account := &declaration.Account{Name: "a", RatePerSecond: 20, Burst: 20}
+		account := quotaAccount(20, 20)
 		q := newQuotas(model.Node{ID: "n0"}, newClock(), slowQuotaCaller{300 * time.Millisecond}, events.New(discardLog{}, time.Now))
 		q.fleet = func() quotaFleet {
-			return quotaFleet{divisor: 2, addresses: map[model.NodeID]string{"n1": "n1"}, eligible: []model.NodeID{"n1"}}
+			return quotaFleet{members: []model.NodeID{"n0", "n1"}, addresses: map[model.NodeID]string{"n1": "n1"}, eligible: []model.NodeID{"n1"}}
 		}
 		q.onFailure = func(model.NodeID, string, error) {}
 		q.limitOf = func(model.AccountName) (quota.Limit, bool) { return limitOfAccount(account) }
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"sync"
-	"time"
 
-	"github.com/sardinereach/sardinereach/api/peerv1"
 	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/events"
 	"github.com/sardinereach/sardinereach/internal/model"
@@ -13,25 +11,6 @@
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
-const (
-	// quotaLoan is the time for which a node lends its parts. A node that loses the distributor is without permits for so long.
-	quotaLoan = 1500 * time.Millisecond
-	// quotaRenewal is the time after which a node that needs no permits lends its parts again.
-	quotaRenewal = 750 * time.Millisecond
-	// quotaCallTimeout bounds a call to a distributor.
-	quotaCallTimeout = 500 * time.Millisecond
-	// maxQuotaFailures is the number of calls in a row without an answer after which a distributor is left out.
-	maxQuotaFailures = 2
-	// quotaFailureBackoff is the time for which a distributor that did not answer is left out. It is longer than a loan, so that the
-	// parts are lent elsewhere in between.
-	quotaFailureBackoff = quotaLoan + 2*quotaCallTimeout
-)
-
-// quotaCaller sends the calls to the distributors at other nodes.
-type quotaCaller interface {
-	Quota(ctx context.Context, address string, req *peerv1.QuotaRequest) (*peerv1.QuotaResponse, error)
-}
-
 // quotas limits the requests of the client accounts at all nodes together. It is safe for concurrent use.
 type quotas struct {
 	self  model.Node
@@ -57,7 +36,7 @@
 func newQuotas(self model.Node, c clock, peers quotaCaller, log *events.Log) *quotas {
 	q := &quotas{self: self, clock: c, peers: peers, log: log}
 	for i := range q.slots {
-		q.slots[i] = newQuotaSlot(i, quotaCallTimeout+quotaLoan)
+		q.slots[i] = newQuotaSlot(i)
 	}
 	return q
 }
@@ -140,203 +119,3 @@
 	defer q.mu.Unlock()
 	q.slots[quota.SlotOf(account.Name)].purse(account.Name, limit).Return(q.clock.now(), permit)
 }
-
-// run lends the parts of this node again in time.
-func (q *quotas) run(ctx context.Context) {
-	ticker := time.NewTicker(quotaRenewal / 2)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			q.renew()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// renew lends the parts of the slots that have not been lent for quotaRenewal.
-func (q *quotas) renew() {
-	if !q.isNeeded() {
-		return
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now := q.clock.now()
-	for _, slot := range q.slots {
-		slot.forgetIdle(now)
-		slot.distributor.Keep(func(account model.AccountName) bool { _, limited := q.limitOf(account); return limited })
-		if now-slot.lentAt >= quotaRenewal {
-			q.startAsking(slot)
-		}
-	}
-}
-
-// startAsking starts the calls for a slot unless they are being made. q.mu is held.
-func (q *quotas) startAsking(slot *quotaSlot) {
-	if slot.asking {
-		return
-	}
-	slot.asking = true
-	go q.ask(slot)
-}
-
-// ask calls distributors until no request of the slot waits.
-func (q *quotas) ask(slot *quotaSlot) {
-	for q.askOnce(slot) {
-	}
-}
-
-// askOnce makes one call and reports whether another one is needed.
-func (q *quotas) askOnce(slot *quotaSlot) bool {
-	fleet := q.fleet()
-	q.mu.Lock()
-	now := q.clock.now()
-	next := slot.choose(now, fleet, q.self.ID)
-	if next.distributor == "" {
-		slot.refuseWaiting(now, slot.lender.Until())
-		slot.asking = false
-		q.mu.Unlock()
-		return false
-	}
-	request := slot.request(now, q.self, fleet, next.kind)
-	q.mu.Unlock()
-	response, err := q.call(next.distributor, fleet.addresses[next.distributor], request)
-	if err != nil {
-		q.onFailure(next.distributor, fleet.addresses[next.distributor], err)
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	ended := q.clock.now()
-	slot.recordCall(ended, next, response)
-	if err != nil {
-		q.log.Emit(events.QuotaCallFailed, events.NodeField(next.distributor), events.CountField(slot.number))
-	} else if !response.Declined {
-		slot.apply(ended, now, request, response)
-	} else if next.isLast {
-		slot.refuseWaiting(ended, ended)
-	}
-	slot.asking = slot.hasWaiting()
-	return slot.asking
-}
-
-// recordCall records what a call means for the parts of this node. response is nil if there was none.
-func (s *quotaSlot) recordCall(ended time.Duration, call quotaCall, response *peerv1.QuotaResponse) {
-	switch {
-	case response == nil:
-		s.recordFailure(ended, call.distributor)
-	case response.Declined:
-		s.failedUntil[call.distributor] = ended + quotaFailureBackoff
-	default:
-		delete(s.failedUntil, call.distributor)
-		delete(s.failures, call.distributor)
-	}
-	switch {
-	case response == nil && call.kind == quotaLend:
-		// The call may still be on its way.
-		s.lender.Lent(call.distributor, ended+quotaCallTimeout, quotaLoan)
-	case response == nil, call.kind == quotaAsk:
-	case call.kind == quotaProbe:
-		s.answered = call.distributor
-	case response.Declined || call.kind == quotaTakeBack:
-		s.lender.TakenBack(ended)
-	default:
-		s.lender.Lent(call.distributor, ended, quotaLoan)
-		s.lentAt = ended
-	}
-}
-
-// call sends the request to the distributor, which may be this node.
-func (q *quotas) call(distributor model.NodeID, address string, request *peerv1.QuotaRequest) (*peerv1.QuotaResponse, error) {
-	if distributor == q.self.ID {
-		return q.serve(request), nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), quotaCallTimeout)
-	defer cancel()
-	return q.peers.Quota(ctx, address, request)
-}
-
-// request returns the message of a call, with the demands of all accounts of the slot if the receiver can grant permits.
-func (s *quotaSlot) request(now time.Duration, self model.Node, fleet quotaFleet, kind quotaCallKind) *peerv1.QuotaRequest {
-	s.serial++
-	request := &peerv1.QuotaRequest{
-		Node: string(self.ID), Incarnation: uint64(self.Incarnation), Slot: int32(s.number), Serial: s.serial,
-	}
-	if kind == quotaLend {
-		request.Divisor, request.LendMs = int32(fleet.divisor), quotaLoan.Milliseconds()
-	}
-	request.TakeBack = kind == quotaTakeBack
-	if kind != quotaLend && kind != quotaAsk {
-		return request
-	}
-	for account, p := range s.purses {
-		if len(p.waiting) > 0 {
-			request.Demands = append(request.Demands, &peerv1.QuotaDemand{
-				Account: string(account), Waiting: int32(len(p.waiting)), Expected: int32(p.Expected(now)),
-			})
-		}
-	}
-	return request
-}
-
-// apply gives the granted permits to the requests that wait. The permits are valid from the time at which they were asked for.
-func (s *quotaSlot) apply(now, asked time.Duration, request *peerv1.QuotaRequest, response *peerv1.QuotaResponse) {
-	grants := make(map[string]*peerv1.QuotaGrant, len(response.Grants))
-	for _, grant := range response.Grants {
-		grants[grant.Account] = grant
-	}
-	for _, demand := range request.Demands {
-		account := model.AccountName(demand.Account)
-		p := s.purses[account]
-		if p == nil {
-			continue
-		}
-		if grant := grants[demand.Account]; grant != nil {
-			p.Add(int(min(grant.Permits, demand.Waiting+demand.Expected)), asked+time.Duration(grant.ValidMs)*time.Millisecond)
-			if grant.NextInMs > 0 {
-				p.RefuseFor(now, time.Duration(grant.NextInMs)*time.Millisecond)
-			}
-		}
-		s.serveWaiting(now, account, int(demand.Waiting))
-	}
-}
-
-// ceilMilliseconds rounds up, so that a caller does not come too early.
-func ceilMilliseconds(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
-
-// serve handles the call of a node that lends its parts to this one and asks for permits.
-func (q *quotas) serve(request *peerv1.QuotaRequest) *peerv1.QuotaResponse {
-	if request.Slot < 0 || request.Slot >= quota.Slots {
-		return &peerv1.QuotaResponse{Declined: true}
-	}
-	response := &peerv1.QuotaResponse{Declined: request.Divisor > 0 && !q.mayBorrow()}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now := q.clock.now()
-	distributor := q.slots[request.Slot].distributor
-	loan := quota.Loan{
-		Node: model.NodeID(request.Node), Incarnation: model.Incarnation(request.Incarnation), Divisor: int(request.Divisor),
-		Serial: request.Serial,
-	}
-	if request.Divisor > 0 && !response.Declined {
-		distributor.Lend(now, loan, now+min(time.Duration(request.LendMs)*time.Millisecond, quotaLoan))
-	} else if request.TakeBack || response.Declined {
-		distributor.TakeBack(now, loan)
-	}
-	if response.Declined {
-		return response
-	}
-	for _, demand := range request.Demands {
-		account := model.AccountName(demand.Account)
-		limit, limited := q.limitOf(account)
-		if !limited || quota.SlotOf(account) != int(request.Slot) || distributor.Share(now) == 0 {
-			continue
-		}
-		grant := distributor.Take(now, account, limit, int(demand.Waiting), int(demand.Expected))
-		response.Grants = append(response.Grants, &peerv1.QuotaGrant{
-			Account: demand.Account, Permits: int32(grant.Permits), ValidMs: quota.PermitValidity.Milliseconds(),
-			NextInMs: ceilMilliseconds(grant.NextIn),
-		})
-	}
-	return response
-}
