Refuse nested requests of earlier runs for good only after the longest timeout

Callers saw: a target's call was answered with 401, which is final, when the run that made it had been sent by an earlier process of the node more than 30 s before, on a route whose timeout is longer.

Cause: a node took 30 s, the timeout of a route that sets none, for the longest time that runs before its start can go on. A route may have up to a year.

Ruled out: a fixed longer bound, which answers 503 to callers without a key where the node can tell; a record of open runs in the store, a write for each run.

Change: the bound is the longest timeout of the routes that the process has had in force, and no less than 30 s. Until then the node says 503 accounts_unknown. Routes have Timeout, tables LongestTimeout.

Open: a timeout that was shortened or removed before the node's start is not known to it; docs/design/accounts.md.

--- a/internal/declaration/route.go
+++ b/internal/declaration/route.go
@@ -1,6 +1,10 @@
 package declaration
 
-import "encoding/json"
+import (
+	"cmp"
+	"encoding/json"
+	"time"
+)
 
 // Class determines whether a request may run more than once.
 type Class string
@@ -73,6 +77,11 @@
 	DefaultFirstByteMS = 5_000
 )
 
+// Timeout returns the time for the whole request.
+func (r *Route) Timeout() time.Duration {
+	return time.Duration(cmp.Or(r.TimeoutMS, DefaultTimeoutMS)) * time.Millisecond
+}
+
 // MarshalJSON implements json.Marshaler. It adds the requirements that follow from other fields.
 func (r Route) MarshalJSON() ([]byte, error) {
 	type plain Route
--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -47,6 +47,7 @@
 	// retryStatuses are the statuses retried on idempotent routes that list none of their own.
 	retryStatuses []int
 	view          atomic.Pointer[core.View]
+	earlierRuns   earlierRuns
 	ready         func() bool
 	// stopping means that new requests are refused, also those whose body is complete only now.
 	stopping atomic.Bool
@@ -82,6 +83,12 @@
 	seed     uint64
 }
 
+// setView makes the view the one of new requests and attempts.
+func (a *acceptor) setView(view *core.View) {
+	a.earlierRuns.observe(view.Table)
+	a.view.Store(view)
+}
+
 // ServeHTTP implements http.Handler for the callers' listener.
 func (a *acceptor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if strings.HasPrefix(r.URL.Path, nodePathPrefix) {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -164,7 +164,7 @@
 
 // timeoutOf returns the timeout of the route, or that of the caller if it is shorter.
 func (a *acceptor) timeoutOf(r *http.Request, route *declaration.Route) (time.Duration, *verdict.Error) {
-	timeout := time.Duration(orDefault(route.TimeoutMS, declaration.DefaultTimeoutMS)) * time.Millisecond
+	timeout := route.Timeout()
 	value := r.Header.Get(a.dialect.TimeoutHeader)
 	if value == "" {
 		return timeout, nil
--- a/internal/node/request_access.go
+++ b/internal/node/request_access.go
@@ -15,10 +15,6 @@
 	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
-// maxRunBeforeStart is the time after the start of a node in which a local target may still run requests that an earlier process
-// of the node has sent.
-const maxRunBeforeStart = declaration.DefaultTimeoutMS * time.Millisecond
-
 // requestAccess is the decision on the access of a request when it arrived, with what it takes to decide again.
 type requestAccess struct {
 	decision   access.Decision
@@ -90,7 +86,7 @@
 			return access.ParentRunning, ends
 		}
 	}
-	if a.clock.now() < maxRunBeforeStart {
+	if a.earlierRuns.mayGoOn(a.clock.now()) {
 		return access.ParentUnknown, 0
 	}
 	return access.ParentAbsent, 0
--- a/internal/node/view_publisher.go
+++ b/internal/node/view_publisher.go
@@ -67,7 +67,7 @@
 		Previous:    n.acceptor.view.Load(),
 		Loads:       n.loads.of,
 	})
-	n.acceptor.view.Store(view)
+	n.acceptor.setView(view)
 	if snapshot.Members != nil {
 		n.updateRemoteAddresses(snapshot.Members)
 		p.memberLogger.logChanges(n.clock.now(), snapshot.Members)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -4,6 +4,7 @@
 import (
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/sardinereach/sardinereach/internal/declaration"
 )
@@ -13,6 +14,8 @@
 	// paths maps host and path prefix to the routes declared for them. Routes without a host have the key host "".
 	paths map[pathKey][]*Match
 	hosts map[string]bool
+	// longestTimeout is that of the routes that are served.
+	longestTimeout time.Duration
 }
 
 type pathKey struct {
@@ -45,6 +48,9 @@
 		// An unsupported route whose path could not be read.
 		return
 	}
+	if m.Route.Unsupported == "" {
+		t.longestTimeout = max(t.longestTimeout, m.Route.Timeout())
+	}
 	host := CanonicalHost(m.Route.Host)
 	key := pathKey{host: host, path: trimSlash(m.Route.Path)}
 	t.paths[key] = append(t.paths[key], m)
@@ -53,6 +59,9 @@
 	}
 }
 
+// LongestTimeout returns the longest time that a request of a route in the table may take, 0 without routes.
+func (t *Table) LongestTimeout() time.Duration { return t.longestTimeout }
+
 // Match returns the most specific route for the request, nil if there is none. A route for the request's host takes
 // precedence over one for any host, then a longer path over a shorter one, then a named method over any method. host is
 // the Host header; its letter case, port and final dot do not matter. path is the decoded path of the URL.
