Refuse a keyed operation while its account cannot be told

Callers saw: on a route that requires no API key, one non-idempotent request that was sent twice with the same API key and the same idempotency key ran twice, when one of the two reached a node while it could not tell the account of the API key (start, restore, a change on its way, an account that is not understood). With a ticket the second one got 422 key_reused, which is final, although it was the same request.

Cause: on such a route an API key that is undecided counts as none. The claim of an idempotency key and the fingerprint of a ticket contain the account, so that the two sends were two operations.

Ruled out: claims by the hash of the API key, which make a client retry with the account's next key run again; a claim without the account, which lets accounts block and see one another's keys.

Change: a request that names an operation (idempotency key or ticket, non-idempotent, own interface) and whose only API key is undecided gets 503 accounts_unknown on every route; access.Request has BindsAccount. A later attempt of one whose account has changed since its claim is refused alike, as on a route that requires a key. Other requests are served as before. The platform's callers have no such keys, so nothing changes there.

Open: a poisoned request that is sent while its key is undecided has the fingerprint of one without an account.

--- a/internal/access/decision.go
+++ b/internal/access/decision.go
@@ -27,6 +27,8 @@
 func Decide(r Request) (Decision, *verdict.Error) {
 	known := knownAccount(r)
 	switch {
+	case r.BindsAccount && isUndecided(r):
+		return Decision{}, verdict.Refused(verdict.AccountsUnknown, nil)
 	case !r.RequiresKey:
 		return Decision{Access: peerv1.Access_ACCESS_OPEN, Account: known}, nil
 	case known != nil:
@@ -39,7 +41,7 @@
 
 // Renew decides again on a request that an earlier configuration has let run, before it is sent to a target. A request that a run
 // has sent stays one, also after the end of that run. A key that another account has received meanwhile is not refused for good:
-// the request belongs to neither account.
+// the request belongs to neither account. On a route that requires no key, this holds only for a request that binds its account.
 func Renew(r Request, earlier Decision) (Decision, *verdict.Error) {
 	if earlier.Access == peerv1.Access_ACCESS_NESTED {
 		r.Parent = ParentRunning
@@ -48,12 +50,17 @@
 	if refusal != nil {
 		return decision, refusal
 	}
-	if decision.Access == peerv1.Access_ACCESS_KEY && earlier.Account != nil && decision.AccountName() != earlier.AccountName() {
+	if decision.AccountName() != earlier.AccountName() && isBound(r, decision, earlier) {
 		return Decision{}, verdict.Refused(verdict.AccountsUnknown, nil)
 	}
 	return decision, nil
 }
 
+// isBound reports whether the request must not run for another account than the one that it was accepted for.
+func isBound(r Request, decision, earlier Decision) bool {
+	return r.BindsAccount || decision.Access == peerv1.Access_ACCESS_KEY && earlier.Account != nil
+}
+
 // IsRefusal reports whether the reason is that of a refusal by Decide or Renew. It holds for all targets.
 func IsRefusal(reason verdict.Reason) bool {
 	switch reason {
@@ -71,6 +78,11 @@
 	return r.Finding.Account
 }
 
+// isUndecided reports whether the only API key of the request may be that of an account which the node cannot tell.
+func isUndecided(r Request) bool {
+	return r.Credential.kind == oneKey && r.Finding.Status == account.Undecided
+}
+
 func refusalReason(r Request) verdict.Reason {
 	switch {
 	case !r.Configured, r.Credential.IsEmpty() && r.Parent == ParentUnknown:
--- a/internal/access/decision_test.go
+++ b/internal/access/decision_test.go
@@ -67,6 +67,14 @@
 		if got := outcome(Decide(r)); got != c.wantOpen {
 			t.Errorf("%s on an open route: %s, want %s", name, got, c.wantOpen)
 		}
+		r.BindsAccount = true
+		wantOperation := c.wantOpen
+		if c.want == undecided && len(c.keys) == 1 {
+			wantOperation = undecided
+		}
+		if got := outcome(Decide(r)); got != wantOperation {
+			t.Errorf("%s on an open route, an operation: %s, want %s", name, got, wantOperation)
+		}
 		r.RequiresKey, r.Configured = true, false
 		if _, err := Decide(r); err != nil && err.Reason != verdict.AccountsUnknown {
 			t.Errorf("%s without a configuration: %s", name, err.Reason)
@@ -122,3 +130,32 @@
 		}
 	}
 }
+
+// Guards against an operation that a later attempt runs for another account than the one that holds it.
+func TestLaterAttemptKeepsTheAccountOfItsOperation(t *testing.T) {
+	unknown, undecided := account.Finding{Status: account.Unknown}, account.Finding{}
+	for name, c := range map[string]struct {
+		earlier  *declaration.Account
+		finding  account.Finding
+		requires bool
+		want     string
+	}{
+		"unchanged":             {first, known(first), false, "ACCESS_OPEN a1"},
+		"of no account":         {nil, unknown, false, "ACCESS_OPEN "},
+		"withdrawn":             {first, unknown, false, "accounts_unknown"},
+		"not known any more":    {first, undecided, false, "accounts_unknown"},
+		"of another account":    {first, known(second), false, "accounts_unknown"},
+		"added":                 {nil, known(first), false, "accounts_unknown"},
+		"added, route closed":   {nil, known(first), true, "accounts_unknown"},
+		"unchanged, closed":     {first, known(first), true, "ACCESS_KEY a1"},
+		"withdrawn, and closed": {first, unknown, true, "api_key_unknown"},
+	} {
+		r := Request{
+			RequiresKey: c.requires, Credential: NewCredential([]string{"k"}), Finding: c.finding, BindsAccount: true, Configured: true,
+		}
+		earlier := Decision{Access: peerv1.Access_ACCESS_OPEN, Account: c.earlier}
+		if got := outcome(Renew(r, earlier)); got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
--- a/internal/access/request.go
+++ b/internal/access/request.go
@@ -10,6 +10,8 @@
 	// Finding is what the configuration says of the credential's API key. It is not used without one.
 	Finding account.Finding
 	Parent  Parent
+	// BindsAccount means that the request names an operation, which is another one for each account.
+	BindsAccount bool
 	// Configured means that the node has a complete configuration.
 	Configured bool
 }
--- a/internal/node/request_access.go
+++ b/internal/node/request_access.go
@@ -22,6 +22,8 @@
 	parent     access.Parent
 	// parentEnds is the deadline of the run that has sent the request, on the clock of the node; 0 if there is none.
 	parentEnds time.Duration
+	// bindsAccount means that the account is part of the operation that the request names (access.Request).
+	bindsAccount bool
 	// view is the one of the decision.
 	view               *core.View
 	host, method, path string
@@ -33,8 +35,9 @@
 // later can log or forward it. A refusal leaves the decision empty.
 func (a *acceptor) newRequestAccess(r *http.Request, view *core.View, match *routing.Match, id string) (*requestAccess, *verdict.Error) {
 	ra := &requestAccess{
-		credential: access.NewCredential(headers.Values(r.Header, a.dialect.KeyHeader)),
-		view:       view, host: r.Host, method: r.Method, path: r.URL.Path,
+		credential:   access.NewCredential(headers.Values(r.Header, a.dialect.KeyHeader)),
+		bindsAccount: a.namesOperation(r, match.Route),
+		view:         view, host: r.Host, method: r.Method, path: r.URL.Path,
 	}
 	headers.Delete(r.Header, a.dialect.KeyHeader)
 	ra.revision.Store(view.Revision)
@@ -46,6 +49,14 @@
 	return ra, refusal
 }
 
+// namesOperation reports whether the request has an idempotency key or a ticket by which callers send it again.
+func (a *acceptor) namesOperation(r *http.Request, route *declaration.Route) bool {
+	if a.dialect.UniqueRequestIDs || route.ClassOf(r.Method) == declaration.Idempotent {
+		return false
+	}
+	return r.Header.Get(headerKey) != "" || r.Header.Get(headerTicket) != ""
+}
+
 // renew returns the decision for an attempt, on the newest view. Only a changed configuration can change it.
 func (ra *requestAccess) renew(view *core.View) (access.Decision, *verdict.Error) {
 	ra.revision.Store(view.Revision)
@@ -67,6 +78,7 @@
 func (ra *requestAccess) input(view *core.View, route *declaration.Route) access.Request {
 	in := access.Request{
 		RequiresKey: route.RequiresKey, Credential: ra.credential, Parent: ra.parent, Configured: view.Accounts != nil,
+		BindsAccount: ra.bindsAccount,
 	}
 	if hash, ok := ra.credential.Hash(); ok {
 		in.Finding = view.Accounts.Find(hash)
