Refuse operations whose API key is not known on open routes too

Callers saw: on a route that requires no API key, a non-idempotent request that was sent twice with the same API key and the same idempotency key ran twice, when operators withdrew or added the API key between the two sends; with a ticket the second send got 422 key_reused.

An unknown key counts as none there, so that the operation of an account becomes one of no account.

Change: a request that names an operation, with one API key that is not known, gets 401 api_key_unknown on every route.

Open: a resend with a key that has moved runs again, for the other account. The recorded answer belongs to the first one, and nothing says that the two sends are one.

--- a/internal/access/decision.go
+++ b/internal/access/decision.go
@@ -27,8 +27,9 @@
 func Decide(r Request) (Decision, *verdict.Error) {
 	known := knownAccount(r)
 	switch {
-	case r.BindsAccount && isUndecided(r):
-		return Decision{}, verdict.Refused(verdict.AccountsUnknown, nil)
+	case r.BindsAccount && r.Credential.kind == oneKey && known == nil:
+		// Its account may have been or become another one, and the operation with it.
+		return Decision{}, verdict.Refused(refusalReason(r), nil)
 	case !r.RequiresKey:
 		return Decision{Access: peerv1.Access_ACCESS_OPEN, Account: known}, nil
 	case known != nil:
@@ -78,11 +79,6 @@
 	return r.Finding.Account
 }
 
-// isUndecided reports whether the only API key of the request may be that of an account which the node cannot tell.
-func isUndecided(r Request) bool {
-	return r.Credential.kind == oneKey && r.Finding.Status == account.Undecided
-}
-
 func refusalReason(r Request) verdict.Reason {
 	switch {
 	case !r.Configured, r.Credential.IsEmpty() && r.Parent == ParentUnknown:
--- a/internal/access/decision_test.go
+++ b/internal/access/decision_test.go
@@ -69,8 +69,8 @@
 		}
 		r.BindsAccount = true
 		wantOperation := c.wantOpen
-		if c.want == undecided && len(c.keys) == 1 {
-			wantOperation = undecided
+		if c.finding.Status != account.Known && NewCredential(c.keys).kind == oneKey {
+			wantOperation = c.want
 		}
 		if got := outcome(Decide(r)); got != wantOperation {
 			t.Errorf("%s on an open route, an operation: %s, want %s", name, got, wantOperation)
@@ -141,8 +141,7 @@
 		want     string
 	}{
 		"unchanged":             {first, known(first), false, "ACCESS_OPEN a1"},
-		"of no account":         {nil, unknown, false, "ACCESS_OPEN "},
-		"withdrawn":             {first, unknown, false, "accounts_unknown"},
+		"withdrawn":             {first, unknown, false, "api_key_unknown"},
 		"not known any more":    {first, undecided, false, "accounts_unknown"},
 		"of another account":    {first, known(second), false, "accounts_unknown"},
 		"added":                 {nil, known(first), false, "accounts_unknown"},
--- a/internal/node/account_claims_test.go
+++ b/internal/node/account_claims_test.go
@@ -38,19 +38,24 @@
 	}
 }
 
-// sendAgain sends one request, with the given header, once in each state of testKey. It returns the responses.
-func sendAgain(t *testing.T, a *acceptor, address, path, header string, states []string) []string {
+// post sends a request with the header fields and returns its status, with the reason and "1" for a recorded answer.
+func post(t *testing.T, address, path string, fields ...string) string {
+	t.Helper()
+	head := strings.Join(append([]string{"POST " + path + " HTTP/1.1", "Host: h", "Content-Length: 1"}, fields...), "\r\n")
+	res, err := roundTrip(t, address, head+"\r\n\r\nb")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.TrimSpace(fmt.Sprintf("%d %s%s", res.StatusCode, res.Header.Get(headerReason), res.Header.Get(headerReplayed)))
+}
+
+// sendAgain sends one request, with the given header field, once in each state of testKey. It returns the responses.
+func sendAgain(t *testing.T, a *acceptor, address, path, field string, states []string) []string {
 	t.Helper()
 	var responses []string
 	for _, state := range states {
 		setKeyState(a, state)
-		res, err := roundTrip(t, address, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nSardinereach-Api-Key: %s\r\n%s\r\n\r\nb",
-			path, testKey, header))
-		if err != nil {
-			t.Fatal(err)
-		}
-		response := fmt.Sprintf("%d %s%s", res.StatusCode, res.Header.Get(headerReason), res.Header.Get(headerReplayed))
-		responses = append(responses, strings.TrimSpace(response))
+		responses = append(responses, post(t, address, path, "Sardinereach-Api-Key: "+testKey, field))
 	}
 	return responses
 }
@@ -76,3 +81,52 @@
 		}
 	}
 }
+
+// Guards against a request that runs again because its API key was withdrawn or added, and against another account that gets the
+// recorded answer with a key that has moved to it.
+func TestChangedKeyBetweenTwoSends(t *testing.T) {
+	const unknown, replayed = "401 api_key_unknown", "200 1"
+	for _, path := range []string{"/s", "/open"} {
+		for _, c := range []struct {
+			states, want []string
+			runs         int
+		}{
+			{[]string{"a1", "unknown", "a1"}, []string{"200", unknown, replayed}, 1},
+			{[]string{"unknown", "a1", "unknown"}, []string{unknown, "200", unknown}, 1},
+			{[]string{"a1", "a2", "a1"}, []string{"200", "200", replayed}, 2},
+		} {
+			a, address, runs := startKeyedClaims(t)
+			if got := sendAgain(t, a, address, path, "Idempotency-Key: k", c.states); !slices.Equal(got, c.want) || runs() != c.runs {
+				t.Errorf("%s, key %v: %q and %d runs, want %q and %d", path, c.states, got, runs(), c.want, c.runs)
+			}
+		}
+	}
+}
+
+// Guards against a ticket that runs, or gives its recorded answer, for another account.
+func TestChangedKeyBetweenTwoUsesOfATicket(t *testing.T) {
+	for _, path := range []string{"/s", "/open"} {
+		a, address, runs := startKeyedClaims(t)
+		ticket := "Sardinereach-Ticket: " + a.once.tickets.Issue(a.clock.now())
+		got := sendAgain(t, a, address, path, ticket, []string{"unknown", "a1", "a2", "unknown", "a1"})
+		want := []string{"401 api_key_unknown", "200", "422 key_reused", "401 api_key_unknown", "200 1"}
+		if !slices.Equal(got, want) || runs() != 1 {
+			t.Errorf("%s: %q and %d runs, want %q and one", path, got, runs(), want)
+		}
+	}
+}
+
+// Guards against a request that runs again because its caller has changed to the next key of its account.
+func TestKeysOfOneAccountShareTheirOperations(t *testing.T) {
+	for path, withoutKey := range map[string]string{"/s": "401 api_key_required", "/open": "200"} {
+		a, address, _ := startKeyedClaims(t)
+		setAccounts(a, map[string]string{"k1": "a1", "k2": "a1"})
+		var got []string
+		for _, field := range []string{"Sardinereach-Api-Key: k1", "Sardinereach-Api-Key: k2", "Accept: */*"} {
+			got = append(got, post(t, address, path, field, "Idempotency-Key: k"))
+		}
+		if want := []string{"200", "200 1", withoutKey}; !slices.Equal(got, want) {
+			t.Errorf("%s: %q, want %q", path, got, want)
+		}
+	}
+}
