Hide API keys behind misspelled words of the operators' language

Operators saw: an error that repeats the API key which was typed in place of a hash, in the line that it shows, if the word before is misspelled or not of the language: `ad key`, `revoke key`, `keys`, `key:`, `api_key`, or a missing `{`. The language page says that the error does not repeat it.

Cause: only the exact words add, withdraw and key were taken to introduce hashes.

Ruled out: to hide every unknown word of an account, because errors would not show what is misspelled.

Change: a word that contains "key" introduces hashes in the declaration of an account, and as the second word of a statement that is no question.

Open: a key alone in an account's block, `declare account a { KEY; }`, and behind a word without "key" is shown.

--- a/internal/statement/account_test.go
+++ b/internal/statement/account_test.go
@@ -91,6 +91,10 @@
 			"add key " + word + " to account a", "withdraw key " + word + " from account a", "add kye " + word + " to account a", "add " + word,
 			"withdraw " + word + " from account a", "declare account a { key " + word + "; }",
 			"declare account a { key " + hashOfK + ", " + word + "; rank 1; }", "declare account a { key " + hashOfK + ",\n\t" + word + "; rank x; }",
+			"ad key " + word + " to account a", "revoke key " + word + " from account a", "remove key " + word + " from account a",
+			"declare account a { keys " + word + "; }", "declare account a { key: " + word + "; }",
+			"declare account a { rank 1; api_key " + word + "; }",
+			"declare account a at digest none key " + word + ";", "declare account key { KEY\n" + word + "; }",
 		} {
 			_, err := statement.Parse(text)
 			expectNoKey(t, text, key, err)
@@ -120,6 +124,10 @@
 		"add key s3cret to account a b":                                   "add key ****** to account a *",
 		"add key " + hashOfK + " to acount a":                             "add key " + hashOfK + " to ****** *",
 		"declare account a { key s3;cret; rank 1; rate 5 burst 10; }":     "declare account a { key **;****; rank 1; rate 5 burst 10; }",
+		"ad key s3cret to account a":                                      "ad key ****** to account a",
+		"declare account key { ranck 1; keys s3cret; rank 1; }":           "declare account key { ranck 1; keys ******; rank 1; }",
+		"declare service s { keys 7; }":                                   "declare service s { keys 7; }",
+		"show keys where account = a":                                     "show keys where account = a",
 		"withdraw ejection off t":                                         "withdraw ejection off t",
 		"show nodes where node = key and nod = add":                       "show nodes where node = key and nod = add",
 		`declare service s { route "/key" { class idempotnt; } }`:         `declare service s { route "/key" { class idempotnt; } }`,
--- a/internal/statement/mask.go
+++ b/internal/statement/mask.go
@@ -19,6 +19,8 @@
 	spans []secretSpan
 	// depth is the number of open blocks.
 	depth int
+	// inAccount means that the next words belong to the declaration of an account.
+	inAccount bool
 	// inKeys means that the next words stand in place of key hashes, up to the end of the statement.
 	inKeys bool
 	// ended means that the list of keys was closed on this line. The rest of the line still counts, because an API key may contain ';'.
@@ -62,6 +64,9 @@
 		s.depth++
 	case "}":
 		s.depth--
+		s.inAccount = s.inAccount && s.depth > 0
+	case "account":
+		s.inAccount = s.inAccount || s.last() == "declare"
 	}
 	s.words = append(s.words, word)
 }
@@ -74,13 +79,27 @@
 	return s.words[len(s.words)-1]
 }
 
-// beginsKeys reports whether key hashes follow the word.
+// beginsKeys reports whether key hashes, or what an operator takes for them, follow the word.
 func (s *keyScanner) beginsKeys(word string) bool {
-	if s.depth > 0 {
-		return s.depth == 1 && word == "key"
+	resemblesKey := strings.Contains(strings.ToLower(word), "key")
+	switch {
+	case s.depth > 1:
+		return false
+	case s.depth == 1:
+		return word == "key" || s.inAccount && resemblesKey
+	case s.inAccount:
+		return resemblesKey && s.last() != "account"
+	case s.beginsStatement(0):
+		return word == "add" || word == "withdraw"
 	}
-	beginsStatement := slices.Contains([]string{"", ";", "}"}, s.last())
-	return beginsStatement && (word == "add" || word == "withdraw")
+	// The verb may be a wrong one, but a question has no key.
+	return resemblesKey && s.beginsStatement(1) && s.last() != "show" && s.last() != "explain"
+}
+
+// beginsStatement reports whether the next word, or the word that is back words before it, is the first of a statement.
+func (s *keyScanner) beginsStatement(back int) bool {
+	before := len(s.words) - 1 - back
+	return before < 0 || slices.Contains([]string{";", "}"}, s.words[before])
 }
 
 // isSecret reports whether a word in place of a key hash is neither a key hash nor another part of the statement.
