--- a/internal/statement/account_test.go
+++ b/internal/statement/account_test.go
@@ -95,6 +95,7 @@
 			"declare account a { keys " + word + "; }", "declare account a { key: " + word + "; }",
 			"declare account a { rank 1; api_key " + word + "; }",
 			"declare account a at digest none key " + word + ";", "declare account key { KEY\n" + word + "; }",
+			"declare account a; add " + word, "declare account a { }\nadd key " + word,
 		} {
 			_, err := statement.Parse(text)
 			expectNoKey(t, text, key, err)
--- a/internal/statement/mask.go
+++ b/internal/statement/mask.go
@@ -82,18 +82,18 @@
 // beginsKeys reports whether key hashes, or what an operator takes for them, follow the word.
 func (s *keyScanner) beginsKeys(word string) bool {
 	resemblesKey := strings.Contains(strings.ToLower(word), "key")
-	switch {
-	case s.depth > 1:
-		return false
-	case s.depth == 1:
-		return word == "key" || s.inAccount && resemblesKey
-	case s.inAccount:
-		return resemblesKey && s.last() != "account"
-	case s.beginsStatement(0):
+	if s.depth > 0 {
+		return s.depth == 1 && (word == "key" || s.inAccount && resemblesKey)
+	}
+	if s.beginsStatement(0) {
 		return word == "add" || word == "withdraw"
 	}
-	// The verb may be a wrong one, but a question has no key.
-	return resemblesKey && s.beginsStatement(1) && s.last() != "show" && s.last() != "explain"
+	return resemblesKey && (s.inAccount && s.last() != "account" || s.followsVerb())
+}
+
+// followsVerb reports whether the next word is the second one of a statement that is no question. Its verb may be a wrong one.
+func (s *keyScanner) followsVerb() bool {
+	return s.beginsStatement(1) && s.last() != "show" && s.last() != "explain"
 }
 
 // beginsStatement reports whether the next word, or the word that is back words before it, is the first of a statement.
