Check that an operation does not run for another account than its claim's

Cause: that a later attempt of an operation is refused when its key has moved was checked by a unit test of internal/access alone.

Change: TestKeyMovedBetweenClaimAndRun, on an open route, with a key that moves while the body is on its way.

Measured: passes; on a copy without BindsAccount in access.Renew it fails with 200 in place of 503 and 2 runs.

--- a/internal/node/account_claims_test.go
+++ b/internal/node/account_claims_test.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"bufio"
 	"fmt"
+	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -10,6 +13,7 @@
 	"github.com/sardinereach/sardinereach/internal/declaration"
 	"github.com/sardinereach/sardinereach/internal/fakestore"
 	"github.com/sardinereach/sardinereach/internal/once"
+	"github.com/sardinereach/sardinereach/internal/verdict"
 )
 
 // startKeyedClaims serves an acceptor in the project's own dialect that runs requests with idempotency keys. Its route /s requires an
@@ -103,6 +107,39 @@
 	}
 }
 
+// Guards against an operation that runs for one account under the claim of another one, so that it runs again when it is sent again.
+func TestKeyMovedBetweenClaimAndRun(t *testing.T) {
+	a, address, runs := startKeyedClaims(t)
+	setKeyState(a, "a1")
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /open HTTP/1.1\r\nHost: h\r\nSardinereach-Api-Key: %s\r\nIdempotency-Key: k\r\nExpect: 100-continue\r\n"+
+		"Content-Length: 1\r\n\r\n", testKey)
+	reader := bufio.NewReader(c)
+	if line, err := reader.ReadString('\n'); err != nil || !strings.Contains(line, " 100 ") {
+		t.Fatalf("%s %v, want the request for the body", line, err)
+	}
+	if _, err := reader.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	setKeyState(a, "a2")
+	fmt.Fprint(c, "b")
+	res, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get(headerReason) != string(verdict.AccountsUnknown) || runs() != 0 {
+		t.Errorf("%d %s after %d runs, want 503 and none", res.StatusCode, res.Header.Get(headerReason), runs())
+	}
+	again := post(t, address, "/open", "Sardinereach-Api-Key: "+testKey, "Idempotency-Key: k")
+	if again != "200" || runs() != 1 {
+		t.Errorf("sent again: %s after %d runs, want 200 and one", again, runs())
+	}
+}
+
 // Guards against a ticket that runs, or gives its recorded answer, for another account.
 func TestChangedKeyBetweenTwoUsesOfATicket(t *testing.T) {
 	for _, path := range []string{"/s", "/open"} {
