Refuse requests after one unanswered probe for a distributor

What callers saw: at a node that is cut off, once its loan had ended, a request waited while the node probed the other nodes one after the other, 0.5 s each.

Cause: since a loan echoes the distributor's clock, a candidate is probed before it is lent the parts. A probe without an answer left the waiting requests to the next one. Before, an unanswered call had lent the parts, and the requests were refused.

Change: while the parts are lent to none, a probe without an answer refuses the requests that wait with quota_unavailable.

--- a/internal/node/quota_calls.go
+++ b/internal/node/quota_calls.go
@@ -105,6 +105,8 @@
 	switch {
 	case x.isDeclined() && x.call.isLast:
 		slot.refuseWaiting(x.ended, x.ended)
+	case x.isUnansweredProbe() && slot.isUnlent(x.ended):
+		slot.refuseWaiting(x.ended, x.ended+quotaCallTimeout)
 	case x.isServed():
 		slot.apply(x)
 	}
--- a/internal/node/quota_exchange.go
+++ b/internal/node/quota_exchange.go
@@ -31,6 +31,11 @@
 	return x.call.kind == quotaProbe
 }
 
+// isUnansweredProbe reports whether the call was a probe without an answer.
+func (x quotaExchange) isUnansweredProbe() bool {
+	return x.call.kind == quotaProbe && x.response == nil
+}
+
 // isServed reports whether the response decides on the demands of the request.
 func (x quotaExchange) isServed() bool {
 	return x.response != nil && !x.response.Declined && !x.lentNothing()
--- a/internal/node/quota_slot.go
+++ b/internal/node/quota_slot.go
@@ -146,6 +146,9 @@
 	}
 }
 
+// isUnlent reports whether no distributor has the parts of this node.
+func (s *quotaSlot) isUnlent(now time.Duration) bool { return s.lender.Holder(now) == "" }
+
 // apply gives the granted permits to the requests that wait. The permits are valid from the time at which they were asked for.
 func (s *quotaSlot) apply(x quotaExchange) {
 	grants := make(map[string]*peerv1.QuotaGrant, len(x.response.Grants))
