Keep a quota loan at a distributor whose path is avoided

What callers saw: after one call to the distributor without an answer, or one forwarded request that could not be sent to it, each request of a limited account at this node was refused with quota_unavailable until the path was checked again (a second at least) or the loan had ended.

Cause: a node avoids a path after one failed call, and quotaFleet left avoided nodes out altogether, so that the holder of the loan was unknown. That a distributor is left out only after two calls in a row without an answer had no effect in a daemon. TestOneLostQuotaCallRefusesNothingForLong does not see it: its onFailure does nothing.

Ruled out: taking the parts back at once; the next distributor has only this node's part, and starts with an empty bucket.

Change: an avoided node gets no new loan, but one that has the parts stays a candidate until it is left out.

--- a/internal/node/quota_slot.go
+++ b/internal/node/quota_slot.go
@@ -81,11 +81,12 @@
 	return quotaCall{distributor: holder, kind: quotaTakeBack}
 }
 
-// candidates returns the nodes to which the parts may be lent.
+// candidates returns the nodes to which the parts may be lent. The one that has them stays a candidate until it is left out.
 func (s *quotaSlot) candidates(now time.Duration, fleet quotaFleet) []model.NodeID {
 	candidates := make([]model.NodeID, 0, len(fleet.eligible))
+	holder := s.lender.Holder(now)
 	for _, id := range fleet.eligible {
-		if !s.failures.isLeftOut(now, id) {
+		if !s.failures.isLeftOut(now, id) && (!fleet.avoided[id] || id == holder) {
 			candidates = append(candidates, id)
 		}
 	}
