Accept quota loans of a node whose clock was set back between two starts

What callers saw: with a node that had started again with a lower incarnation, the distributors held less than the whole quota, and refused below the limit, until they started again themselves.

Cause: a distributor kept the order of the newest call of each node for good, and takes a lower incarnation for an earlier one. The lender believed that its part was lent, because the call was answered. The entries were never forgotten either.

Change: the order of a call counts for the length of a loan from its receipt. The echo of a call that it has overtaken is older than the receipt, so that the loan of that call has ended by then on the distributor's own clock.

Tests changed: NewDistributor has the length of a loan.

--- a/internal/node/quota_calls.go
+++ b/internal/node/quota_calls.go
@@ -33,7 +33,7 @@
 	now := q.clock.now()
 	for _, slot := range q.slots {
 		slot.forgetIdle(now)
-		slot.distributor.Keep(func(account model.AccountName) bool { _, limited := q.limitOf(account); return limited })
+		slot.distributor.Keep(now, func(account model.AccountName) bool { _, limited := q.limitOf(account); return limited })
 		if now-slot.lentAt >= quotaRenewal-quotaTick/2 {
 			q.startAsking(slot)
 		}
--- a/internal/node/quota_slot.go
+++ b/internal/node/quota_slot.go
@@ -26,7 +26,7 @@
 // newQuotaSlot returns the slot of a node that starts at the time 0.
 func newQuotaSlot(number int) *quotaSlot {
 	return &quotaSlot{
-		number: number, lender: quota.NewLender(0, quotaLoan), distributor: quota.NewDistributor(),
+		number: number, lender: quota.NewLender(0, quotaLoan), distributor: quota.NewDistributor(quotaLoan),
 		purses: make(map[model.AccountName]*accountPurse), failures: newQuotaFailures(), lentAt: -quotaLoan,
 	}
 }
--- a/internal/quota/distributor.go
+++ b/internal/quota/distributor.go
@@ -11,9 +11,11 @@
 // Distributor grants permits from the parts that nodes have lent to it. Its buckets start empty, and shrink as soon as a loan
 // ends: the lender may then use the part elsewhere.
 type Distributor struct {
-	loans map[model.NodeID]heldLoan
+	// length is the longest time from an echoed reading to the end of its loan.
+	length time.Duration
+	loans  map[model.NodeID]heldLoan
 	// newest are the newest calls of the lenders: a call that is overtaken must not lend what was taken back.
-	newest  map[model.NodeID]callOrder
+	newest  map[model.NodeID]newestCall
 	buckets map[model.AccountName]*bucket
 	// now is the time up to which shareSeconds was computed.
 	now          time.Duration
@@ -25,17 +27,17 @@
 	nextEnd time.Duration
 }
 
-// NewDistributor returns a distributor without loans. It grants nothing.
-func NewDistributor() *Distributor {
+// NewDistributor returns a distributor without loans, for loans of the given length. It grants nothing.
+func NewDistributor(length time.Duration) *Distributor {
 	return &Distributor{
-		loans: make(map[model.NodeID]heldLoan), newest: make(map[model.NodeID]callOrder),
+		length: length, loans: make(map[model.NodeID]heldLoan), newest: make(map[model.NodeID]newestCall),
 		buckets: make(map[model.AccountName]*bucket), nextEnd: math.MaxInt64,
 	}
 }
 
 // Lend records a loan that ends at the given time, in place of an earlier one of the node.
 func (d *Distributor) Lend(now time.Duration, loan Loan, until time.Duration) {
-	if loan.Divisor <= 0 || !d.isNewest(loan) {
+	if loan.Divisor <= 0 || !d.isNewest(now, loan) {
 		return
 	}
 	d.advance(now)
@@ -50,7 +52,7 @@
 
 // TakeBack ends the loan of the node.
 func (d *Distributor) TakeBack(now time.Duration, loan Loan) {
-	if !d.isNewest(loan) {
+	if !d.isNewest(now, loan) {
 		return
 	}
 	d.advance(now)
@@ -58,12 +60,12 @@
 }
 
 // isNewest records the call of a lender and reports whether no later one has arrived before it.
-func (d *Distributor) isNewest(loan Loan) bool {
+func (d *Distributor) isNewest(now time.Duration, loan Loan) bool {
 	order := callOrder{incarnation: loan.Incarnation, serial: loan.Serial}
-	if order.precedes(d.newest[loan.Node]) {
+	if newest := d.newest[loan.Node]; newest.counts(now) && order.precedes(newest.order) {
 		return false
 	}
-	d.newest[loan.Node] = order
+	d.newest[loan.Node] = newestCall{order: order, until: now + d.length}
 	return true
 }
 
@@ -95,8 +97,13 @@
 	return grant
 }
 
-// Keep forgets the buckets of all accounts but those for which it returns true.
-func (d *Distributor) Keep(isLimited func(model.AccountName) bool) {
+// Keep forgets the buckets of all accounts but those for which it returns true, and the calls that no longer count.
+func (d *Distributor) Keep(now time.Duration, isLimited func(model.AccountName) bool) {
+	for node, newest := range d.newest {
+		if !newest.counts(now) {
+			delete(d.newest, node)
+		}
+	}
 	for account := range d.buckets {
 		if !isLimited(account) {
 			delete(d.buckets, account)
--- a/internal/quota/half_share_test.go
+++ b/internal/quota/half_share_test.go
@@ -12,7 +12,7 @@
 func TestHalfOfThePartsHoldsNoTokenOfASmallLimit(t *testing.T) {
 	limit := Limit{PerSecond: 0.1, Burst: 1}
 	for nodes := 2; nodes <= 200; nodes += 2 {
-		d := NewDistributor()
+		d := NewDistributor(testLend)
 		for i := range nodes / 2 {
 			d.Lend(0, Loan{Node: model.NodeID(fmt.Sprint("n", i)), Divisor: nodes}, time.Hour)
 		}
@@ -26,7 +26,7 @@
 func TestHalfOfThePartsWithTheCastingOneGrantsASmallLimit(t *testing.T) {
 	for _, burst := range []float64{0, 1, 1.99} {
 		for nodes := 2; nodes <= 200; nodes += 2 {
-			d := NewDistributor()
+			d := NewDistributor(testLend)
 			for i := range nodes / 2 {
 				d.Lend(0, Loan{Node: model.NodeID(fmt.Sprint("n", i)), Divisor: nodes, IsCasting: i == 0}, time.Hour)
 			}
@@ -42,7 +42,7 @@
 func TestSumOfPartsThatMakesATokenGrantsIt(t *testing.T) {
 	for _, burst := range []int{2, 3, 4, 5, 10} {
 		for nodes := burst; nodes <= 200; nodes += burst {
-			d := NewDistributor()
+			d := NewDistributor(testLend)
 			for i := range nodes / burst {
 				d.Lend(0, Loan{Node: model.NodeID(fmt.Sprint("n", i)), Divisor: nodes}, 2*time.Hour)
 			}
--- a/internal/quota/loan.go
+++ b/internal/quota/loan.go
@@ -43,3 +43,14 @@
 	}
 	return o.serial < other.serial
 }
+
+// newestCall is the newest call of a lender.
+type newestCall struct {
+	order callOrder
+	// until is the time at which the loans of all calls that it has overtaken have ended. From then on the order does not matter, and the
+	// lender may have a lower incarnation: its clock may have been set back between two starts.
+	until time.Duration
+}
+
+// counts reports whether calls that the call has overtaken may still lend parts.
+func (c newestCall) counts(now time.Duration) bool { return now < c.until }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -70,7 +70,7 @@
 	n.incarnation++
 	n.started, n.serial = now, 0
 	n.lender = NewLender(0, testLend)
-	n.distributor = NewDistributor()
+	n.distributor = NewDistributor(testLend)
 	n.purse = Purse{}
 }
 
@@ -239,7 +239,7 @@
 
 // Guards against a waiting time after which there is still no permit, and one that is longer than necessary.
 func TestRefusedCallerIsToldWhenThereIsAPermit(t *testing.T) {
-	d := NewDistributor()
+	d := NewDistributor(testLend)
 	limit := Limit{PerSecond: 4, Burst: 2}
 	d.Lend(0, Loan{Node: "n", Divisor: 1}, time.Hour)
 	now := 10 * time.Second
@@ -257,7 +257,7 @@
 
 // Guards against the tokens of a higher limit staying in use after it was lowered.
 func TestLoweredLimitBindsAtOnce(t *testing.T) {
-	d := NewDistributor()
+	d := NewDistributor(testLend)
 	d.Lend(0, Loan{Node: "n", Divisor: 1}, time.Hour)
 	d.Take(10*time.Second, account, Limit{PerSecond: 100, Burst: 100}, 0, 0)
 	if grant := d.Take(10*time.Second, account, Limit{PerSecond: 2, Burst: 3}, 50, 0); grant.Permits > 3 {
@@ -282,7 +282,7 @@
 
 // Guards against an account that is refused at its first request because another node has taken its part back shortly before.
 func TestUnusedAccountKeepsItsBurstWhenThePartsChange(t *testing.T) {
-	d := NewDistributor()
+	d := NewDistributor(testLend)
 	limit := Limit{PerSecond: 10, Burst: 10}
 	for i := range 10 {
 		d.Lend(0, Loan{Node: model.NodeID(fmt.Sprint("n", i)), Divisor: 10}, time.Hour)
