--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -49,7 +49,8 @@
 	return quota.Limit{PerSecond: account.RatePerSecond, Burst: account.Burst}, true
 }
 
-// take returns a permit for a request of the account. It waits for one call to a distributor at most.
+// take returns a permit for a request of the account. It waits for the next call that asks for permits, and for the probe and the repeat of a
+// lost call before it.
 func (q *quotas) take(ctx context.Context, account *declaration.Account) (quota.Permit, *verdict.Error) {
 	limit, limited := limitOfAccount(account)
 	if !limited {
