--- a/internal/node/quota_calls.go
+++ b/internal/node/quota_calls.go
@@ -33,7 +33,7 @@
 	now := q.clock.now()
 	for _, slot := range q.slots {
 		slot.forgetIdle(now)
-		slot.distributor.Keep(func(account model.AccountName) bool { _, limited := q.limitOf(account); return limited })
+		slot.distributor.Keep(now, func(account model.AccountName) bool { _, limited := q.limitOf(account); return limited })
 		if now-slot.lentAt >= quotaRenewal-quotaTick/2 {
 			q.startAsking(slot)
 		}
@@ -105,6 +105,8 @@
 	switch {
 	case x.isDeclined() && x.call.isLast:
 		slot.refuseWaiting(x.ended, x.ended)
+	case x.isUnansweredProbe() && slot.isUnlent(x.ended):
+		slot.refuseWaiting(x.ended, x.ended+quotaCallTimeout)
 	case x.isServed():
 		slot.apply(x)
 	}
--- a/internal/node/quota_slot.go
+++ b/internal/node/quota_slot.go
@@ -26,7 +26,7 @@
 // newQuotaSlot returns the slot of a node that starts at the time 0.
 func newQuotaSlot(number int) *quotaSlot {
 	return &quotaSlot{
-		number: number, lender: quota.NewLender(0, quotaLoan), distributor: quota.NewDistributor(),
+		number: number, lender: quota.NewLender(0, quotaLoan), distributor: quota.NewDistributor(quotaLoan),
 		purses: make(map[model.AccountName]*accountPurse), failures: newQuotaFailures(), lentAt: -quotaLoan,
 	}
 }
@@ -81,11 +81,12 @@
 	return quotaCall{distributor: holder, kind: quotaTakeBack}
 }
 
-// candidates returns the nodes to which the parts may be lent.
+// candidates returns the nodes to which the parts may be lent. The one that has them stays a candidate until it is left out.
 func (s *quotaSlot) candidates(now time.Duration, fleet quotaFleet) []model.NodeID {
 	candidates := make([]model.NodeID, 0, len(fleet.eligible))
+	holder := s.lender.Holder(now)
 	for _, id := range fleet.eligible {
-		if !s.failures.isLeftOut(now, id) {
+		if !s.failures.isLeftOut(now, id) && (!fleet.avoided[id] || id == holder) {
 			candidates = append(candidates, id)
 		}
 	}
@@ -146,6 +147,9 @@
 	}
 }
 
+// isUnlent reports whether no distributor has the parts of this node.
+func (s *quotaSlot) isUnlent(now time.Duration) bool { return s.lender.Holder(now) == "" }
+
 // apply gives the granted permits to the requests that wait. The permits are valid from the time at which they were asked for.
 func (s *quotaSlot) apply(x quotaExchange) {
 	grants := make(map[string]*peerv1.QuotaGrant, len(x.response.Grants))
