Send a path that begins with two slashes as it came

Callers saw: with the routes / (open) and /s (requires a key), GET //h/s without a key was run by the target as GET http://h/s. net/http reads that line as the path /s of the host h: a request that no caller has sent, on a route whose key it lacks.

Cause: http.Transport gets path and query as an opaque URL, and url.URL.RequestURI writes the scheme before an opaque URL with two slashes. All decisions were made on the path as sent; only the last writer changed it.

Ruled out: refusing all such paths (they are proper, RFC 3986, section 3.3, and 400 is final); encoding the second slash (another path).

Change: such a path is handed over as Path and RawPath, which net/url writes unchanged if all characters that need an encoding have one. One that lacks an encoding is refused by its match, as the paths with a segment "..": 400, not-run, path_ambiguous.

Before: TestPathWithTwoSlashesIsForwardedAsSent failed for each of its eight such paths, among them "//h/s: the upstream gets "GET http://h/s HTTP/1.1", want "GET //h/s HTTP/1.1"". After: it passes; go test -race of headers, access, routing, upstream and node passes.

Open: upstreams that read //h/s in origin form as the path /s.

--- a/internal/routing/match.go
+++ b/internal/routing/match.go
@@ -12,18 +12,22 @@
 	Service *declaration.Service
 	// Route is the route with the restrictions of the routes that an upstream may read the path as.
 	Route *declaration.Route
-	// climbs means that the path has a segment "..".
-	climbs bool
+	// ambiguity is why upstreams may take the path for another one, nil if they do not.
+	ambiguity error
 }
 
-// errPathClimbs means that the path of a request has a segment "..", which callers resolve before they send a request (RFC 3986,
-// section 5.2.4).
-var errPathClimbs = errors.New("routing: the path has a segment \"..\"")
+var (
+	// errPathClimbs means that the path of a request has a segment "..", which callers resolve before they send a request (RFC 3986,
+	// section 5.2.4).
+	errPathClimbs = errors.New("routing: the path has a segment \"..\"")
+	// errPathNotSendable means that http.Transport cannot send the path unchanged.
+	errPathNotSendable = errors.New("routing: the path begins with \"//\" and has characters that need an encoding")
+)
 
 // Refusal returns the refusal of all requests of the match, nil if they are served.
 func (m *Match) Refusal() *verdict.Error {
-	if m.climbs {
-		return verdict.Refused(verdict.PathAmbiguous, errPathClimbs)
+	if m.ambiguity != nil {
+		return verdict.Refused(verdict.PathAmbiguous, m.ambiguity)
 	}
 	return m.Route.Refusal()
 }
@@ -38,5 +42,5 @@
 	if route.Unsupported == "" {
 		route.Unsupported = other.Unsupported
 	}
-	return &Match{Service: m.Service, Route: &route, climbs: m.climbs}
+	return &Match{Service: m.Service, Route: &route, ambiguity: m.ambiguity}
 }
--- a/internal/routing/path.go
+++ b/internal/routing/path.go
@@ -1,6 +1,9 @@
 package routing
 
-import "strings"
+import (
+	"net/url"
+	"strings"
+)
 
 // requestPath is the path of a request in the two readings that decide on its route.
 type requestPath struct {
@@ -10,8 +13,9 @@
 	// merged is the path of an upstream that takes every character for a separator that some upstream does: encoded slashes
 	// and backslashes end a segment, empty segments, "." and what follows ";" or "#" are left out.
 	merged string
-	// climbs means that a segment of merged is "..": where it leads depends on which separators an upstream takes.
-	climbs bool
+	// ambiguity is errPathClimbs if a segment of merged is "..": where it leads depends on which separators an upstream takes. It is
+	// errPathNotSendable if the path cannot be sent unchanged.
+	ambiguity error
 }
 
 // PathOf returns the path of a request target as it was sent, without its query.
@@ -27,10 +31,27 @@
 		return requestPath{routed: path, merged: path}
 	}
 	p := requestPath{routed: decodePath(path, true)}
-	p.merged, p.climbs = mergeSegments(decodePath(path, false))
+	var climbs bool
+	p.merged, climbs = mergeSegments(decodePath(path, false))
+	switch {
+	case climbs:
+		p.ambiguity = errPathClimbs
+	case strings.HasPrefix(path, "//") && !isProperlyEncoded(path):
+		p.ambiguity = errPathNotSendable
+	}
 	return p
 }
 
+// isProperlyEncoded reports whether all characters that need an encoding have one, so that net/url writes the path as it was sent.
+func isProperlyEncoded(path string) bool {
+	decoded, err := url.PathUnescape(path)
+	if err != nil {
+		return false
+	}
+	u := url.URL{Path: decoded, RawPath: path}
+	return u.EscapedPath() == path
+}
+
 // hasOneReading reports whether nothing in the path can be read in two ways.
 func hasOneReading(path string) bool {
 	for i := 0; i < len(path); i++ {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -62,8 +62,8 @@
 	switch {
 	case m == nil:
 		return nil
-	case readings.climbs:
-		return &Match{Service: m.Service, Route: m.Route, climbs: true}
+	case readings.ambiguity != nil:
+		return &Match{Service: m.Service, Route: m.Route, ambiguity: readings.ambiguity}
 	case readings.merged == readings.routed:
 		return m
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -196,8 +196,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "upstream: request")
 	}
-	// An opaque URL is sent unchanged, so that the upstream receives exactly the caller's path and query.
-	req.URL.Opaque = head.Uri
+	if err := setPathAndQuery(req.URL, head.Uri); err != nil {
+		return nil, err
+	}
 	req.ContentLength = int64(len(body))
 	req.Host = head.Host
 	for _, h := range head.Headers {
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -8,7 +8,8 @@
 const (
 	// NoRoute means that no route matches the method and path.
 	NoRoute Reason = "no_route"
-	// PathAmbiguous means that the path has a segment "..", so that the node and an upstream may take it for different paths.
+	// PathAmbiguous means that the path has a segment "..", or begins with "//" and is not properly encoded, so that the node and an
+	// upstream may take it for different paths.
 	PathAmbiguous Reason = "path_ambiguous"
 	// RouteUnsupported means that the configuration has a route for the request that this build does not understand.
 	RouteUnsupported Reason = "route_unsupported"
