Refuse CONNECT

Callers saw: CONNECT /open with a body was forwarded to a target and answered with 200, although the README says that there is no CONNECT.

Cause: the method of a request was never looked at, unless a route names it. What follows the head of a CONNECT request belongs to the tunnel that it opens (RFC 9110, section 9.3.6); the node reads it as a body by its Content-Length. An upstream that serves CONNECT takes these bytes for a tunnel's, where the node decides on nothing that the caller sends.

Ruled out: forwarding it without its body (a body would be changed).

Change: 400, not-run, bad_request, before the route is searched.

Before: TestConnectIsNotForwarded failed: "status 200, 1 runs". After: it passes; go test -race of node, verdict and events passes.

--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -133,6 +133,9 @@
 	if !a.ready() {
 		return nil, verdict.Refused(verdict.NotReady, nil)
 	}
+	if r.Method == http.MethodConnect {
+		return nil, verdict.Refused(verdict.BadRequest, errTunnel)
+	}
 	view := a.view.Load()
 	match := view.Table.Match(r.Host, r.Method, routing.PathOf(requestURI(r)))
 	if match == nil {
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -71,7 +71,7 @@
 	BodyTooLarge Reason = "body_too_large"
 	// BodyIncomplete means that the caller did not send the complete body.
 	BodyIncomplete Reason = "body_incomplete"
-	// BadRequest means that a header of the request is malformed.
+	// BadRequest means that a header of the request is malformed, or that its method is CONNECT.
 	BadRequest Reason = "bad_request"
 	// KeyMissing means that a non-idempotent request has neither an idempotency key nor a ticket.
 	KeyMissing Reason = "key_missing"
