Restrict a path that begins like a host by the routes behind it

Callers saw: with the routes / (open) and /s (requires a key), GET //h/s without a key is sent to the target as it came. Upstreams that parse the target as a reference (RFC 3986, section 4.2) take h for a host and serve /s, whose key was not asked for.

Cause: the readings of a path that add restrictions left out that one.

Ruled out: refusing such paths (they are proper, and 400 is final).

Change: a path that begins with "//" or "/\" also gets the restrictions of the routes of its merged reading without the first segment.

--- a/internal/routing/path.go
+++ b/internal/routing/path.go
@@ -13,6 +13,8 @@
 	// merged is the path of an upstream that takes every character for a separator that some upstream does: encoded slashes
 	// and backslashes end a segment, empty segments, "." and what follows ";" or "#" are left out.
 	merged string
+	// behindHost is merged without its first segment if some upstreams take that segment for a host, "" otherwise.
+	behindHost string
 	// ambiguity is errPathClimbs if a segment of merged is "..": where it leads depends on which separators an upstream takes. It is
 	// errPathNotSendable if the path cannot be sent unchanged.
 	ambiguity error
@@ -33,6 +35,9 @@
 	p := requestPath{routed: decodePath(path, true)}
 	var climbs bool
 	p.merged, climbs = mergeSegments(decodePath(path, false))
+	if beginsLikeHost(path) {
+		p.behindHost = withoutFirstSegment(p.merged)
+	}
 	switch {
 	case climbs:
 		p.ambiguity = errPathClimbs
@@ -42,6 +47,19 @@
 	return p
 }
 
+// beginsLikeHost reports whether a parser of references takes the first segment of the path for a host (RFC 3986, section 4.2). Some
+// of them take a backslash for a slash.
+func beginsLikeHost(path string) bool { return len(path) > 2 && (path[1] == '/' || path[1] == '\\') }
+
+// withoutFirstSegment returns the path behind its first segment.
+func withoutFirstSegment(path string) string {
+	end := strings.IndexByte(path[1:], '/')
+	if end < 0 {
+		return "/"
+	}
+	return path[1+end:]
+}
+
 // isProperlyEncoded reports whether all characters that need an encoding have one, so that net/url writes the path as it was sent.
 func isProperlyEncoded(path string) bool {
 	decoded, err := url.PathUnescape(path)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -67,7 +67,11 @@
 	case readings.merged == readings.routed:
 		return m
 	}
-	return t.restrict(m, host, method, readings.merged)
+	restricted := t.restrict(m, m, host, method, readings.merged)
+	if readings.behindHost != "" {
+		restricted = t.restrict(restricted, m, host, method, readings.behindHost)
+	}
+	return restricted
 }
 
 func (t *Table) matchHosts(host, method, path string) *Match {
@@ -80,10 +84,9 @@
 	return m
 }
 
-// restrict returns the match with the restrictions of all routes that the path leads to and that are not as general as that of the
-// match: an upstream may take some separators of the path and leave others.
-func (t *Table) restrict(m *Match, host, method, path string) *Match {
-	restricted := m
+// restrict returns the match with the restrictions of all routes that the path leads to and that are not as general as that of m:
+// an upstream may take some separators of the path and leave others.
+func (t *Table) restrict(restricted, m *Match, host, method, path string) *Match {
 	for _, h := range []string{host, ""} {
 		for prefix := trimSlash(path); ; prefix = parent(prefix) {
 			var other *Match
