--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -8,7 +8,8 @@
 const (
 	// NoRoute means that no route matches the method and path.
 	NoRoute Reason = "no_route"
-	// PathAmbiguous means that the path has a segment "..", so that the node and an upstream may take it for different paths.
+	// PathAmbiguous means that the path has a segment "..", or begins with "//" and is not properly encoded, so that the node and an
+	// upstream may take it for different paths.
 	PathAmbiguous Reason = "path_ambiguous"
 	// RouteUnsupported means that the configuration has a route for the request that this build does not understand.
 	RouteUnsupported Reason = "route_unsupported"
@@ -70,7 +71,7 @@
 	BodyTooLarge Reason = "body_too_large"
 	// BodyIncomplete means that the caller did not send the complete body.
 	BodyIncomplete Reason = "body_incomplete"
-	// BadRequest means that a header of the request is malformed.
+	// BadRequest means that a header of the request is malformed, or that its method is CONNECT.
 	BadRequest Reason = "bad_request"
 	// KeyMissing means that a non-idempotent request has neither an idempotency key nor a ticket.
 	KeyMissing Reason = "key_missing"
