Lend the parts of quotas at once while they move to another distributor

Seen by callers: 429 quota_exceeded below the quota of their account in rolls.

Cause of a part of them: a node without waiting requests moved its parts one call at a time, each at a tick of its renewal (probe, take back, lend), so that nobody used them for 380 ms between two calls. The design says "at once". Parts that are missing for good while nodes restart were ruled out by a trial that logs the shares of the distributors (docs/incidents/2026-12-07-floor-in-rolls.md).

Change: after a call that took the parts back, or a probe that was answered, the next call follows, up to the last candidate.

Before the change: TestPartsOfAStoppingDistributorAreLentAtOnce, parts were idle for 380 ms; TestPartsMoveToAPreferredDistributorAtOnce, 375 ms; both want two calls at most, and pass after it.

--- a/internal/node/quota_calls.go
+++ b/internal/node/quota_calls.go
@@ -49,7 +49,7 @@
 	go q.ask(slot)
 }
 
-// ask calls distributors until no request of the slot waits.
+// ask calls distributors until no request of the slot waits and its parts are not on their way.
 func (q *quotas) ask(slot *quotaSlot) {
 	for q.askOnce(slot) {
 	}
@@ -110,7 +110,6 @@
 	case x.isServed():
 		slot.apply(x)
 	}
-	mayLendNow := x.lentNothing() && slot.lender.MayLendTo(x.ended, x.call.distributor)
-	slot.asking = mayLendNow || slot.hasWaiting()
+	slot.asking = x.movesParts() || slot.hasWaiting()
 	return slot.asking
 }
--- a/internal/node/quota_exchange.go
+++ b/internal/node/quota_exchange.go
@@ -48,3 +48,9 @@
 func (x quotaExchange) hasReturned() bool {
 	return x.response != nil && (x.call.kind == quotaTakeBack || x.call.kind == quotaLend && x.response.Declined)
 }
+
+// movesParts reports whether the parts are on their way to another distributor after an answered call, so that the next call follows
+// at once: until it, nobody uses them. Parts that the last candidate returns wait for the next renewal.
+func (x quotaExchange) movesParts() bool {
+	return x.lentNothing() || x.hasReturned() && !x.call.isLast
+}
