Check that a copy with a change ahead calls no key unknown

The property test compared with the owner at the complete revision only, so that a key which was given away ahead of it passed as unknown.

Change: TestAccountsAreThoseOfTheNewestDocuments and TestPartialCopiesDoNotCallKeysUnknown also fail if a key is unknown while the table has a group from after its complete revision. No check was removed.

On a copy whose isPartial ignores newer documents both the former and the new check fail, the new one first.

--- a/internal/config/account_property_test.go
+++ b/internal/config/account_property_test.go
@@ -107,6 +107,9 @@
 			if owner := h.owner(key, table.Complete()); owner != "" {
 				t.Fatalf("%s: complete up to %d, %s is unknown and belongs to %s", where, table.Complete(), key, owner)
 			}
+			if newest := newestGroup(table); newest > table.Complete() {
+				t.Fatalf("%s: complete up to %d, %s is unknown with a change at %d", where, table.Complete(), key, newest)
+			}
 		case account.Known:
 			document, _ := table.Get(AccountKey(declaration.GroupOf(finding.Account.Name)))
 			if !slices.Contains(h.keys[document.Revision][finding.Account.Name], key) {
@@ -116,6 +119,17 @@
 	}
 }
 
+// newestGroup returns the revision of the newest group of accounts in the table.
+func newestGroup(table *Table) int64 {
+	var newest int64
+	for _, name := range testAccounts {
+		if document, found := table.Get(AccountKey(declaration.GroupOf(name))); found {
+			newest = max(newest, document.Revision)
+		}
+	}
+	return newest
+}
+
 // checkDecided fails unless the table decides all keys as the store at the newest revision.
 func (h *accountHistory) checkDecided(t *rapid.T, table *Table, where string) {
 	accounts := table.Snapshot().Accounts
