Refuse the routes of a service whose newest document is not understood

Callers: requests ran by an older document of a service although the store had a newer one that restricts more, as long as a part of the newer one was refused by the build (a floor or a policy out of range, a field of another type). A route with an unreadable path or host was left out, so that its requests reached a less specific route.

Change: a document that is a JSON object of this service is in force. Its routes that are understood are served, one that is not is refused with route_unsupported. A fault of the service as a whole, a list of routes that cannot be read and a route whose host, path or methods cannot be read refuse all routes of the service, together with those of the last document that was understood. What no build can read (no JSON object, the document of another service, no service in the key) is damage: the last one that could be read stays in force, SR0205. A refused service is reported once a revision (SR0220, route *); SR1032 and its counter count the requests. TestInvalidDocumentKeepsLastValidOne, in both packages, is unchanged.

An unsupported service may have any name in Validate; nothing is sent to it, and the mark is never stored.

Open: a node that starts after the last understood document was replaced does not know its routes.

--- a/internal/config/entry.go
+++ b/internal/config/entry.go
@@ -17,10 +17,12 @@
 // entry is the newest document of a key, with the active declaration of its service or the accounts of its group.
 type entry struct {
 	document Document
-	// service is the last valid declaration, which is active, or nil. serviceRevision is the revision of the last valid
-	// document, deletions included.
+	// service is the declaration that is active, or nil: that of the last document that could be read, unsupported if this build does
+	// not understand it. serviceRevision is the revision of that document, deletions included.
 	service         *declaration.Service
 	serviceRevision int64
+	// supported is the last declaration that was understood, nil if there is none since the last deletion.
+	supported *declaration.Service
 	// accounts are those of a valid document of a group of accounts, nil otherwise.
 	accounts *account.Group
 	// err is the validation error of document, nil if it is valid.
@@ -54,11 +56,12 @@
 	e.accounts, e.err = decodeAccounts(e.document.Key, e.document.Value, e.accounts)
 }
 
-// replaceService decodes the newest document of a service. If it is invalid, the last valid declaration stays active.
+// replaceService decodes the newest document of a service. If it is damaged, the last one stays active. If it is readable and not
+// understood, it refuses the routes of the last one that was understood together with its own.
 func (e *entry) replaceService(name model.ServiceName) {
 	document := e.document
 	if document.Deleted {
-		e.service = nil
+		e.service, e.supported = nil, nil
 		e.serviceRevision = document.Revision
 		return
 	}
@@ -67,15 +70,28 @@
 		e.err = err
 		return
 	}
+	if service.Unsupported == "" {
+		e.supported = service
+	} else {
+		service.RefuseRoutesOf(e.supported)
+	}
 	e.service = service
 	e.serviceRevision = document.Revision
 }
 
+// decode returns the declaration of the document under the key of the service. A document whose name cannot be read declares the
+// service of its key.
 func decode(name model.ServiceName, value []byte) (*declaration.Service, error) {
+	if name == "" {
+		return nil, errors.New("the key names no service")
+	}
 	service, err := declaration.DecodeStored(value)
 	if err != nil {
 		return nil, err
 	}
+	if service.Name == "" {
+		service.Name = name
+	}
 	if service.Name != name {
 		return nil, errors.Errorf("the document under the key of %s declares service %s", name, service.Name)
 	}
--- a/internal/config/rejection.go
+++ b/internal/config/rejection.go
@@ -5,6 +5,6 @@
 	Key      string
 	Revision int64
 	Err      error
-	// ActiveRevision is the revision of the last valid document, which stays active; 0 if there is none.
+	// ActiveRevision is the revision of the last document that could be read, which stays active; 0 if there is none.
 	ActiveRevision int64
 }
--- a/internal/declaration/account_group.go
+++ b/internal/declaration/account_group.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"reflect"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -83,9 +84,14 @@
 	case errors.As(err, &typeError) && typeError.Field == "":
 		return errNotObject
 	case errors.As(err, &typeError):
-		return errors.Errorf("field %q has a value of another type", typeError.Field)
+		return errors.Errorf("field %q has a value of another type", withoutEmbedded(typeError.Field))
 	case errors.Is(err, errKeyHash):
 		return err
 	}
 	return errors.New("not valid JSON")
 }
+
+// withoutEmbedded returns the path of a field in JSON, without the names of the embedded structs that package json puts before it.
+func withoutEmbedded(path string) string {
+	return strings.TrimPrefix(strings.TrimPrefix(path, "Document."), "Service.")
+}
--- a/internal/declaration/decode_stored.go
+++ b/internal/declaration/decode_stored.go
@@ -6,21 +6,23 @@
 	"reflect"
 
 	"github.com/pkg/errors"
+
+	"github.com/sardinereach/sardinereach/internal/model"
 )
 
 // DecodeStored parses a document that another build may have written. Routes that this build does not understand become
-// unsupported, those with unknown fields included, because such a field may restrict who calls the route. An unknown field of the
-// service makes the service and all its routes unsupported. Only what is wrong with the value of a known field of the service is an
-// error.
+// unsupported, those with unknown fields included, because such a field may restrict who calls the route. The service and all its
+// routes become unsupported if it has an unknown field or a field of which the value is not valid, or if it is not known which
+// requests one of its routes matches. The name of an unsupported service is empty if it cannot be read. Only what is not a JSON
+// object is an error.
 func DecodeStored(data []byte) (*Service, error) {
 	if s := decodeCanonical(data); s != nil {
 		return s, nil
 	}
-	s, err := decodeRoutesApart(data)
+	s, err := decodeParts(data)
 	if err != nil {
 		return nil, errors.Wrap(err, "service document")
 	}
-	s.MarkUnsupportedRoutes()
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
@@ -50,27 +52,77 @@
 	Routes []json.RawMessage `json:"routes"`
 }
 
-// decodeRoutesApart decodes each route on its own.
-func decodeRoutesApart(data []byte) (*Service, error) {
+// decodeParts decodes the fields of a service and each of its routes on their own.
+func decodeParts(data []byte) (*Service, error) {
 	var document documentOfRoutes
-	if err := json.Unmarshal(data, &document); err != nil {
+	fault := json.Unmarshal(data, &document)
+	var typeError *json.UnmarshalTypeError
+	if fault != nil && !errors.As(fault, &typeError) {
+		return nil, fault
+	}
+	fields, err := jsonFields(data)
+	if err != nil {
 		return nil, err
 	}
+	if fault != nil {
+		// The fields of the right type are decoded.
+		fault = withoutValue(fault)
+	} else {
+		fault = checkFields(data, reflect.TypeFor[documentOfRoutes]())
+	}
 	s := &document.Service
-	if document.Routes != nil {
-		s.Routes = make([]Route, 0, len(document.Routes))
+	s.Name = readServiceName(fields)
+	unplaced := s.decodeStoredRoutes(document.Routes != nil, readRoutes(fields))
+	s.MarkUnsupportedRoutes()
+	s.markFaults(fault, s.validateFields(), unplaced)
+	return s, nil
+}
+
+// readServiceName returns the name of a service, "" if it cannot be read.
+func readServiceName(fields []jsonField) model.ServiceName {
+	var name model.ServiceName
+	values := fieldsLike(fields, "name")
+	if len(values) != 1 || values[0].name != "name" || json.Unmarshal(values[0].value, &name) != nil {
+		return ""
+	}
+	return name
+}
+
+// readRoutes returns the encoded routes of all fields that may contain them.
+func readRoutes(fields []jsonField) []json.RawMessage {
+	var routes []json.RawMessage
+	for _, field := range fieldsLike(fields, "routes") {
+		var list []json.RawMessage
+		if json.Unmarshal(field.value, &list) == nil {
+			routes = append(routes, list...)
+		}
 	}
-	for _, raw := range document.Routes {
-		s.Routes = append(s.Routes, decodeStoredRoute(raw))
+	return routes
+}
+
+// decodeStoredRoutes decodes the routes of the service. It returns an error for the first one of which the place is not known.
+func (s *Service) decodeStoredRoutes(exist bool, encoded []json.RawMessage) error {
+	s.Routes = nil
+	if exist {
+		s.Routes = make([]Route, 0, len(encoded))
 	}
-	if err := checkFields(data, reflect.TypeFor[documentOfRoutes]()); err != nil {
-		s.markUnsupported(err)
+	var unplaced error
+	for i, raw := range encoded {
+		route, err := decodeStoredRoute(raw)
+		if err != nil && unplaced == nil {
+			unplaced = errors.Wrapf(err, "route %d of the list", i+1)
+		}
+		s.Routes = append(s.Routes, route)
 	}
-	return s, nil
+	return unplaced
 }
 
-// decodeStoredRoute decodes a route. One with an unknown field or a value of another type becomes unsupported.
-func decodeStoredRoute(raw json.RawMessage) Route {
+// errNoPath is the error for a route without a path.
+var errNoPath = errors.New("the path does not begin with '/'")
+
+// decodeStoredRoute decodes a route. One with an unknown field or a value of another type becomes unsupported. The error says why it
+// is not known which requests the route matches, nil if it is.
+func decodeStoredRoute(raw json.RawMessage) (Route, error) {
 	var route Route
 	err := json.Unmarshal(raw, &route)
 	if err == nil {
@@ -80,30 +132,8 @@
 		return unsupportedFrom(raw, err)
 	}
 	route.dropImpliedRequirements()
-	return route
-}
-
-// markUnsupported makes the service and all its routes unsupported for the given reason.
-func (s *Service) markUnsupported(reason error) {
-	s.Unsupported = reason.Error()
-	for i := range s.Routes {
-		s.Routes[i].MarkUnsupported(reason)
+	if route.Unsupported == "" && !route.hasPath() {
+		return route, errNoPath
 	}
-}
-
-// unsupportedFrom returns the unsupported route for an encoded route. Without a readable host and path it matches no
-// request.
-func unsupportedFrom(raw json.RawMessage, reason error) Route {
-	var place struct {
-		Host      string   `json:"host"`
-		Methods   []string `json:"methods"`
-		Path      string   `json:"path"`
-		BelowOnly bool     `json:"below_only"`
-	}
-	if err := json.Unmarshal(raw, &place); err != nil {
-		return UnsupportedRoute("", "", false, reason)
-	}
-	route := UnsupportedRoute(place.Host, place.Path, place.BelowOnly, reason)
-	route.limitMethods(place.Methods)
-	return route
+	return route, nil
 }
--- a/internal/declaration/stored_service_test.go
+++ b/internal/declaration/stored_service_test.go
@@ -39,7 +39,7 @@
 
 // Guards against routes that are served although their service has a restriction that this build does not know.
 func TestServiceWithUnknownFieldIsUnsupported(t *testing.T) {
-	for _, odd := range []string{`"tls":{}`, `"Name":"s"`, `"routes":[{"path":"/b"}]`, `"policy":{"later":1}`} {
+	for _, odd := range []string{`"floor_slots":-1`, `"floor_slots":"many"`, `"policy":{"preset":"later"}`, `"version":7`, `"tls":{}`, `"Name":"s"`, `"routes":[{"path":"/b"}]`, `"policy":{"later":1}`} {
 		document := `{"name":"s","policy":{},"routes":[{"path":"/a"}],"change_id":"x",` + odd + `}`
 		s, err := DecodeStored([]byte(document))
 		if err != nil {
@@ -54,6 +54,15 @@
 	}
 }
 
+// Guards against a document that no build can read and that is taken for one that restricts.
+func TestDamagedServiceDocumentIsAnError(t *testing.T) {
+	for _, document := range []string{``, `{`, `null`, `[]`, `7`, `"s"`, `{"name":"s"} x`, strings.Repeat(`{"name":`, 20_000)} {
+		if s, err := DecodeStored([]byte(document)); err == nil {
+			t.Errorf("%.40s: decoded as %+v", document, s)
+		}
+	}
+}
+
 // Guards against a route with a key that an older build, which ignores unknown fields but reads requirements, serves to everybody, and
 // against a canonical form that changes when a document is read and written again.
 func TestRouteWithKeyEncodesItsRequirement(t *testing.T) {
--- a/internal/declaration/unsupported_test.go
+++ b/internal/declaration/unsupported_test.go
@@ -29,6 +29,8 @@
 	f.Add([]byte(`{"name":"s"}`))
 	f.Add([]byte(`{"name":"s","routes":[]}`))
 	f.Add([]byte(`{"name":"s","floor_slots":"many","routes":[{"path":"/a"}]}`))
+	f.Add([]byte(`{"name":"s","policy":{"preset":7,"failure_rate":2},"Routes":[{"path":"/a","host":null}],"routes":[{"path":"/a"}]}`))
+	f.Add([]byte(`{"name":"S One","name":7,"routes":[{"path":"/a","path":"/b"},{"path":"c"},{"Path":"/d","methods":["get"]}],"floor_slots":-1}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s, err := DecodeStored(data)
 		if err != nil {
@@ -42,6 +44,9 @@
 				t.Errorf("route %+v is not refused, or counts as idempotent", route)
 			}
 		}
+		if s.Unsupported != "" && len(s.UnsupportedRoutes()) != len(s.Routes) {
+			t.Errorf("routes of the unsupported service %+v are in force", s)
+		}
 		strict, err := Decode(data)
 		if err != nil {
 			return
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -20,16 +20,11 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
 
-// Validate returns nil, or an error that names the invalid field and the values that are valid.
+// Validate returns nil, or an error that names the invalid field and the values that are valid. An unsupported service may have any
+// name, because nothing is sent to it.
 func (s *Service) Validate() error {
-	if !namePattern.MatchString(string(s.Name)) {
-		return errors.Errorf("service name %q: use 1 to 63 lower-case letters, digits, '-' or '.'", s.Name)
-	}
-	if s.FloorSlots < 0 {
-		return errors.Errorf("service %s: floor %d slots: use 0 or more", s.Name, s.FloorSlots)
-	}
-	if err := s.Policy.validate(); err != nil {
-		return errors.Wrapf(err, "service %s", s.Name)
+	if err := s.validateFields(); err != nil {
+		return err
 	}
 	seen := make(map[string]bool, len(s.Routes))
 	for i := range s.Routes {
@@ -48,6 +43,17 @@
 	return nil
 }
 
+// validateFields validates everything but the routes.
+func (s *Service) validateFields() error {
+	if s.Unsupported == "" && !namePattern.MatchString(string(s.Name)) {
+		return errors.Errorf("service name %q: use 1 to 63 lower-case letters, digits, '-' or '.'", shorten(string(s.Name)))
+	}
+	if s.FloorSlots < 0 {
+		return errors.Errorf("service %s: floor %d slots: use 0 or more", s.Name, s.FloorSlots)
+	}
+	return errors.Wrapf(s.Policy.validate(), "service %s", s.Name)
+}
+
 // errDeclaredTwice returns the error of the second of two routes that match the same requests.
 func errDeclaredTwice(r *Route) error {
 	return errors.Errorf("route %q is declared twice for the same host and methods", r.Path)
@@ -73,8 +79,11 @@
 	return nil
 }
 
+// hasPath reports whether the route has a path that a request can match.
+func (r *Route) hasPath() bool { return strings.HasPrefix(r.Path, "/") }
+
 func (r *Route) validate() error {
-	if !strings.HasPrefix(r.Path, "/") {
+	if !r.hasPath() {
 		return errors.New("path: begin with '/'")
 	}
 	switch r.Class {
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -27,8 +27,8 @@
 	// confirmation before: the change was acknowledged after it. Bytes is the size of the document, Wait the time from the
 	// response until the document was merged.
 	DocumentApplied
-	// DocumentRejected means that the newest document of Key is invalid. The last valid one of a service stays active; of a group of
-	// accounts, nothing does.
+	// DocumentRejected means that the newest document of Key cannot be read. The last one of a service that could be read stays active;
+	// of a group of accounts, nothing does.
 	DocumentRejected
 	// RouteUnsupported means that a document that was merged has a route that this build cannot serve, for the reason Err.
 	// Key and Revision identify the document, Route is the host and path, "*" for all routes of the service.
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -20,7 +20,7 @@
 	StoreRecovered       = &Event{202, "store_recovered", Info, "the store responds again", []Key{Duration}, 0}
 	StoreOutcomeUnknown  = &Event{203, "store_outcome_unknown", Warning, "the response to a write was lost; its outcome is resolved by reading back", []Key{Operation, Service}, 0}
 	ConfigApplied        = &Event{204, "config_applied", Info, "a configuration is in force on this node; it was acknowledged at most as long ago as the confirmation before it", []Key{Service, Revision, Source, Duration, Age, Bytes, Wait}, 0}
-	ConfigInvalid        = &Event{205, "config_invalid", Error, "a document in the store is not valid and the last valid one stays in force, or a part of it is left out", []Key{Service, Revision, Cause}, 0}
+	ConfigInvalid        = &Event{205, "config_invalid", Error, "a document in the store cannot be read and the last one that could be stays in force, or a part of it is left out", []Key{Service, Revision, Cause}, 0}
 	ConfigStale          = &Event{207, "config_stale", Warning, "neither the store nor a peer confirms the configuration in force", []Key{Revision, Duration}, 0}
 	WatcherStarted       = &Event{208, "watcher_started", Info, "this node watches the store for its failure domain", []Key{Domain}, 0}
 	WatcherStopped       = &Event{209, "watcher_stopped", Info, "another node watches the store for the failure domain", []Key{Domain}, 0}
@@ -33,7 +33,7 @@
 	StandInFailed        = &Event{218, "stand_in_failed", Warning, "the store did not answer a read or a ping by this standby, of the given rank in its failure domain; it tries again after the duration, sooner if it hears of no attempt by others", []Key{Domain, Rank, Age, Duration, Cause}, 0}
 	ConfirmationLate     = &Event{216, "confirmation_late", Warning, "the store has not confirmed the configuration to any node that this one hears of for longer than expected", []Key{Revision, Age, Operation}, 0}
 	ConfirmationReceived = &Event{217, "confirmation_received", Info, "the store has confirmed the configuration again", []Key{Revision, Duration}, 0}
-	RouteUnsupported     = &Event{220, "route_unsupported", Error, "this build does not understand a route of the configuration; its requests are refused, the other routes are in force", []Key{Service, Revision, Route, Cause}, 0}
+	RouteUnsupported     = &Event{220, "route_unsupported", Error, "this build does not understand a route of the configuration, or a service as a whole (route *); its requests are refused, the other routes are in force", []Key{Service, Revision, Route, Cause}, 0}
 	QuotaCallFailed      = &Event{225, "quota_call_failed", Warning, "the node that distributes the quotas of a slot of accounts did not answer; the accounts have no permits here until the loan to it has ended", []Key{Node, Count}, 0}
 	AccountsApplied      = &Event{221, "accounts_applied", Info, "the client accounts of a group are in force on this node, as config_applied", []Key{Group, Revision, Count, Source, Duration, Age, Bytes, Wait}, 0}
 	AccountsInvalid      = &Event{222, "accounts_invalid", Error, "a group of client accounts in the store is not valid; none of its accounts is in force, and keys that no other account has are refused with accounts_unknown", []Key{Group, Revision, Cause}, 0}
