Report a stored document of an unknown kind, and say what it may restrict

Callers and operators: a document under an unknown prefix of config/ had no effect and left no line, so that a restriction that a later build adds as a document of its own would have been served on unnoticed.

Cause: the table merges every document of the configuration and decodes those of services and accounts; nothing looked at the others.

Change: SR0226 config_kind_unknown with key and revision, once a revision. The decision (docs/decisions/restrictions.md): a kind that restricts is named in the requires of the routes or services that it binds, which builds that do not know it refuse already; a document that nothing requires only adds something and refuses nothing.

--- a/internal/distribution/apply.go
+++ b/internal/distribution/apply.go
@@ -84,6 +84,7 @@
 		d.options.Report(d.documentEvent(document, from))
 	}
 	if prefix == ConfigPrefix {
+		d.reportUnknownKinds(changed)
 		d.reportRejected()
 		d.reportUnsupportedRoutes(changed)
 		d.reportAccounts(changed, from)
@@ -100,6 +101,15 @@
 	}
 }
 
+// reportUnknownKinds reports the changed documents that have no effect because this build does not know their kind.
+func (d *Distributor) reportUnknownKinds(changed []config.Document) {
+	for _, document := range changed {
+		if !document.Deleted && !config.IsKnownKind(document.Key) {
+			d.options.Report(Event{Kind: KindUnknown, Key: document.Key, Revision: document.Revision})
+		}
+	}
+}
+
 // reportUnsupportedRoutes reports the routes of the changed documents that this build cannot serve.
 func (d *Distributor) reportUnsupportedRoutes(changed []config.Document) {
 	snapshot := d.tables.config.Snapshot()
--- a/internal/distribution/event.go
+++ b/internal/distribution/event.go
@@ -33,6 +33,9 @@
 	// RouteUnsupported means that a document that was merged has a route that this build cannot serve, for the reason Err.
 	// Key and Revision identify the document, Route is the host and path, "*" for all routes of the service.
 	RouteUnsupported
+	// KindUnknown means that a document that was merged is of a kind that this build does not know, so that it has no effect. Key and
+	// Revision identify it.
+	KindUnknown
 	// AccountsApplied means that a document with other accounts than before was merged: DocumentApplied with the number of accounts in
 	// Count.
 	AccountsApplied
@@ -80,7 +83,7 @@
 )
 
 var eventNames = [...]string{
-	"store_failed", "store_compacted", "list_outdated", "pull_failed", "document_applied", "document_rejected", "route_unsupported",
+	"store_failed", "store_compacted", "list_outdated", "pull_failed", "document_applied", "document_rejected", "route_unsupported", "kind_unknown",
 	"accounts_applied", "account_unsupported", "key_shared",
 	"member_changed", "member_registered", "member_record_lost", "member_deleted", "watch_started", "watch_stopped",
 	"ready", "isolated", "reconnected", "identity_conflict", "era_received",
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -34,6 +34,7 @@
 	ConfirmationLate     = &Event{216, "confirmation_late", Warning, "the store has not confirmed the configuration to any node that this one hears of for longer than expected", []Key{Revision, Age, Operation}, 0}
 	ConfirmationReceived = &Event{217, "confirmation_received", Info, "the store has confirmed the configuration again", []Key{Revision, Duration}, 0}
 	RouteUnsupported     = &Event{220, "route_unsupported", Error, "this build does not understand a route of the configuration, or a service as a whole (route *); its requests are refused, the other routes are in force", []Key{Service, Revision, Route, Cause}, 0}
+	ConfigKindUnknown    = &Event{226, "config_kind_unknown", Warning, "this build does not know the kind of a document of the configuration; it has no effect, and the routes that require it are refused", []Key{Document, Revision}, 0}
 	QuotaCallFailed      = &Event{225, "quota_call_failed", Warning, "the node that distributes the quotas of a slot of accounts did not answer; the accounts have no permits here until the loan to it has ended", []Key{Node, Count}, 0}
 	AccountsApplied      = &Event{221, "accounts_applied", Info, "the client accounts of a group are in force on this node, as config_applied", []Key{Group, Revision, Count, Source, Duration, Age, Bytes, Wait}, 0}
 	AccountsInvalid      = &Event{222, "accounts_invalid", Error, "a group of client accounts in the store is not valid; none of its accounts is in force, and keys that no other account has are refused with accounts_unknown", []Key{Group, Revision, Cause}, 0}
@@ -129,7 +130,7 @@
 var nonReasonEvents = []*Event{
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, GraceExceeded,
 	ListenerFailed, PanicRecovered, SettingsRead, SignalReceived, RequestsCutOff, StoreUnavailable, StoreRecovered,
-	StoreOutcomeUnknown, StoreRestored, StoreHistoryLost, ListOutdated, StoreEraReceived, ConfigApplied, ConfigInvalid, ConfigStale,
+	StoreOutcomeUnknown, StoreRestored, StoreHistoryLost, ListOutdated, StoreEraReceived, ConfigApplied, ConfigInvalid, ConfigStale, ConfigKindUnknown,
 	AccountsApplied, AccountsInvalid, AccountUnsupported, KeyShared,
 	WatcherStarted, WatcherStopped, StandInStarted, StandInStopped, StandInFailed, ConfirmationLate, ConfirmationReceived, PullFailed, QuotaCallFailed, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
--- a/internal/events/field.go
+++ b/internal/events/field.go
@@ -164,6 +164,9 @@
 // GroupField is the number of a group of client accounts, as in the key of its document.
 func GroupField(number string) Field { return text(Group, number) }
 
+// DocumentField is the key of a document in the store.
+func DocumentField(key string) Field { return text(Document, key) }
+
 // AccountsField are the names of client accounts.
 func AccountsField(names []model.AccountName) Field {
 	texts := make([]string, len(names))
--- a/internal/events/key.go
+++ b/internal/events/key.go
@@ -42,6 +42,7 @@
 	Group       Key = "account_group"
 	Accounts    Key = "accounts"
 	Account     Key = "account"
+	Document    Key = "document"
 	Access      Key = "access"
 	// AccessRevision is the revision of the configuration that decided on the access of a request.
 	AccessRevision Key = "access_revision"
--- a/internal/events/sink_test.go
+++ b/internal/events/sink_test.go
@@ -75,6 +75,7 @@
 		`remaining="3s"`:        events.RemainingField(3 * time.Second),
 		`cutoff="4s"`:           events.CutoffField(4*time.Second, true),
 		`account_group="48"`:    events.GroupField("48"),
+		`document="config/x/a"`: events.DocumentField("config/x/a"),
 		`accounts="a,b"`:        events.AccountsField([]model.AccountName{"a", "b"}),
 		`account="a"`:           events.AccountField("a"),
 		`access="key"`:          events.AccessField("key"),
--- a/internal/node/event_log.go
+++ b/internal/node/event_log.go
@@ -57,6 +57,8 @@
 			events.DurationField(e.Duration), events.CauseField(e.Err))
 	case distribution.DocumentRejected:
 		n.log.Emit(events.ConfigInvalid, events.ServiceField(service), events.RevisionField(e.Revision), events.CauseField(e.Err))
+	case distribution.KindUnknown:
+		n.log.Emit(events.ConfigKindUnknown, events.DocumentField(e.Key), events.RevisionField(e.Revision))
 	case distribution.RouteUnsupported:
 		n.log.Emit(events.RouteUnsupported, events.ServiceField(service), events.RevisionField(e.Revision),
 			events.RouteField(e.Route), events.CauseField(e.Err))
