List the event of a route that is not understood on the page of events

Operators did not find SR0220 on docs/events.md, to which the page on operations refers: the catalogue declares the event and its list lacked it.

Change: it is listed, and a test compares the list with the declarations.

Measured: TestEveryEventIsListed failed before ("the event route_unsupported is not listed") and passes.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -130,7 +130,7 @@
 var nonReasonEvents = []*Event{
 	NodeStarted, NodeReady, NodeStopping, NodeStopped, GraceExceeded,
 	ListenerFailed, PanicRecovered, SettingsRead, SignalReceived, RequestsCutOff, StoreUnavailable, StoreRecovered,
-	StoreOutcomeUnknown, StoreRestored, StoreHistoryLost, ListOutdated, StoreEraReceived, ConfigApplied, ConfigInvalid, ConfigStale, ConfigKindUnknown,
+	StoreOutcomeUnknown, StoreRestored, StoreHistoryLost, ListOutdated, StoreEraReceived, ConfigApplied, ConfigInvalid, ConfigStale, RouteUnsupported, ConfigKindUnknown,
 	AccountsApplied, AccountsInvalid, AccountUnsupported, KeyShared,
 	WatcherStarted, WatcherStopped, StandInStarted, StandInStopped, StandInFailed, ConfirmationLate, ConfirmationReceived, PullFailed, QuotaCallFailed, MemberRecordLost, NodeJoined, NodeLeft, NodeSilent,
 	NodeHeard, PathAvoided, PathRestored, ConnectionSilent, RegionUnreachable,
--- a/internal/events/emitted_test.go
+++ b/internal/events/emitted_test.go
@@ -42,3 +42,24 @@
 	}
 	return all.String()
 }
+
+// Guards against events that are written and missing from docs/events.md, because the catalogue does not list them.
+func TestEveryEventIsListed(t *testing.T) {
+	catalogue, err := os.ReadFile("catalogue.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listed := make(map[string]bool)
+	for _, event := range All() {
+		listed[event.Name] = true
+	}
+	declared := regexp.MustCompile(`(?m)^\t[A-Z]\w+ += &Event\{\d+, "(\w+)"`).FindAllStringSubmatch(string(catalogue), -1)
+	for _, match := range declared {
+		if !listed[match[1]] {
+			t.Errorf("the event %s is not listed", match[1])
+		}
+	}
+	if len(declared) == 0 {
+		t.Error("no event is declared")
+	}
+}
