Take the wait for the quarantine from the time that a target gets

What could be seen: a target beside another node was handed more time than its caller had left, by up to the second that the accepting node waits for its turn to probe, or by the wait for another run of a request with a loss.

Cause: the times in the head of an attempt are set before the quarantine is asked, and were sent as they were.

Change: the wait is taken from the time left and from that of the objective; an attempt without time left is not sent. The accepting node's own deadline ended such requests all along.

Before: TestWaitForTheQuarantineIsTakenFromTheTimeLeft failed, "8000 ms left, 2000 for the objective, after 685 ms".

--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -33,11 +34,18 @@
 
 // beginRemote checks with the quarantine that the request may run at a target of another node. Both nodes check, so
 // that a crashing request is stopped even while the store, through which nodes share quarantine entries, is
-// unavailable.
+// unavailable. The time that the request waits for the quarantine is taken from the times of its head.
 func (a *acceptor) beginRemote(ctx context.Context, head *peerv1.ForwardHead) *verdict.Error {
+	began := time.Now()
 	if err := a.admitter.crashes.awaitAllowed(ctx, head); err != nil {
 		return err
 	}
+	waited := time.Since(began).Milliseconds()
+	head.TimeoutMs -= waited
+	head.ObjectiveLeftMs -= waited
+	if head.TimeoutMs <= 0 {
+		return endedOrExpired(ctx)
+	}
 	return a.admitter.crashes.begin(head)
 }
 
--- a/internal/node/probes_test.go
+++ b/internal/node/probes_test.go
@@ -65,3 +65,22 @@
 		}
 	})
 }
+
+// Guards against a target that gets the time which its request has spent waiting for the quarantine.
+func TestWaitForTheQuarantineIsTakenFromTheTimeLeft(t *testing.T) {
+	runCrashFleet(t, func(f *crashFleet) {
+		accepting, other := f.start(), f.start()
+		f.quarantineAtTwoTargets(accepting, other)
+		a := &acceptor{admitter: &admitter{crashes: accepting}}
+		head := crashingRequest("t9")
+		head.TimeoutMs, head.ObjectiveLeftMs = 8_000, 2_000
+		began := time.Now()
+		if refusal := a.beginRemote(f.t.Context(), head); refusal != nil {
+			t.Fatal(refusal)
+		}
+		waited := time.Since(began).Milliseconds()
+		if waited == 0 || head.TimeoutMs != 8_000-waited || head.ObjectiveLeftMs != 2_000-waited {
+			t.Errorf("%d ms left, %d for the objective, after %d ms", head.TimeoutMs, head.ObjectiveLeftMs, waited)
+		}
+	})
+}
