Refuse the routes of a refused document when the next one hides them

Callers: of two successive documents of a service that this build does not understand, the second one with a list of routes, or the place of a route, that cannot be read, requests of the routes that only the first one had were no longer refused and reached a less specific route of another service, although the second document may still restrict them.

Cause: an unsupported service refused its own routes and those of the last document that was understood; a document in between was forgotten.

Change: a service whose routes are not all known (RoutesUnknown, never stored) refuses also those of the last document since then of which all are known. At most these three sets are refused at once, so that their number does not grow with the revisions.

Open: of several documents in a row whose routes are not all known, only the newest one's are refused; a node that has not seen the documents before refuses less.

--- a/internal/config/entry.go
+++ b/internal/config/entry.go
@@ -23,6 +23,8 @@
 	serviceRevision int64
 	// supported is the last declaration that was understood, nil if there is none since the last deletion.
 	supported *declaration.Service
+	// placed is the last declaration since supported that was not understood but of which all routes are known, nil if there is none.
+	placed *declaration.Service
 	// accounts are those of a valid document of a group of accounts, nil otherwise.
 	accounts *account.Group
 	// err is the validation error of document, nil if it is valid.
@@ -57,11 +59,11 @@
 }
 
 // replaceService decodes the newest document of a service. If it is damaged, the last one stays active. If it is readable and not
-// understood, it refuses the routes of the last one that was understood together with its own.
+// understood, it refuses routes of earlier ones together with its own (withEarlierRoutes).
 func (e *entry) replaceService(name model.ServiceName) {
 	document := e.document
 	if document.Deleted {
-		e.service, e.supported = nil, nil
+		e.service, e.supported, e.placed = nil, nil, nil
 		e.serviceRevision = document.Revision
 		return
 	}
@@ -70,13 +72,26 @@
 		e.err = err
 		return
 	}
+	e.service = e.withEarlierRoutes(service)
+	e.serviceRevision = document.Revision
+}
+
+// withEarlierRoutes returns the service, with the routes of earlier declarations if it is not understood: those of the last one that
+// was, and if its own routes are not all known, those of the last one of which they are. No others are kept, so that their number is
+// bounded.
+func (e *entry) withEarlierRoutes(service *declaration.Service) *declaration.Service {
 	if service.Unsupported == "" {
-		e.supported = service
+		e.supported, e.placed = service, nil
+		return service
+	}
+	refused := *service
+	refused.RefuseRoutesOf(e.supported)
+	if service.RoutesUnknown {
+		refused.RefuseRoutesOf(e.placed)
 	} else {
-		service.RefuseRoutesOf(e.supported)
+		e.placed = service
 	}
-	e.service = service
-	e.serviceRevision = document.Revision
+	return &refused
 }
 
 // decode returns the declaration of the document under the key of the service. A document whose name cannot be read declares the
--- a/internal/config/refused_service_test.go
+++ b/internal/config/refused_service_test.go
@@ -129,3 +129,24 @@
 		t.Errorf("services %v, rejected %v", snapshot.Services, snapshot.Rejected)
 	}
 }
+
+// Guards against requests that reach a less specific route because a second document with a fault hides the routes of the first.
+func TestUnreadableRoutesRefuseThoseOfTheDocumentBefore(t *testing.T) {
+	table := NewTable("config/", 0)
+	for i, step := range []struct{ value, refused string }{
+		{`{"name":"a","routes":[{"path":"/1"}]}`, ""},
+		{`{"name":"a","later":{},"routes":[{"path":"/2"}]}`, "/1 /2"},
+		{`{"name":"a","routes":7}`, "/1 /2"},
+		{`{"name":"a","routes":[{"path":"/3"},{"path":7}]}`, "/1 /2 /3"},
+		{`{"name":"a","routes":[{"path":"/4"},{"path":7}]}`, "/1 /2 /4"},
+		{`{"name":"a","later":{},"routes":[{"path":"/5"}]}`, "/1 /5"},
+		{`{"name":"a","routes":7}`, "/1 /5"},
+		{`{"name":"a","routes":[{"path":"/6"}]}`, ""},
+		{`{"name":"a","routes":7}`, "/6"},
+	} {
+		table.Apply([]Document{{Key: ServicePrefix + "a", Value: []byte(step.value), Revision: int64(i + 1)}})
+		if _, refused := servedPaths(table.Snapshot()); refused != step.refused {
+			t.Errorf("revision %d: refused %q, want %q", i+1, refused, step.refused)
+		}
+	}
+}
--- a/internal/declaration/decode_stored.go
+++ b/internal/declaration/decode_stored.go
@@ -73,6 +73,7 @@
 	s := &document.Service
 	s.Name = readServiceName(fields)
 	unplaced := s.decodeStoredRoutes(document.Routes != nil, readRoutes(fields))
+	s.RoutesUnknown = unplaced != nil || !hasOneRouteList(fields)
 	s.MarkUnsupportedRoutes()
 	s.markFaults(fault, s.validateFields(), unplaced)
 	return s, nil
@@ -100,6 +101,13 @@
 	return routes
 }
 
+// hasOneRouteList reports whether a single field can contain routes, and is a list or null.
+func hasOneRouteList(fields []jsonField) bool {
+	var list []json.RawMessage
+	values := fieldsLike(fields, "routes")
+	return len(values) == 1 && json.Unmarshal(values[0].value, &list) == nil
+}
+
 // decodeStoredRoutes decodes the routes of the service. It returns an error for the first one of which the place is not known.
 func (s *Service) decodeStoredRoutes(exist bool, encoded []json.RawMessage) error {
 	s.Routes = nil
--- a/internal/declaration/service.go
+++ b/internal/declaration/service.go
@@ -23,6 +23,9 @@
 	// Unsupported is the reason why this build cannot apply the stored service; the requests of all routes that lead to it are
 	// refused. It is empty for a service that is in force, and never stored.
 	Unsupported string `json:"-"`
+	// RoutesUnknown means that an unsupported service may have other routes than Routes, because the list or the place of one of them
+	// cannot be read. It is never stored.
+	RoutesUnknown bool `json:"-"`
 }
 
 // dropImpliedRequirements removes the requirements of the routes that follow from other fields.
--- a/internal/declaration/unsupported_service.go
+++ b/internal/declaration/unsupported_service.go
@@ -35,6 +35,7 @@
 	if earlier == nil {
 		return
 	}
+	// s may share its routes with another declaration.
 	s.Routes = slices.Clone(s.Routes)
 	positions := make(map[string]int, len(s.Routes))
 	for i := range s.Routes {
