Count the timeouts of refused routes for runs before the start

Callers: a nested request of a run that an earlier process of another build had sent got 401, which is final, from 30 s after the start on, if the new build does not understand the route, or the service, whose timeout is longer: after a return to an older build.

Cause: a route that becomes unsupported lost its timeout, and the table counted those of served routes only.

Change: unsupported routes keep a timeout that can be read and is valid; LongestTimeout is that of all routes, also of those whose place is not known. A timeout that is not valid counts as none.

Open: routes of the operator's configuration that are not understood have no timeout.

--- a/internal/declaration/route.go
+++ b/internal/declaration/route.go
@@ -77,8 +77,11 @@
 	DefaultFirstByteMS = 5_000
 )
 
-// Timeout returns the time for the whole request.
+// Timeout returns the time for the whole request. An unsupported route may have a timeout that is not valid, which counts as none.
 func (r *Route) Timeout() time.Duration {
+	if !isTimeout(r.TimeoutMS) {
+		return DefaultTimeoutMS * time.Millisecond
+	}
 	return time.Duration(cmp.Or(r.TimeoutMS, DefaultTimeoutMS)) * time.Millisecond
 }
 
--- a/internal/declaration/stored_place.go
+++ b/internal/declaration/stored_place.go
@@ -24,11 +24,18 @@
 // unsupportedFrom returns the unsupported route for an encoded route. If its place cannot be read, the route matches no request and
 // the error says so.
 func unsupportedFrom(raw json.RawMessage, reason error) (Route, error) {
+	var timeout struct {
+		TimeoutMS int64 `json:"timeout_ms"`
+	}
+	// A timeout that cannot be read stays 0.
+	_ = json.Unmarshal(raw, &timeout)
+	route := UnsupportedRoute("", "", false, reason)
+	route.KeepTimeout(timeout.TimeoutMS)
 	place, err := readPlace(raw)
 	if err != nil {
-		return UnsupportedRoute("", "", false, reason), err
+		return route, err
 	}
-	route := UnsupportedRoute(place.Host, place.Path, place.BelowOnly, reason)
+	route.Host, route.Path, route.BelowOnly = place.Host, place.Path, place.BelowOnly
 	route.limitMethods(place.Methods)
 	return route, nil
 }
--- a/internal/declaration/unsupported.go
+++ b/internal/declaration/unsupported.go
@@ -58,9 +58,10 @@
 	if r.Unsupported != "" {
 		return
 	}
-	methods := r.Methods
+	methods, timeoutMS := r.Methods, r.TimeoutMS
 	*r = UnsupportedRoute(r.Host, r.Path, r.BelowOnly, reason)
 	r.limitMethods(methods)
+	r.KeepTimeout(timeoutMS)
 }
 
 // limitMethods limits an unsupported route to the methods of the original one, if they are valid.
@@ -70,6 +71,14 @@
 	}
 }
 
+// KeepTimeout sets the timeout of an unsupported route, in milliseconds, if it is valid: runs that a process of another build has sent
+// may take as long.
+func (r *Route) KeepTimeout(timeoutMS int64) {
+	if isTimeout(timeoutMS) {
+		r.TimeoutMS = timeoutMS
+	}
+}
+
 // UnsupportedRoutes returns the routes of the service that this build cannot serve.
 func (s *Service) UnsupportedRoutes() []*Route {
 	var unsupported []*Route
--- a/internal/declaration/validate.go
+++ b/internal/declaration/validate.go
@@ -82,6 +82,9 @@
 // hasPath reports whether the route has a path that a request can match.
 func (r *Route) hasPath() bool { return strings.HasPrefix(r.Path, "/") }
 
+// isTimeout reports whether a timeout in milliseconds is valid.
+func isTimeout(ms int64) bool { return ms >= 0 && ms <= maxTimeoutMS }
+
 func (r *Route) validate() error {
 	if !r.hasPath() {
 		return errors.New("path: begin with '/'")
@@ -97,7 +100,7 @@
 		return errors.Errorf("priority %q: use %q or %q", r.Priority, Interactive, Bulk)
 	}
 	for _, ms := range []int64{r.TimeoutMS, r.FirstByteMS, r.ObjectiveMS} {
-		if ms < 0 || ms > maxTimeoutMS {
+		if !isTimeout(ms) {
 			return errors.Errorf("timeout %d: use 0 to %d milliseconds", ms, int64(maxTimeoutMS))
 		}
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -14,7 +14,7 @@
 	// paths maps host and path prefix to the routes declared for them. Routes without a host have the key host "".
 	paths map[pathKey][]*Match
 	hosts map[string]bool
-	// longestTimeout is that of the routes that are served.
+	// longestTimeout is that of all routes, also of those that are refused: another build may have served them.
 	longestTimeout time.Duration
 }
 
@@ -38,13 +38,11 @@
 }
 
 func (t *Table) add(m *Match) {
+	t.longestTimeout = max(t.longestTimeout, m.Route.Timeout())
 	if !strings.HasPrefix(m.Route.Path, "/") {
 		// An unsupported route whose path could not be read.
 		return
 	}
-	if m.Route.Unsupported == "" {
-		t.longestTimeout = max(t.longestTimeout, m.Route.Timeout())
-	}
 	host := CanonicalHost(m.Route.Host)
 	key := pathKey{host: host, path: trimSlash(parsePath(m.Route.Path).routed)}
 	t.paths[key] = append(t.paths[key], m)
