Wait in a stop for a response until the deadline of its request

Callers could see: an uncertain outcome of a request whose response was retained, when its accepting and its admitting node stop at about the same time.

Cause: a stop waited for a response only until the time by which a stopping accepting node wants it. That is 50 ms before this node's cutoff, up to which it asks. The notice of a stop sets the time for all attempts of the node, also for those whose deadline comes between its cutoff and 0.95 of its grace period, which go on until their deadline.

Change: the deadline of the request alone counts, as docs/design.md says. TestResponsesAreAwaitedUntilTheDeadlineOfTheirRequest wanted the earlier time for one of its four responses; it wants the deadline for it now.

Before: TestResponseToAStoppingAcceptorIsAwaited, new, failed: "0 responses are awaited before the deadline, want 1". After: it passes, with all of admission under -race. Price: a response that a stopped accepting node never acknowledges holds overlapping stops until its deadline; how long such stops take with this change was not measured.

--- a/internal/admission/finish.go
+++ b/internal/admission/finish.go
@@ -211,7 +211,7 @@
 		return
 	}
 	r.answer = answer
-	r.awaitedUntil = w.request.end()
+	r.awaitedUntil = w.request.Deadline
 	r.state = StateAnswered
 	p.retainedBytes += answer.Size()
 	p.retained.push(expiry{attempt: w.request.Attempt, at: p.activeTime() + p.limits.RetainedTTL})
--- a/internal/admission/retained_test.go
+++ b/internal/admission/retained_test.go
@@ -21,7 +21,7 @@
 	p.Admit(now, stopping)
 	p.Finish(now, stopping.Attempt, Result{Outcome: Answered, Answer: &Answer{Status: 200}})
 	p.AcknowledgeResponse(model.NewAttemptID("n", 1, 1))
-	for after, want := range map[time.Duration]int{0: 3, 1: 2, 2: 1, 8: 1, 9: 0} {
+	for after, want := range map[time.Duration]int{0: 3, 1: 3, 2: 2, 8: 2, 9: 0} {
 		at := now + after*time.Second
 		q := *p
 		if got := q.AwaitedResponses(at); got != want {
@@ -32,3 +32,20 @@
 		t.Errorf("the response is not retained any more: %v", state)
 	}
 }
+
+// Guards against a stop that ends while an accepting node, which stops too, may still ask for a response: its cutoff is later than the
+// time by which it wants responses, and a request whose deadline comes shortly after the cutoff goes on.
+func TestResponseToAStoppingAcceptorIsAwaited(t *testing.T) {
+	p, now := newReadyPoint(t, DefaultLimits(), 4)
+	p.AcceptorStops(now, "n", 1, now+2*time.Second)
+	r := testRequest(now, 0, 3*time.Second)
+	p.Admit(now, r)
+	ended := now + 2500*time.Millisecond
+	p.Finish(ended, r.Attempt, Result{Outcome: Answered, Answer: &Answer{Status: 200}})
+	if got := p.AwaitedResponses(ended); got != 1 {
+		t.Errorf("%d responses are awaited before the deadline, want 1", got)
+	}
+	if got := p.AwaitedResponses(r.Deadline); got != 0 {
+		t.Errorf("%d responses are awaited after the deadline", got)
+	}
+}
