Give a probe to callers who do not wait for a whole turn

Callers saw: quarantined for good, where each caller closes its connection before its node's turn to probe, up to 1 s after its request.

Cause: a node's turn is the same for each try at the same probe, and each request waited for it from its own start. A single node waits 0.89 s on average by calculation. A request that ended before did not bring the next one nearer.

Change: what the requests of a node have waited for a probe counts for the next one. A wait that comes to its end counts nothing, so that nodes stay apart after a store that does not answer.

Before: TestImpatientCallersGetAProbe, new, failed: "no probe in 10 requests of 300ms". After: it passes, with the tests of quarantine and those of node that match Probe, Quarantine or WritesFor, under -race.

--- a/internal/node/probes.go
+++ b/internal/node/probes.go
@@ -30,9 +30,9 @@
 func (c *crashTracker) claimProbe(ctx context.Context, head *peerv1.ForwardHead) bool {
 	fingerprint := quarantine.Fingerprint(head.Fingerprint)
 	c.mu.Lock()
-	due, turn := c.table.ProbeDue(c.clock.now(), fingerprint), c.table.ProbeTurn(fingerprint, c.nodeHash)
+	due, wait := c.table.ProbeDue(c.clock.now(), fingerprint), c.table.ProbeWait(fingerprint, c.nodeHash, probeClaimDelay(ctx))
 	c.mu.Unlock()
-	if !due || !c.awaitProbeTurn(ctx, fingerprint, turn) {
+	if !due || !c.awaitProbeTurn(ctx, fingerprint, wait) {
 		return false
 	}
 	began := c.clock.now()
@@ -72,12 +72,15 @@
 
 // awaitProbeTurn waits for the turn of this node to claim the probe, so that the nodes behind the first one find its claim and write
 // nothing. It returns false if the probe is claimed meanwhile or ctx ends.
-func (c *crashTracker) awaitProbeTurn(ctx context.Context, fingerprint quarantine.Fingerprint, turn float64) bool {
-	if sleep(ctx, time.Duration(turn*float64(probeClaimDelay(ctx)))) != nil {
-		return false
-	}
+func (c *crashTracker) awaitProbeTurn(ctx context.Context, fingerprint quarantine.Fingerprint, wait time.Duration) bool {
+	began := c.clock.now()
+	err := sleep(ctx, wait)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err != nil {
+		c.table.AddProbeWait(fingerprint, c.clock.now()-began)
+		return false
+	}
 	_, due := c.table.ClaimProbe(c.clock.now(), fingerprint)
 	return due
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -17,6 +17,9 @@
 	probedAt time.Duration
 	// nextProbeTry is the time from which this node may ask for a probe again.
 	nextProbeTry time.Duration
+	// waited is the time for which requests of this node have waited for its turn to claim the probe waitedFor, and ended before it.
+	waited    time.Duration
+	waitedFor ClaimedProbe
 }
 
 // entry returns the form that is propagated to other nodes.
