Close a connection that a handler has taken over

No caller saw this: no handler of a node takes over (hijacks) a caller's connection. Found in a review.

Cause: after a watched request, Close does nothing until the server reports the connection idle or closed. Of a connection that was taken over it reports nothing more, so that Close did nothing for good.

Change: after StateHijacked, Close is that of a connection whose states are not known.

Before: TestHijackedConnectionCloses, new, failed after 5 s: "the connection is still open". After: it passes, with all of callerconn under -race.

--- a/internal/callerconn/state.go
+++ b/internal/callerconn/state.go
@@ -17,6 +17,8 @@
 		c.knowState()
 	case http.StateIdle:
 		c.responseSent()
+	case http.StateHijacked:
+		c.forgetState()
 	case http.StateClosed:
 		c.responseSent()
 		// The server has closed the connection before it reports the state.
@@ -30,6 +32,13 @@
 	c.stateKnown = true
 }
 
+// forgetState is called when the server reports no further state: the handler closes the connection itself.
+func (c *Conn) forgetState() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stateKnown, c.finishing = false, false
+}
+
 func (c *Conn) responseSent() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
