--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -270,22 +270,29 @@
 	}
 }
 
-// Guards against a closed connection that waits for its caller without a limit.
-func TestClosedConnectionDoesNotWaitForItsCaller(t *testing.T) {
+// connect returns both ends of a connection over the loopback interface. The caller's end is closed after the test.
+func connect(t *testing.T) (caller, accepted net.Conn) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	caller, err := net.Dial("tcp", listener.Addr().String())
+	caller, err = net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer caller.Close()
-	accepted, err := listener.Accept()
+	t.Cleanup(func() { caller.Close() })
+	accepted, err = listener.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
+	return caller, accepted
+}
+
+// Guards against a closed connection that waits for its caller without a limit.
+func TestClosedConnectionDoesNotWaitForItsCaller(t *testing.T) {
+	caller, accepted := connect(t)
 	closed := make(chan struct{})
 	conn := New(accepted, func() { close(closed) })
 	go func() {
@@ -311,22 +318,10 @@
 	}
 }
 
+// Guards against a response that is cut because the connection is closed between the end of its handler and the last write.
 func TestCloseBeforeTheResponseIsSentKeepsTheConnection(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	caller, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer caller.Close()
+	caller, accepted := connect(t)
 	_ = caller.SetDeadline(time.Now().Add(testLimit))
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
 	conn := New(accepted, nil)
 	RecordState(conn, http.StateNew)
 	conn.Watch(func(error) {})()
--- a/internal/node/quota_handover_test.go
+++ b/internal/node/quota_handover_test.go
@@ -33,8 +33,8 @@
 	return longest
 }
 
-// Guards against parts that lie idle until the next renewal after a stopping distributor has given them back.
-func TestPartsOfAStoppingDistributorAreLentAtOnce(t *testing.T) {
+// runHandover runs the test with a fleet whose parts have been lent for 10 s.
+func runHandover(t *testing.T, test func(t *testing.T, f *quotaTestFleet, account model.AccountName)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer time.Sleep(time.Second)
@@ -42,9 +42,16 @@
 		account := &declaration.Account{Name: "a", RatePerSecond: 30, Burst: 30}
 		f := startQuotaTestFleet(ctx, account)
 		time.Sleep(10 * time.Second)
-		stopping := f.distributor(account.Name)
+		test(t, f, account.Name)
+	})
+}
+
+// Guards against parts that lie idle until the next renewal after a stopping distributor has given them back.
+func TestPartsOfAStoppingDistributorAreLentAtOnce(t *testing.T) {
+	runHandover(t, func(t *testing.T, f *quotaTestFleet, account model.AccountName) {
+		stopping := f.distributor(account)
 		f.stopping.Store(&stopping)
-		if idle := f.longestIdle(account.Name, 2*time.Second); idle > 4*quotaTestLatency {
+		if idle := f.longestIdle(account, 2*time.Second); idle > 4*quotaTestLatency {
 			t.Errorf("parts were idle for %v, want two calls at most", idle)
 		}
 	})
@@ -52,22 +59,16 @@
 
 // Guards against parts that lie idle while they are moved to a distributor that is preferred to the present one.
 func TestPartsMoveToAPreferredDistributorAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer time.Sleep(time.Second)
-		defer cancel()
-		account := &declaration.Account{Name: "a", RatePerSecond: 30, Burst: 30}
-		f := startQuotaTestFleet(ctx, account)
-		time.Sleep(10 * time.Second)
-		preferred := f.distributor(account.Name)
+	runHandover(t, func(t *testing.T, f *quotaTestFleet, account model.AccountName) {
+		preferred := f.distributor(account)
 		f.lost[preferred].Store(true)
 		time.Sleep(10 * time.Second)
 		f.lost[preferred].Store(false)
 		f.avoided[preferred].Store(false)
-		if idle := f.longestIdle(account.Name, 2*time.Second); idle > 4*quotaTestLatency {
+		if idle := f.longestIdle(account, 2*time.Second); idle > 4*quotaTestLatency {
 			t.Errorf("parts were idle for %v, want two calls at most", idle)
 		}
-		if got := f.distributor(account.Name); got != preferred {
+		if got := f.distributor(account); got != preferred {
 			t.Errorf("the parts are at %s, want %s", got, preferred)
 		}
 	})
